--- /dev/null
+++ b/roadbend/__init__.py
@@ -0,0 +1,3 @@
+"""roadbend: a cluster scheduler whose controllers bid for jobs."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/roadbend/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from roadbend.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/roadbend/bidding/__init__.py
@@ -0,0 +1,1 @@
+"""CASA: bids, promises, the draw, offering again."""
--- /dev/null
+++ b/roadbend/bidding/exchange.py
@@ -0,0 +1,204 @@
+"""The requester's side: ask everyone, draw, record the owner, tell those concerned."""
+
+import random
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+import cbor2
+import trio
+
+from roadbend import clock
+from roadbend.bidding import casa, messages
+from roadbend.bidding.casa import Bid, Promises
+from roadbend.bidding.messages import Ask
+from roadbend.bidding.offers import Bidder
+from roadbend.log import Log
+from roadbend.parts.policy import rendezvous
+from roadbend.peers import frames
+from roadbend.peers.frames import BadFrame
+from roadbend.peers.links import Link, NoReply, Peers
+from roadbend.placement.runtime import PartRuntime, Shared
+from roadbend.store import ranges, records
+from roadbend.store.client import Conflict, NoLease, Unavailable, commit, put
+from roadbend.store.records import Job
+
+log = Log("bidding")
+MOST_QUEUED = 2048
+
+
+class Exchange:
+    def __init__(
+        self,
+        shared: Shared,
+        peers: Peers,
+        runtimes: dict[str, PartRuntime],
+        closed: Callable[[str, datetime], set[tuple[str, bool]]],
+        rng: random.Random,
+    ):
+        self._shared, self._peers, self._runtimes, self._closed, self._rng = shared, peers, runtimes, closed, rng
+        self._shadows: dict[str, Promises] = {}
+        self._send, self._receive = trio.open_memory_channel(MOST_QUEUED)
+        self._busy: set[str] = set()
+        peers.handlers[frames.REQUEST] = self._on_request
+        peers.handlers[frames.ASSIGN] = self._on_assign
+        peers.handlers[frames.REVOKE] = self._on_revoke
+
+    # Bidding.
+
+    def _bidder(self, part: str) -> Bidder:
+        shadow = self._shadows.setdefault(part, Promises(self._shared.op.promise_life))
+        runtime = self._runtimes[part]
+        return Bidder(runtime, self._shared.settings.name, lambda: self._closed(part, clock.now()), shadow)
+
+    def bids(self, ask: Ask) -> list[Bid]:
+        now = clock.now()
+        out = []
+        for part, runtime in list(self._runtimes.items()):
+            if self._shared.ownership.tenure(part) != runtime.tenure or not self._shared.ownership.may_start(now):
+                continue
+            if part == ask.part:
+                continue
+            bid = self._bidder(part).bid(ask, now)
+            if bid is not None:
+                out.append(bid)
+        return out
+
+    def _on_request(self, sender: str, payload: bytes) -> bytes:
+        return messages.pack_bids(self.bids(Ask.unpack(payload)))
+
+    def _on_assign(self, sender: str, payload: bytes) -> bytes:
+        """The record decides; the message brings it sooner."""
+        job, value, stamp = messages.unpack_assign(payload)
+        for shadow in self._shadows.values():
+            shadow.revoke(job)
+        view = self._shared.view
+        if value and stamp > view.ledger:
+            try:
+                view.put(records.job_key(job), cbor2.loads(value), stamp)
+            except Exception as error:  # cbor2 raises many kinds on hostile input
+                raise BadFrame("assign") from error
+        for runtime in self._runtimes.values():
+            runtime.kick.set()
+        return b""
+
+    def _on_revoke(self, sender: str, payload: bytes) -> None:
+        job = messages.unpack_revoke(payload)
+        for shadow in self._shadows.values():
+            shadow.revoke(job)
+
+    # Requesting.
+
+    def submit(self, job: str) -> None:
+        """Queues a job for bidding; when the queue is full the periodic look finds it."""
+        if job in self._busy:
+            return
+        try:
+            self._send.send_nowait(job)
+            self._busy.add(job)
+        except trio.WouldBlock:
+            pass
+
+    async def run_worker(self) -> None:
+        async for job in self._receive:
+            try:
+                await self._distribute(job)
+            except (Unavailable, NoLease):
+                pass
+            except Exception:
+                log.crash("distribute-failed", job=job)
+            finally:
+                self._busy.discard(job)
+
+    async def run_rebid(self) -> None:
+        """Any live controller offers a recorded job that nobody holds; the hash says who tries first."""
+        waiting: dict[str, datetime] = {}
+        while True:
+            await clock.pause(self._shared.op.rebid_every)
+            now = clock.now()
+            names = [self._shared.settings.name, *self._peers.alive(now)]
+            free = {job.id: job for job in self._shared.view.jobs.values() if job.free}
+            waiting = {name: waiting.get(name, now) for name in free}
+            for name in free:
+                mine = rendezvous(name, names) == self._shared.settings.name
+                if mine or now - waiting[name] > self._shared.op.rebid_every * 4:
+                    self.submit(name)
+
+    async def _ask(self, link: Link, payload: bytes, out: list[Bid]) -> None:
+        try:
+            out += messages.unpack_bids(await link.call(frames.REQUEST, payload, self._shared.op.bid_wait))
+        except NoReply:
+            pass
+        except BadFrame as error:
+            log.error("bad-bid", peer=link.peer.name, error=str(error))
+
+    async def gather(self, ask: Ask) -> list[Bid]:
+        bids = self.bids(ask)
+        payload = ask.pack()
+        async with trio.open_nursery() as nursery:
+            for link in self._peers.links.values():
+                nursery.start_soon(self._ask, link, payload, bids)
+        # One bid a part: while ownership moves, two may answer for it.
+        return list({bid.part: bid for bid in bids}.values())
+
+    async def _distribute(self, name: str) -> None:
+        view = self._shared.view
+        for _ in range(3):
+            job = view.jobs.get(name)
+            if job is None or not job.free or name in self._shared.cancelled:
+                return
+            ask = Ask(name, len(self._peers.links) + 1, ranges.size(job.free), job.spec)
+            bids = await self.gather(ask)
+            job = view.jobs.get(name)
+            if job is None:
+                return
+            shares = casa.allot(job, bids, self._shared.op.omega, self._rng)
+            if not shares:
+                log.debug("no-bid", job=name, bids=len(bids))
+                return
+            fresh = job
+            for part, piece in shares.items():
+                fresh = fresh.with_part(part, ranges.union(fresh.alloc.get(part, ()), piece))
+            if await self.move(job, fresh, bids, set(shares)):
+                return
+
+    async def move(self, job: Job, fresh: Job, bids: list[Bid], chosen: set[str]) -> bool:
+        """Records who holds what; that is the assignment."""
+        view, key = self._shared.view, records.job_key(job.id)
+        value = fresh.to_value()
+        rows = [put(key, value)]
+        try:
+            ledger = await commit(self._shared.state, {key: job.stamp}, rows, within=timedelta(seconds=3))
+        except Conflict:
+            with trio.move_on_after(1):
+                await self._shared.reader.sync()
+            return False
+        view.applied(rows, ledger)
+        log.debug(
+            "assigned", job=job.id, to=",".join(f"{p}:{ranges.size(fresh.alloc.get(p, ()))}" for p in sorted(chosen)),
+            bids=" ".join(f"{b.part}:{casa.response(b, self._shared.op.omega).total_seconds():.1f}/{b.now}/{b.room}"
+                          for b in bids),
+        )  # fmt: skip
+        tell = {bid.node for bid in bids if bid.part in chosen}
+        body = messages.pack_assign(job.id, cbor2.dumps(value), ledger)
+        revoke = messages.pack_revoke(job.id)
+        for shadow in self._shadows.values():
+            shadow.revoke(job.id)
+        async with trio.open_nursery() as nursery:
+            for link in self._peers.links.values():
+                if link.peer.name in tell:
+                    nursery.start_soon(self._say, link, frames.ASSIGN, body)
+                else:
+                    nursery.start_soon(self._say, link, frames.REVOKE, revoke)
+        for runtime in self._runtimes.values():
+            runtime.kick.set()
+        return True
+
+    async def _say(self, link: Link, kind: int, payload: bytes) -> None:
+        # An assign is answered (the paper's receipt); a revoke is not, and may get lost.
+        try:
+            if kind == frames.ASSIGN:
+                await link.call(kind, payload, self._shared.op.bid_wait)
+            else:
+                await link.cast(kind, payload)
+        except NoReply:
+            pass
--- /dev/null
+++ b/roadbend/bidding/messages.py
@@ -0,0 +1,103 @@
+"""Frames of the bidding: request, accept, assign, revoke, inform. docs/peers.md describes them."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from roadbend.bidding.casa import Bid
+from roadbend.peers.frames import Scanner, Writer
+from roadbend.peers.links import finite
+from roadbend.store.records import Need, Spec
+
+
+@dataclass(frozen=True)
+class Ask:
+    """A request, or, with `theirs` set, an inform: what a part must know to bid."""
+
+    job: str
+    requests: int
+    free: int
+    spec: Spec
+    part: str = ""
+    theirs: timedelta | None = None
+    their_average: timedelta = timedelta()
+
+    def pack(self) -> bytes:
+        s = self.spec
+        out = Writer().text(self.job).put("HI", self.requests, self.free)
+        out.text(s.team).text(s.lane).put("?BI", s.service, s.priority, s.legs)
+        out.put("ddd", s.need.cpus, s.need.gpus, s.need.memory)
+        out.put("h", -1 if s.rigs is None else len(s.rigs))
+        for rig in s.rigs or ():
+            out.text(rig)
+        out.maybe(s.zone).put("???", s.together, s.apart, s.spot).text(s.image).put("d", s.image_gb)
+        out.put("ddd", *(x.total_seconds() for x in (s.expected, s.checkpoint, s.save)))
+        out.put("d", -1.0 if s.due is None else s.due.total_seconds())
+        out.text(self.part).put("dd", -1.0 if self.theirs is None else self.theirs.total_seconds(),
+                                self.their_average.total_seconds())  # fmt: skip
+        return out.bytes()
+
+    @staticmethod
+    def unpack(data: bytes) -> "Ask":
+        scan = Scanner(data)
+        job, (requests, free) = scan.text(), scan.get("HI")
+        team, lane, (service, priority, legs) = scan.text(), scan.text(), scan.get("?BI")
+        need = Need(*(finite(x) for x in scan.get("ddd")))
+        count = scan.one("h")
+        rigs = None if count < 0 else tuple(scan.text() for _ in range(count))
+        zone, (together, apart, spot) = scan.maybe(), scan.get("???")
+        image, image_gb = scan.text(), finite(scan.one("d"))
+        expected, checkpoint, save = (_span(x) for x in scan.get("ddd"))
+        due = scan.one("d")
+        part, (theirs, average) = scan.text(), scan.get("dd")
+        scan.end()
+        spec = Spec(
+            team, lane, service, priority, legs, need, rigs, zone, together, apart, spot, image, image_gb,
+            expected, checkpoint, save, None if due < 0 else _span(due),
+        )  # fmt: skip
+        return Ask(job, requests, free, spec, part, None if theirs < 0 else _span(theirs), _span(average))
+
+
+def _span(value: float) -> timedelta:
+    return timedelta(seconds=min(1e8, finite(value)))
+
+
+def pack_bids(bids: list[Bid]) -> bytes:
+    out = Writer().put("H", len(bids))
+    for bid in bids:
+        out.text(bid.part).text(bid.node)
+        out.put("ddd", *(x.total_seconds() for x in (bid.job_time, bid.queue_time, bid.shadow_time)))
+        out.put("II", min(bid.now, 1 << 31), min(bid.room, 1 << 31))
+    return out.bytes()
+
+
+def unpack_bids(data: bytes) -> list[Bid]:
+    scan = Scanner(data)
+    bids = []
+    for _ in range(scan.one("H")):
+        part, node = scan.text(), scan.text()
+        times = [_span(x) for x in scan.get("ddd")]
+        now, room = scan.get("II")
+        bids.append(Bid(part, node, *times, now, room))
+    scan.end()
+    return bids
+
+
+def pack_assign(job: str, value: bytes, stamp: int) -> bytes:
+    return Writer().text(job).put("QI", stamp, len(value)).bytes() + value
+
+
+def unpack_assign(data: bytes) -> tuple[str, bytes, int]:
+    scan = Scanner(data)
+    job, (stamp, length) = scan.text(), scan.get("QI")
+    return job, data[len(data) - length :] if length else b"", stamp
+
+
+def pack_revoke(job: str) -> bytes:
+    return Writer().text(job).bytes()
+
+
+def unpack_revoke(data: bytes) -> str:
+    scan = Scanner(data)
+    job = scan.text()
+    scan.end()
+    return job
--- /dev/null
+++ b/roadbend/bidding/offers.py
@@ -0,0 +1,119 @@
+"""A part's answer to a request: the paper's times, and real fit on machines instead of totals."""
+
+from datetime import datetime, timedelta
+
+from roadbend import clock
+from roadbend.bidding import casa
+from roadbend.bidding.casa import Bid, Promises
+from roadbend.bidding.messages import Ask
+from roadbend.placement import policy as placing
+from roadbend.placement.policy import Room
+from roadbend.placement.runtime import PartRuntime
+from roadbend.rental import policy as renting
+from roadbend.rental.cloud import Rig
+from roadbend.store.records import Job, Spec
+
+# What an unknown run time counts as; a service keeps its place for long.
+UNKNOWN = timedelta(seconds=60)
+
+
+def length(spec: Spec) -> timedelta:
+    return UNKNOWN if spec.service or spec.expected <= clock.ZERO else spec.expected
+
+
+def job_load(spec: Spec, tasks: int) -> float:
+    return spec.need.cpus * length(spec).total_seconds() * tasks
+
+
+def fetch_time(spec: Spec, rig: Rig | None) -> timedelta:
+    return timedelta(seconds=spec.image_gb / rig.pull) if rig else clock.ZERO
+
+
+class Bidder:
+    """Bids for one part while we own it."""
+
+    def __init__(self, runtime: PartRuntime, node: str, closed, shadow: Promises):
+        self._runtime, self._node, self._closed, self._shadow = runtime, node, closed, shadow
+
+    def bid(self, ask: Ask, now: datetime) -> Bid | None:
+        runtime, spec = self._runtime, ask.spec
+        if spec.zone is not None and spec.zone != runtime.part:
+            return None
+        rigs = runtime.shared.rigs
+        job = Job(ask.job, spec, clock.wall())
+        queue = [item for item in runtime.pending() if item.job.id != ask.job]
+        rooms = runtime.rooms()
+        ready, booting = rooms, [room for room in runtime.booting if room.id not in runtime.machines]
+        cores = max(1.0, sum(room.total.cpus for room in ready) + sum(room.total.cpus for room in booting))
+        # What queues here comes first: what is left after it can start the asked job now.
+        ahead = [item for item in queue if item.job.spec.priority >= spec.priority]
+        placing.place(ahead, ready + booting)
+        now_count = self._fit(job, ready)
+        fit_booting = self._fit(job, booting)
+        could_hire = self._hire(job)
+        room = now_count + fit_booting
+        wait = clock.ZERO
+        if now_count == 0:
+            waits = []
+            if fit_booting:
+                waits.append(min(r.ready_in for r in booting if self._fit(job, [r])))
+            if could_hire is not None:
+                waits.append(could_hire[0])
+            hosts = [r for r in rooms if self._could_host(job, r, rigs)]
+            if not waits and not hosts:
+                return None
+            if waits:
+                wait = timedelta(seconds=min(waits))
+        if could_hire is not None:
+            room += could_hire[1]
+        host = self._fastest(job, ready if now_count else booting)
+        fetch = clock.ZERO if now_count and self._cached(job, ready) else fetch_time(spec, host)
+        load = sum(job_load(item.job.spec, 1) for item in queue)
+        bid = Bid(
+            runtime.part,
+            self._node,
+            length(spec) + fetch + wait,
+            casa.load_time(load, cores),
+            casa.load_time(self._shadow.load(now), cores),
+            now_count,
+            max(room, 1),
+        )
+        self._shadow.add(ask.job, job_load(spec, min(ask.free, max(1, room))), ask.requests, now)
+        return bid
+
+    def _fit(self, job: Job, rooms: list[Room]) -> int:
+        return sum(
+            room.count(job.spec.need)
+            for room in rooms
+            if placing.allowed(job, room.rig, room.zone, room.spot) and (job.id, room.id) not in self._runtime.avoid
+        )
+
+    def _cached(self, job: Job, rooms: list[Room]) -> bool:
+        return any(job.spec.image in room.images and self._fit(job, [room]) for room in rooms)
+
+    def _could_host(self, job: Job, room: Room, rigs: dict[str, Rig]) -> bool:
+        rig = rigs.get(room.rig)
+        return (
+            rig is not None
+            and placing.allowed(job, room.rig, room.zone, room.spot)
+            and Room("", room.rig, room.zone, room.spot, rig.room.cpus, rig.room.gpus, rig.room.memory).fits(
+                job.spec.need
+            )
+        )
+
+    def _hire(self, job: Job) -> tuple[float, int] | None:
+        """Boot time and places of the cheapest machine that we believe we can hire."""
+        runtime = self._runtime
+        choices = renting.options(runtime.shared.rigs.values(), runtime.part, self._closed())
+        option = renting.cheapest(placing.Pending(job, 0, False), choices, runtime.part, job.spec.legs)
+        if option is None:
+            return None
+        places = renting.empty_room("", option, runtime.part).count(job.spec.need)
+        return option.rig.startup.total_seconds(), places * 4
+
+    def _fastest(self, job: Job, rooms: list[Room]) -> Rig | None:
+        rigs = self._runtime.shared.rigs
+        fitting = [rigs[r.rig] for r in rooms if r.rig in rigs and self._fit(job, [r])]
+        if not fitting:
+            fitting = [rig for rig in rigs.values() if self._runtime.part in rig.zones]
+        return max(fitting, key=lambda rig: rig.pull, default=None)
--- /dev/null
+++ b/roadbend/cli.py
@@ -0,0 +1,48 @@
+"""The command line. Exit status: 0 all well, 2 bad arguments or settings."""
+
+import argparse
+import os
+import random
+import sys
+from pathlib import Path
+
+from roadbend import __version__, log
+from roadbend.settings import SettingsError, load
+
+OPERATOR_FILE = Path(__file__).resolve().parent.parent / "deploy" / "roadbend.sexp"
+
+
+def parser() -> argparse.ArgumentParser:
+    out = argparse.ArgumentParser(prog="roadbend", description="A cluster scheduler whose controllers bid for jobs.")
+    out.add_argument("--config", type=Path, required=True, help="the platform's settings file (TOML)")
+    out.add_argument(
+        "--operator", type=Path, default=OPERATOR_FILE,
+        help="operators' own settings (S-expressions); a missing file means the defaults",
+    )  # fmt: skip
+    out.add_argument("--check", action="store_true", help="check the settings and end without starting")
+    out.add_argument("--version", action="version", version=f"roadbend {__version__}")
+    return out
+
+
+def main(argv: list[str] | None = None) -> int:
+    arguments = parser().parse_args(argv)
+    try:
+        settings, operator = load(arguments.config, arguments.operator)
+    except SettingsError as error:
+        print(f"roadbend: {error}", file=sys.stderr)
+        return 2
+    if arguments.check:
+        print("settings are good")
+        return 0
+    log.setup()
+    # Imported late: checking settings and printing help need none of it.
+    import trio
+
+    from roadbend.http.net import Net
+    from roadbend.node import Node
+
+    async def start() -> None:
+        await Node(settings, operator, Net(), random.Random(os.urandom(16))).run()
+
+    trio.run(start)
+    return 0
--- /dev/null
+++ b/roadbend/fleet/machines.py
@@ -0,0 +1,151 @@
+"""A part's machines as their owner knows them, and what a report means.
+
+Proof that a task is gone comes only from a report that carries this owner's token and is newer than
+all before it: such a report was sent after the response to the last one was resolved, so no order of
+ours, nor of a former owner, is still on its way to the worker. An older token proves presence only."""
+
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+from roadbend.fleet import messages
+from roadbend.fleet.messages import Report
+from roadbend.store.records import Attempt, Job, Slice
+
+Key = tuple[str, int]
+
+
+@dataclass
+class Seen:
+    """A task as the machine last showed it."""
+
+    attempt: int
+    state: str
+    since: datetime
+    running_since: datetime | None = None
+
+
+@dataclass
+class Machine:
+    id: str
+    address: str
+    rig: str
+    zone: str
+    spot: bool
+    first_seen: datetime
+    order: tuple[int, int] = (0, -1)
+    reported: datetime | None = None
+    # When we last answered 200: its lease can't count from later than this.
+    answered: datetime | None = None
+    # It has carried our token: former owners' orders can't reach it any more.
+    ours: bool = False
+    recall_at: datetime | None = None
+    tasks: dict[Key, Seen] = field(default_factory=dict)
+    draining: str | None = None
+    fencing: bool = False
+    images: dict[str, float] = field(default_factory=dict)
+    failures: dict[str, datetime] = field(default_factory=dict)
+    empty_since: datetime | None = None
+    useful_since: datetime | None = None
+    foreign: int = 0
+    speed: float = 1.0
+
+    def fresh(self, now: datetime, silent_after: timedelta) -> bool:
+        return self.reported is not None and now - self.reported < silent_after
+
+    def note_image(self, image: str, gb: float, cache_gb: float) -> None:
+        """Most recently used images stay."""
+        self.images.pop(image, None)
+        self.images[image] = gb
+        while len(self.images) > 1 and sum(self.images.values()) > cache_gb:
+            self.images.pop(next(iter(self.images)))
+
+
+@dataclass
+class Fact:
+    """The end of an attempt, to be recorded."""
+
+    attempt: int
+    machine: str
+    done: bool
+    cause: str
+
+
+@dataclass
+class Stop:
+    """A task that we want stopped, and why."""
+
+    attempt: int
+    grace: timedelta
+    why: str
+    since: datetime
+
+
+def read(
+    machine: Machine,
+    report: Report,
+    term: int,
+    recorded: dict[Key, tuple[Slice, Attempt]],
+    jobs: dict[str, Job],
+    part: str,
+    stops: dict[Key, Stop],
+    facts: dict[Key, Fact],
+    may_start: bool,
+    now: datetime,
+) -> list[dict]:
+    """Takes a report in and gives the orders for its response. Adds to `facts` what it proves."""
+    current = report.token == term
+    machine.ours = machine.ours or current
+    machine.order = report.order
+    machine.reported = now
+    machine.address = report.address
+    if report.notice is not None:
+        machine.recall_at = now + timedelta(seconds=report.notice)
+    orders: list[dict] = []
+    seen: dict[Key, Seen] = {}
+    machine.foreign = 0
+    for task in report.tasks:
+        key = (task.job, task.leg)
+        entry = recorded.get(key)
+        ended = task.state == "ended"
+        if entry is None or entry[1].number != task.attempt:
+            # Not in the records (any more): its end has been recorded, or it never should have been.
+            if ended:
+                orders.append(messages.forget(task.job, task.leg, task.attempt))
+            else:
+                machine.foreign += 1
+                orders.append(messages.kill(task.job, task.leg, task.attempt, 0))
+            continue
+        before = machine.tasks.get(key)
+        known = before if before and before.attempt == task.attempt else None
+        running_since = known.running_since if known else None
+        if task.state in ("running", "flushing") and running_since is None:
+            running_since = now
+        same = known is not None and known.state == task.state
+        seen[key] = Seen(task.attempt, task.state, known.since if same else now, running_since)
+        if ended:
+            # `done` stays true however old the report; any other end needs the proof above.
+            if task.cause == "done":
+                facts[key] = Fact(task.attempt, machine.id, True, "done")
+            elif current:
+                facts.setdefault(key, Fact(task.attempt, machine.id, False, task.cause or "ended"))
+            continue
+        stop = stops.get(key)
+        if stop is not None and stop.attempt == task.attempt:
+            # A task that saves for longer than it was given is ended by a kill without grace.
+            stuck = task.state == "flushing" and now - seen[key].since > stop.grace + timedelta(seconds=1)
+            grace = 0.0 if stuck else stop.grace.total_seconds()
+            orders.append(messages.kill(task.job, task.leg, task.attempt, grace))
+    for key, (piece, attempt) in recorded.items():
+        if key in seen:
+            continue
+        job = jobs.get(key[0])
+        held = job is not None and any(low <= key[1] < high for low, high in job.alloc.get(part, ()))
+        wanted = held and key not in stops and machine.draining is None and machine.recall_at is None
+        if wanted and may_start:
+            # Write-ahead has been done. Repeating an order is harmless: the worker ignores what it
+            # holds, and this attempt has not been forgotten while it is in the records.
+            orders.append(messages.run(piece.job, key[1], attempt.number))
+        elif current and not wanted:
+            facts.setdefault(key, Fact(attempt.number, machine.id, False, "absent"))
+    machine.tasks = seen
+    return orders
--- /dev/null
+++ b/roadbend/fleet/messages.py
@@ -0,0 +1,123 @@
+"""Wire names of the workers' interface, and strict reading of reports."""
+
+import math
+from dataclasses import dataclass
+from typing import Any
+
+from roadbend.http.server import Malformed
+
+
+@dataclass(frozen=True)
+class TaskReport:
+    job: str
+    leg: int
+    attempt: int
+    state: str
+    cause: str | None
+    saved: bool
+
+
+@dataclass(frozen=True)
+class Report:
+    machine: str
+    address: str
+    rig: str
+    zone: str
+    spot: bool
+    session: int
+    seq: int
+    token: int
+    notice: float | None
+    tasks: tuple[TaskReport, ...]
+
+    @property
+    def order(self) -> tuple[int, int]:
+        return (self.session, self.seq)
+
+
+def whole(value: Any, name: str) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value < 1 << 64:
+        raise Malformed(f"{name}: expected a whole number")
+    return value
+
+
+def number(value: Any, name: str) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise Malformed(f"{name}: expected a number")
+    try:
+        value = float(value)
+    except OverflowError:
+        raise Malformed(f"{name}: out of range") from None
+    if not math.isfinite(value) or value < 0:
+        raise Malformed(f"{name}: out of range")
+    return value
+
+
+def text(value: Any, name: str, most: int = 200) -> str:
+    if not isinstance(value, str) or not 0 < len(value) <= most:
+        raise Malformed(f"{name}: expected text of 1 to {most} characters")
+    return value
+
+
+def flag(value: Any, name: str) -> bool:
+    if not isinstance(value, bool):
+        raise Malformed(f"{name}: expected true or false")
+    return value
+
+
+def split_task(name: str) -> tuple[str, int]:
+    job, slash, leg = name.rpartition("/")
+    if not slash or not job or not leg.isascii() or not leg.isdigit() or len(leg) > 7:
+        raise Malformed("leg: expected job/number")
+    return job, int(leg)
+
+
+def read_report(data: Any) -> Report:
+    if not isinstance(data, dict):
+        raise Malformed("report: expected a map")
+    rows = data.get("legs")
+    if rows is None:
+        rows = []
+    if not isinstance(rows, list):
+        raise Malformed("legs: expected a list")
+    tasks = []
+    for row in rows:
+        if not isinstance(row, dict):
+            raise Malformed("legs: expected maps")
+        job, leg = split_task(text(row.get("leg"), "leg"))
+        cause = row.get("cause")
+        tasks.append(
+            TaskReport(
+                job,
+                leg,
+                whole(row.get("try"), "try"),
+                text(row.get("status"), "status"),
+                None if cause is None else text(cause, "cause"),
+                row.get("saved") is True,
+            )
+        )
+    notice = data.get("recallS")
+    return Report(
+        text(data.get("hitch"), "hitch"),
+        text(data.get("address"), "address"),
+        text(data.get("rig"), "rig"),
+        text(data.get("yard"), "yard"),
+        flag(data.get("loaners"), "loaners"),
+        whole(data.get("stint"), "stint"),
+        whole(data.get("tick"), "tick"),
+        whole(data.get("baton"), "baton"),
+        None if notice is None else number(notice, "recallS"),
+        tuple(tasks),
+    )
+
+
+def run(job: str, leg: int, attempt: int) -> dict:
+    return {"verb": "run", "leg": f"{job}/{leg}", "try": attempt}
+
+
+def kill(job: str, leg: int, attempt: int, grace_s: float) -> dict:
+    return {"verb": "kill", "leg": f"{job}/{leg}", "try": attempt, "windDownS": grace_s}
+
+
+def forget(job: str, leg: int, attempt: int) -> dict:
+    return {"verb": "forget", "leg": f"{job}/{leg}", "try": attempt}
--- /dev/null
+++ b/roadbend/fleet/service.py
@@ -0,0 +1,207 @@
+"""Answering workers, telling them directly, and looking after machines that fell silent."""
+
+from collections import OrderedDict
+from datetime import datetime, timedelta
+
+import trio
+
+from roadbend import clock
+from roadbend.fleet import messages
+from roadbend.http.client import Client, NoAnswer
+from roadbend.http.net import Net
+from roadbend.http.server import Malformed, Request, Response, decode
+from roadbend.log import Log
+from roadbend.placement.runtime import PartRuntime, Shared
+from roadbend.rental.cloud import Busy, Cloud, Listed, NoCapacity
+
+log = Log("fleet")
+
+
+class Fleet:
+    def __init__(self, shared: Shared, net: Net, cloud: Cloud, runtimes: dict[str, PartRuntime]):
+        self._shared, self._net, self._cloud, self._runtimes = shared, net, cloud, runtimes
+        # Reports of parts that we don't own, lately: (part) -> instants.
+        self._strangers: dict[str, OrderedDict[str, datetime]] = {}
+        self.listed: dict[str, Listed] = {}
+        self._probing: set[str] = set()
+        self._direct = trio.CapacityLimiter(16)
+
+    # Workers.
+
+    async def hello(self, request: Request) -> Response:
+        try:
+            report = messages.read_report(decode(request.body))
+        except Malformed as error:
+            return Response(400, {"error": str(error)})
+        now = clock.now()
+        ownership = self._shared.ownership
+        runtime = self._runtimes.get(report.zone)
+        if runtime is not None and ownership.tenure(report.zone) == runtime.tenure:
+            if not ownership.may_renew(now):
+                return Response(503, {"error": "no state"})
+            orders = runtime.report(report)
+            if orders is None:
+                return Response(503, {"error": "old report"})
+            return Response(200, {"baton": runtime.tenure.term, "orders": orders})
+        heard = self._strangers.setdefault(report.zone, OrderedDict())
+        heard[report.machine] = now
+        heard.move_to_end(report.machine)
+        while len(heard) > 512:
+            heard.popitem(last=False)
+        owner = ownership.holder(report.zone)
+        if owner is None or owner == self._shared.settings.name:
+            return Response(503, {"error": "no owner yet"})
+        return Response(421, {"dispatcher": owner})
+
+    def heard(self, now: datetime) -> dict[str, int]:
+        out = {}
+        for part, rows in self._strangers.items():
+            count = sum(1 for at in rows.values() if now - at < timedelta(seconds=6))
+            if count and part not in self._runtimes:
+                out[part] = count
+        return out
+
+    # Direct commands: only kills; a run that arrives late would be a start that nobody expects.
+
+    async def command(self, runtime: PartRuntime, machine: str, orders: list[dict]) -> None:
+        target = runtime.machines.get(machine)
+        if target is None:
+            return
+        body = {"baton": runtime.tenure.term, "stint": target.order[0], "orders": orders}
+        client = Client(self._net, target.address, most=1, keep=0)
+        try:
+            async with self._direct:
+                await client.request("POST", "/commands", body, within=timedelta(seconds=2))
+        except NoAnswer as error:
+            log.debug("command-lost", machine=machine, error=error)
+
+    async def send_stops(self, nursery: trio.Nursery) -> None:
+        """Kills go out directly as well as with reports."""
+        sent: dict[tuple, datetime] = {}
+        while True:
+            await clock.pause(timedelta(milliseconds=200))
+            now = clock.now()
+            if len(sent) > 2000:
+                sent = {k: at for k, at in sent.items() if now - at < timedelta(seconds=20)}
+            for runtime in list(self._runtimes.values()):
+                orders: dict[str, list[dict]] = {}
+                index = runtime.by_machine()
+                with runtime.lock:
+                    for rows in index.values():
+                        runtime._stop_dead(rows, now)
+                    for key, stop in runtime.stops.items():
+                        mark = (runtime.tenure.term, key, stop.attempt, stop.grace)
+                        if now - sent.get(mark, clock.ORIGIN) < timedelta(seconds=3):
+                            continue
+                        home = next((m for m, rows in index.items() if key in rows), None)
+                        if home is not None and home in runtime.machines:
+                            sent[mark] = now
+                            grace = stop.grace.total_seconds()
+                            orders.setdefault(home, []).append(messages.kill(*key, stop.attempt, grace))
+                for machine, rows in orders.items():
+                    nursery.start_soon(self.command, runtime, machine, rows)
+
+    # Silence.
+
+    async def watch(self, nursery: trio.Nursery) -> None:
+        while True:
+            await clock.pause(timedelta(seconds=1))
+            for runtime in list(self._runtimes.values()):
+                try:
+                    self._look(runtime, nursery)
+                except Exception:
+                    log.crash("watch-failed", part=runtime.part)
+
+    def _look(self, runtime: PartRuntime, nursery: trio.Nursery) -> None:
+        now = clock.now()
+        op, settings = self._shared.op, self._shared.settings
+        since = runtime.tenure.since
+        index = runtime.by_machine()
+        silent, known = [], set(runtime.machines) | set(index)
+        for name in known:
+            machine = runtime.machines.get(name)
+            last = machine.reported if machine and machine.reported else None
+            if last is None:
+                overdue = now - since > op.find_owner
+            else:
+                overdue = now - last > op.silent_after
+            listed = self.listed.get(name)
+            if listed is not None and listed.status == "failed":
+                overdue = True
+            recalled = machine is not None and machine.recall_at is not None and now > machine.recall_at
+            if overdue or recalled and last is not None and now - last > settings.report_every * 2:
+                silent.append(name)
+        doubt = len(known) >= 4 and len(silent) > op.fence_share * len(known)
+        for name in silent:
+            if (runtime.part, name) not in self._probing:
+                self._probing.add((runtime.part, name))
+                nursery.start_soon(self._probe, runtime, name, doubt)
+
+    async def _probe(self, runtime: PartRuntime, name: str, doubt: bool) -> None:
+        try:
+            await self._probe_once(runtime, name, doubt)
+        except Exception:
+            log.crash("probe-failed", machine=name)
+        finally:
+            self._probing.discard((runtime.part, name))
+
+    async def _probe_once(self, runtime: PartRuntime, name: str, doubt: bool) -> None:
+        settings = self._shared.settings
+        machine, listed = runtime.machines.get(name), self.listed.get(name)
+        address = machine.address if machine else (listed.address if listed else "")
+        failed = listed is not None and listed.status == "failed"
+        before = machine.reported if machine else None
+        if address and not failed:
+            client = Client(self._net, address, most=1, keep=0)
+            for _ in range(2):
+                try:
+                    status, _ = await client.request("GET", "/inspect", within=timedelta(seconds=1.2))
+                except NoAnswer:
+                    continue
+                if status == 200 and clock.now() - (before or runtime.tenure.since) < settings.lease * 1.5:
+                    # It lives and will report, or end its lease; till then nothing more is put on it.
+                    await clock.pause(timedelta(seconds=2))
+                    return
+        machine = runtime.machines.get(name)
+        if machine is not None and machine.reported != before:
+            return
+        if self._shared.ownership.tenure(runtime.part) != runtime.tenure:
+            return
+        if doubt and not failed:
+            # Most of the part at once: rather our own network than all those machines.
+            log.info("doubt", part=runtime.part, machine=name)
+            await clock.pause(timedelta(seconds=2))
+        else:
+            if machine is not None:
+                # From here on no order goes to it, so the deletion can't overtake one.
+                machine.fencing = True
+            try:
+                await self._cloud.delete([name], urgent=True)
+                log.info("fenced", part=runtime.part, machine=name)
+                runtime.gone(name, "deleted")
+                return
+            except (NoAnswer, Busy, NoCapacity) as error:
+                log.info("fence-failed", part=runtime.part, machine=name, error=str(error)[:60])
+                if machine is not None:
+                    # The deletion may still be carried out: should it report again, it gets nothing new.
+                    machine.draining, machine.fencing = "fence", False
+        self._expire(runtime, name)
+        await clock.pause(timedelta(seconds=2))
+
+    def _expire(self, runtime: PartRuntime, name: str) -> None:
+        """No deletion to be had: the worker's own lease is the proof, where it is one."""
+        now, s, margin = clock.now(), self._shared.settings, self._shared.op.state_margin
+        machine = runtime.machines.get(name)
+        if machine is not None and machine.ours:
+            # It has carried our token, so nobody else's answer counts; ours last did at `answered`.
+            sure = machine.answered is not None and now > machine.answered + s.lease * (1 + 2 * clock.DRIFT) + margin
+        else:
+            # A former owner renews for cancel_within - lease at most after we took over.
+            last = machine.answered if machine and machine.answered else runtime.tenure.since
+            sure = now > max(
+                runtime.tenure.since + s.cancel_within * (1 + 2 * clock.DRIFT) + margin,
+                last + s.lease * (1 + 2 * clock.DRIFT) + margin,
+            )
+        if sure and runtime.by_machine().get(name):
+            log.info("lease-over", part=runtime.part, machine=name)
+            runtime.gone(name, "lease")
--- /dev/null
+++ b/roadbend/http/net.py
@@ -0,0 +1,34 @@
+"""The network as the rest of the program sees it; tests put a fake in its place."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+Handler = Callable[[trio.abc.Stream], Awaitable[None]]
+
+
+def split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class Net:
+    """TCP over IPv4, by number; nothing is ever looked up."""
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+            await sock.connect(split(address))
+        except BaseException:
+            sock.close()
+            raise
+        return trio.SocketStream(sock)
+
+    async def listen(self, address: str, handler: Handler, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        host, port = split(address)
+        sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
+        sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+        await sock.bind((host, port))
+        sock.listen(256)
+        await trio.serve_listeners(handler, [trio.SocketListener(sock)], task_status=task_status)
--- /dev/null
+++ b/roadbend/intake/messages.py
@@ -0,0 +1,118 @@
+"""Wire names of the users' interface, and strict reading of submissions."""
+
+import re
+from datetime import timedelta
+from typing import Any
+
+from roadbend.fleet.messages import flag, number, text, whole
+from roadbend.http.server import Malformed
+from roadbend.rental.cloud import Rig
+from roadbend.settings import Team
+from roadbend.store.records import PRIORITY, Need, Spec
+
+ID = re.compile(r"run-[0-9]{1,20}\Z")
+MOST_TASKS = 100_000
+# A name this long has no use, and a record with several of them would outgrow its value.
+MOST_NAME = 120
+MOST_RIGS = 32
+MOST_SECONDS = 1e9
+
+STATUS_PENDING, STATUS_RUNNING, STATUS_DONE, STATUS_ABORTED = "pending", "running", "done", "aborted"
+
+
+class NeverRuns(Exception):
+    """Well-formed, but can never run."""
+
+
+def valid_id(value: Any) -> bool:
+    return isinstance(value, str) and ID.match(value) is not None
+
+
+def _seconds(value: Any, name: str) -> timedelta:
+    return timedelta(seconds=_amount(value, name, MOST_SECONDS))
+
+
+def _amount(value: Any, name: str, most: float = 1e9) -> float:
+    value = number(value, name)
+    if value > most:
+        raise Malformed(f"{name}: too large")
+    return value
+
+
+def _optional_flag(value: Any, name: str) -> bool:
+    return False if value is None else flag(value, name)
+
+
+def read_submission(data: Any) -> tuple[str, Spec]:
+    if not isinstance(data, dict):
+        raise Malformed("body: expected a map")
+    job = data.get("id")
+    if not valid_id(job):
+        raise Malformed("id: expected run- and digits")
+    shape = data.get("shape")
+    if shape not in ("batch", "daemon"):
+        raise Malformed("shape: expected batch or daemon")
+    rank = data.get("rank")
+    if not isinstance(rank, str) or rank not in PRIORITY:
+        raise Malformed("rank: expected production, high, normal or best_effort")
+    legs = whole(data.get("legs"), "legs")
+    if not 1 <= legs <= MOST_TASKS:
+        raise Malformed("legs: out of range")
+    need = Need(
+        _amount(data.get("vcpus"), "vcpus"),
+        _amount(data.get("gpus"), "gpus"),
+        _amount(data.get("memoryGb"), "memoryGb"),
+    )
+    if need.cpus <= 0 and need.gpus <= 0 and need.memory <= 0:
+        raise Malformed("vcpus: a task that takes nothing")
+    rigs = data.get("rigs")
+    if rigs is not None:
+        if not isinstance(rigs, list) or not rigs or len(rigs) > MOST_RIGS:
+            raise Malformed("rigs: expected a list of names")
+        rigs = tuple(text(rig, "rigs", MOST_NAME) for rig in rigs)
+    yard = data.get("yard")
+    due = data.get("dueS")
+    return job, Spec(
+        team=text(data.get("crew"), "crew", MOST_NAME),
+        lane=text(data.get("lane"), "lane", MOST_NAME),
+        service=shape == "daemon",
+        priority=PRIORITY[rank],
+        legs=legs,
+        need=need,
+        rigs=rigs,
+        zone=None if yard is None else text(yard, "yard", MOST_NAME),
+        together=_optional_flag(data.get("together"), "together"),
+        apart=_optional_flag(data.get("apart"), "apart"),
+        spot=_optional_flag(data.get("loaners"), "loaners"),
+        image=text(data.get("bundle"), "bundle", MOST_NAME),
+        image_gb=_amount(data.get("imageGb"), "imageGb"),
+        expected=_seconds(data.get("expectedS"), "expectedS"),
+        checkpoint=_seconds(data.get("milestoneS"), "milestoneS"),
+        save=_seconds(data.get("stowS"), "stowS"),
+        due=None if due is None else _seconds(due, "dueS"),
+    )
+
+
+def can_run(spec: Spec, teams: dict[str, Team], rigs: dict[str, Rig]) -> None:
+    team = teams.get(spec.team)
+    if team is None:
+        raise NeverRuns("unknown team")
+    # A service needs all of its tasks at once, an array one at a time.
+    total = spec.need.times(spec.legs if spec.service else 1)
+    for want, most, name in ((total.cpus, team.cpus_max, "vcpus"), (total.gpus, team.gpus_max, "gpus")):
+        if 0 < most < want - 1e-9:
+            raise NeverRuns(f"more {name} than the team's limit")
+    fits = [
+        rig
+        for rig in rigs.values()
+        if (spec.rigs is None or rig.name in spec.rigs)
+        and (spec.zone is None or spec.zone in rig.zones)
+        and spec.need.cpus <= rig.room.cpus + 1e-9
+        and spec.need.gpus <= rig.room.gpus + 1e-9
+        and spec.need.memory <= rig.room.memory + 1e-9
+    ]
+    if not fits:
+        raise NeverRuns("a task fits no allowed machine type")
+    zones = {zone for rig in fits for zone in rig.zones if spec.zone in (None, zone)}
+    if spec.apart and spec.legs > 1 and (len(zones) < 2 or spec.together):
+        raise NeverRuns("apart leaves no zone for the other half")
--- /dev/null
+++ b/roadbend/intake/users.py
@@ -0,0 +1,235 @@
+"""Answering users. What can't be answered now is refused at once, with the time to come back."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+import trio
+
+from roadbend import clock
+from roadbend.http.client import NoAnswer
+from roadbend.http.server import Malformed, Request, Response, decode
+from roadbend.intake import messages
+from roadbend.intake.limit import Limit
+from roadbend.intake.messages import (
+    STATUS_ABORTED,
+    STATUS_DONE,
+    STATUS_PENDING,
+    STATUS_RUNNING,
+    NeverRuns,
+)
+from roadbend.log import Log
+from roadbend.placement.runtime import Shared
+from roadbend.store import ranges, records
+from roadbend.store.client import Conflict, Refused, Unavailable, commit, delete, put
+from roadbend.store.records import Job
+
+log = Log("intake")
+MOST_ENDS = 20_000
+SUBMIT_SHARE, POLL_SHARE = 0.7, 1.0
+
+
+class Ends:
+    """Final states, which never change: a bounded cache before the state service."""
+
+    def __init__(self, most: int = MOST_ENDS):
+        self._most = most
+        self._rows: OrderedDict[str, tuple[str, int]] = OrderedDict()
+
+    def get(self, job: str) -> tuple[str, int] | None:
+        return self._rows.get(job)
+
+    def put(self, job: str, status: str, done: int) -> None:
+        self._rows[job] = (status, done)
+        while len(self._rows) > self._most:
+            self._rows.popitem(last=False)
+
+
+def wait_header(seconds: int) -> tuple[tuple[str, str], ...]:
+    return (("retry-after", str(seconds)),)
+
+
+def later(why: str, seconds: int = 1) -> Response:
+    return Response(503, {"error": why}, wait_header(seconds))
+
+
+class Users:
+    def __init__(self, shared: Shared, submit: Callable[[str], None], told: Callable[[str], None], limit: Limit):
+        self._shared, self._submit, self._told = shared, submit, told
+        self.limit = limit
+        self.ends = Ends()
+
+    async def handle(self, request: Request) -> Response:
+        path, method = request.path, request.method
+        if path == "/v1/jobs":
+            if method != "POST":
+                return Response(405, {"error": "POST"}, (("allow", "POST"),))
+            return await self._limited(SUBMIT_SHARE, self._post, request)
+        rest = path.removeprefix("/v1/jobs/")
+        name, slash, verb = rest.partition("/")
+        if slash and verb == "withdraw":
+            if method != "POST":
+                return Response(405, {"error": "POST"}, (("allow", "POST"),))
+            return await self._limited(POLL_SHARE, self._withdraw, name)
+        if slash or not name:
+            return Response(404, {"error": "no such path"})
+        if method != "GET":
+            return Response(405, {"error": "GET"}, (("allow", "GET"),))
+        return await self._limited(POLL_SHARE, self._query, name)
+
+    async def _limited(self, share: float, call, argument) -> Response:
+        if not self.limit.enter(share):
+            return Response(429, {"error": "busy"}, wait_header(2))
+        began, took = clock.now(), None
+        try:
+            response = await call(argument)
+            if response.status in (200, 201):
+                took = clock.now() - began
+            return response
+        except (Refused, NoAnswer, Unavailable):
+            return later("no state")
+        finally:
+            self.limit.leave(took)
+
+    def _known(self, job: Job) -> tuple[str, int, int]:
+        """Status, done and running of a live job, for display."""
+        running = done = 0
+        for part, rows in self._shared.view.slices.items():
+            piece = rows.get(job.id)
+            if piece is not None:
+                running += len(piece.run)
+                done += ranges.size(ranges.minus(piece.done, job.done)) if part in job.alloc else 0
+        done += ranges.size(job.done)
+        return (STATUS_RUNNING if running else STATUS_PENDING), done, running
+
+    async def _post(self, request: Request) -> Response:
+        try:
+            name, spec = messages.read_submission(decode(request.body))
+        except Malformed as error:
+            # A known job is known whatever a repeat looks like; but a malformed body names none.
+            return Response(400, {"error": str(error)})
+        shared = self._shared
+        end = self.ends.get(name)
+        if end is not None:
+            return self._ended(name, end, 200)
+        if name in shared.view.jobs:
+            with trio.move_on_after(2):
+                await shared.reader.sync()
+                return await self._state(name, 200)
+            return later("no state")
+        if not shared.view.loaded or not shared.rigs:
+            # Not decided yet: the machine types are not known.
+            return later("starting")
+        try:
+            messages.can_run(spec, shared.settings.teams, shared.rigs)
+        except NeverRuns as error:
+            if await self._exists(name):
+                return await self._state(name, 200)
+            return Response(422, {"error": str(error)})
+        job = Job(name, spec, clock.wall())
+        value = job.to_value()
+        rows = [put(records.job_key(name), value)]
+        when = {records.job_key(name): 0, records.fin_key(name): 0}
+        try:
+            ledger = await commit(shared.state, when, rows, within=timedelta(seconds=2.5))
+        except Conflict:
+            # Known already, by an earlier try or by our own unanswered one.
+            with trio.move_on_after(2):
+                await shared.reader.sync()
+                if name in shared.view.jobs:
+                    self._submit(name)
+                return await self._state(name, 200)
+            return later("no state")
+        shared.view.applied(rows, ledger)
+        log.info("accepted", job=name, team=spec.team, tasks=spec.legs, service=spec.service)
+        self._submit(name)
+        return Response(201, {"id": name, "status": STATUS_PENDING})
+
+    async def _exists(self, name: str) -> bool:
+        """A repeat of an accepted job is never refused, even if the catalog has changed since."""
+        with trio.move_on_after(2):
+            await self._shared.reader.sync()
+            if name in self._shared.view.jobs:
+                return True
+            return await self._fetch_end(name) is not None
+        raise Unavailable("no state")
+
+    async def _fetch_end(self, name: str) -> tuple[str, int] | None:
+        found = await self._shared.state.get(records.fin_key(name))
+        if found is None:
+            return None
+        value, _ = found
+        if not isinstance(value, dict) or value.get("s") not in (STATUS_DONE, STATUS_ABORTED):
+            raise NoAnswer("nonsense: end")
+        self.ends.put(name, value["s"], int(value.get("n", 0)))
+        return self.ends.get(name)
+
+    def _ended(self, name: str, end: tuple[str, int], status: int) -> Response:
+        if end[0] == STATUS_ABORTED:
+            self._told(name)
+        return Response(status, {"id": name, "status": end[0], "done": end[1], "running": 0})
+
+    async def _state(self, name: str, status: int) -> Response:
+        """The state after a read barrier that the caller has passed."""
+        job = self._shared.view.jobs.get(name)
+        if job is not None:
+            word, done, running = self._known(job)
+            return Response(status, {"id": name, "status": word, "done": done, "running": running})
+        end = self.ends.get(name) or await self._fetch_end(name)
+        if end is not None:
+            return self._ended(name, end, status)
+        return Response(404, {"error": "no such job"})
+
+    async def _query(self, name: str) -> Response:
+        if not messages.valid_id(name):
+            return Response(404, {"error": "no such job"})
+        end = self.ends.get(name)
+        if end is not None:
+            return self._ended(name, end, 200)
+        if not self._fresh(clock.now()):
+            return later("no state")
+        with trio.move_on_after(1.6):
+            await self._shared.reader.sync()
+            return await self._state(name, 200)
+        return later("no state")
+
+    def _fresh(self, now: datetime) -> bool:
+        """During an outage nobody waits for a read that can't come: refused at once."""
+        reader = self._shared.reader
+        return self._shared.view.loaded and reader.refusals < 4
+
+    async def _withdraw(self, name: str) -> Response:
+        if not messages.valid_id(name):
+            return Response(404, {"error": "no such job"})
+        shared = self._shared
+        end = self.ends.get(name)
+        if end is not None:
+            return self._ended(name, end, 200)
+        if not self._fresh(clock.now()):
+            return later("no state")
+        with trio.move_on_after(4):
+            for _ in range(8):
+                job = shared.view.jobs.get(name)
+                if job is None:
+                    await shared.reader.sync()
+                    job = shared.view.jobs.get(name)
+                if job is None:
+                    end = await self._fetch_end(name)
+                    return Response(404, {"error": "no such job"}) if end is None else self._ended(name, end, 200)
+                done = self._known(job)[1]
+                rows = [
+                    delete(records.job_key(name)),
+                    put(records.fin_key(name), records.fin_value(STATUS_ABORTED, done)),
+                ]
+                when = {records.job_key(name): job.stamp, records.fin_key(name): 0}
+                try:
+                    ledger = await commit(shared.state, when, rows, within=timedelta(seconds=2.5), urgent=True)
+                except Conflict:
+                    await shared.reader.sync()
+                    continue
+                # Recorded before it is told. Owners stop the tasks of a job that is no longer live.
+                shared.view.applied(rows, ledger)
+                self.ends.put(name, STATUS_ABORTED, done)
+                log.info("cancelled", job=name)
+                return self._ended(name, (STATUS_ABORTED, done), 200)
+        return later("no state")
--- /dev/null
+++ b/roadbend/node.py
@@ -0,0 +1,217 @@
+"""A controller: the slices put together."""
+
+import random
+import secrets
+from collections import OrderedDict
+from datetime import datetime, timedelta
+
+import trio
+
+from roadbend import clock
+from roadbend.bidding.exchange import Exchange
+from roadbend.fleet.service import Fleet
+from roadbend.http.client import Client
+from roadbend.http.net import Net
+from roadbend.http.server import Request, Response, Server
+from roadbend.intake.limit import Limit
+from roadbend.intake.users import Users
+from roadbend.log import Log
+from roadbend.parts.ownership import Ownership
+from roadbend.peers import frames
+from roadbend.peers.links import Link, Peers
+from roadbend.peers.pulse import Pulse
+from roadbend.placement.runtime import PartRuntime, Shared
+from roadbend.rental.cloud import Cloud
+from roadbend.rental.service import Rental
+from roadbend.settings import Operator, Settings
+from roadbend.store.budget import Budget
+from roadbend.store.client import StateClient
+from roadbend.store.view import Reader, View
+
+log = Log("node")
+MOST_TOLD = 256
+
+
+class Node:
+    def __init__(self, settings: Settings, op: Operator, net: Net, rng: random.Random, boot: str | None = None):
+        self.settings, self.op, self.net = settings, op, net
+        self.boot = boot or secrets.token_hex(6)
+        self.began = clock.now()
+        self.budget = Budget(settings.state_rps, settings.state_write_rps, settings.controllers)
+        self.state = StateClient(Client(net, settings.state, most=16, keep=8), self.budget)
+        self.cloud = Cloud(Client(net, settings.cloud, most=6, keep=2), settings.cloud_rps, settings.controllers)
+        self.view = View()
+        self.reader = Reader(self.view, self.state, op)
+        self.peers = Peers(net, settings.name, settings.peers)
+        self.ownership = Ownership(settings, op, self.boot, self.state, self.view, self.reader, self.peers)
+        self.shared = Shared(settings, op, self.state, self.view, self.reader, self.ownership)
+        self.runtimes: dict[str, PartRuntime] = {}
+        self.fleet = Fleet(self.shared, net, self.cloud, self.runtimes)
+        self.rental = Rental(self.shared, self.cloud, self.fleet, self.runtimes)
+        self.exchange = Exchange(self.shared, self.peers, self.runtimes, self.rental.closed, rng)
+        self.users = Users(self.shared, self.exchange.submit, self._tell, Limit(ceiling=op.users_at_once))
+        self.told: OrderedDict[str, datetime] = OrderedDict()
+        self.server = Server(self.handle, most=max(64, settings.sockets - 300))
+        self.peers.handlers[frames.PING] = self._on_ping
+        self.view.watchers.append(self._on_record)
+        self.ownership.changed.append(self._on_ownership)
+        self._nursery: trio.Nursery | None = None
+
+    # Routes.
+
+    async def handle(self, request: Request) -> Response:
+        path = request.path
+        if path == "/hello":
+            if request.method != "POST":
+                return Response(405, {"error": "POST"}, (("allow", "POST"),))
+            return await self.fleet.hello(request)
+        if path == "/up":
+            if request.method != "GET":
+                return Response(405, {"error": "GET"}, (("allow", "GET"),))
+            ok = self.up(clock.now())
+            return Response(200 if ok else 503, {"up": ok})
+        if path == "/v1/jobs" or path.startswith("/v1/jobs/"):
+            return await self.users.handle(request)
+        return Response(404, {"error": "no such path"})
+
+    def up(self, now: datetime) -> bool:
+        """Not up while the state service refuses us and serves a peer; in a common outage all stay up
+        and answer 503 quickly."""
+        contact = self.reader.contact
+        if contact is None or not self.shared.rigs:
+            return False
+        if now - contact < timedelta(seconds=3):
+            return True
+        for link in self.peers.links.values():
+            pulse, at = link.known.pulse, link.known.heard_at
+            if pulse is None or at is None or now - at > timedelta(seconds=3):
+                continue
+            if pulse.contact_age is not None and pulse.contact_age < timedelta(seconds=2):
+                return False
+        return True
+
+    # Pulses.
+
+    def pulse(self) -> Pulse:
+        now = clock.now()
+        contact = self.reader.contact
+        span = self.settings.cancel_within * 3
+        while self.told and now - next(iter(self.told.values())) > span:
+            self.told.popitem(last=False)
+        told = list(self.told.items())[-MOST_TOLD:]
+        if len(told) < len(self.told):
+            span = now - told[0][1]
+        return Pulse(
+            self.boot,
+            now - self.began,
+            None if contact is None else now - contact,
+            self.budget.used,
+            {part: tenure.term for part, tenure in self.ownership.tenures.items()},
+            self.fleet.heard(now),
+            span,
+            tuple(job for job, _ in told),
+        )
+
+    def _on_ping(self, sender: str, payload: bytes) -> bytes:
+        self._learn(Pulse.unpack(payload))
+        return self.pulse().pack()
+
+    def _took(self, link: Link, pulse: Pulse, asked: datetime) -> None:
+        link.known.take(pulse, asked, clock.now(), self.reader.contact)
+        self._learn(pulse)
+
+    def _learn(self, pulse: Pulse) -> None:
+        for part, term in pulse.owned.items():
+            self.ownership.superseded(part, term)
+        now = clock.now()
+        for job in pulse.told:
+            if job not in self.shared.cancelled:
+                self.shared.cancelled[job] = now
+                while len(self.shared.cancelled) > 4096:
+                    self.shared.cancelled.popitem(last=False)
+
+    def _tell(self, job: str) -> None:
+        """A user learns from us that its job is cancelled; peers hear of it without the records."""
+        if job not in self.told:
+            self.told[job] = clock.now()
+            while len(self.told) > 4 * MOST_TOLD:
+                self.told.popitem(last=False)
+
+    # Changes.
+
+    def _on_record(self, key: str) -> None:
+        if key.startswith("r/term/"):
+            self.ownership.on_record(key)
+        elif key.startswith(("r/job/", "r/team/")):
+            for runtime in self.runtimes.values():
+                runtime.kick.set()
+
+    def _on_ownership(self, part: str) -> None:
+        tenure = self.ownership.tenure(part)
+        if tenure is None:
+            self.runtimes.pop(part, None)
+            return
+        runtime = PartRuntime(self.shared, tenure)
+        self.runtimes[part] = runtime
+        if self._nursery is not None:
+            self._nursery.start_soon(runtime.run)
+            self._nursery.start_soon(self.rental.run, runtime)
+
+    # Deaf owners.
+
+    async def _listen_for_deafness(self) -> None:
+        """Our part's workers reach a peer but not us: the part is handed over."""
+        silent_since: dict[str, datetime] = {}
+        while True:
+            await clock.pause(timedelta(seconds=1))
+            now = clock.now()
+            for part, runtime in list(self.runtimes.items()):
+                last = max((m.reported for m in runtime.machines.values() if m.reported), default=runtime.tenure.since)
+                heard = any(
+                    link.alive(now) and link.known.pulse and link.known.pulse.heard.get(part, 0)
+                    for link in self.peers.links.values()
+                )
+                quiet = now - max(last, runtime.tenure.since) > self.settings.report_every * 2.5
+                if quiet and heard:
+                    since = silent_since.setdefault(part, now)
+                    if now - since > self.settings.report_every:
+                        silent_since.pop(part, None)
+                        try:
+                            await self.ownership.hand_over_deaf(part)
+                        except Exception:
+                            log.crash("hand-over-failed", part=part)
+                else:
+                    silent_since.pop(part, None)
+
+    async def _share_budget(self) -> None:
+        while True:
+            await clock.pause(timedelta(seconds=1))
+            self.budget.measure()
+            now = clock.now()
+            others = [
+                link.known.pulse.used for link in self.peers.links.values() if link.alive(now) and link.known.pulse
+            ]
+            self.budget.lend(others)
+
+    # All of it.
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        log.info("start", node=self.settings.name, zone=self.settings.zone, boot=self.boot)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await nursery.start(self.net.listen, self.settings.listen, self.server.serve)
+            await nursery.start(self.net.listen, self.settings.back, self.peers.serve)
+            for link in self.peers.links.values():
+                nursery.start_soon(link.run, self.pulse, self._took)
+            nursery.start_soon(self.reader.run)
+            nursery.start_soon(self.ownership.run)
+            nursery.start_soon(self.rental.catalog_loop)
+            nursery.start_soon(self.rental.list_loop)
+            nursery.start_soon(self.fleet.send_stops, nursery)
+            nursery.start_soon(self.fleet.watch, nursery)
+            nursery.start_soon(self._listen_for_deafness)
+            nursery.start_soon(self._share_budget)
+            nursery.start_soon(self.exchange.run_rebid)
+            for _ in range(4):
+                nursery.start_soon(self.exchange.run_worker)
+            task_status.started()
--- /dev/null
+++ b/roadbend/parts/__init__.py
@@ -0,0 +1,1 @@
+"""Who owns which part of the machines: leases, terms, takeover, handing over."""
--- /dev/null
+++ b/roadbend/parts/ownership.py
@@ -0,0 +1,304 @@
+"""Owning parts.
+
+A part belongs to the controller that holds its leased key. Taking one over raises the term in the same
+transaction; the term is the workers' token and its record's stamp guards every write of an owner, so a
+former owner's late transactions fail whatever it believes."""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from roadbend import clock
+from roadbend.http.client import NoAnswer
+from roadbend.log import Log
+from roadbend.parts import policy
+from roadbend.peers.links import Peers
+from roadbend.settings import Operator, Settings
+from roadbend.store import records
+from roadbend.store.client import (
+    Conflict,
+    NoLease,
+    Refused,
+    StateClient,
+    Unavailable,
+    commit,
+    delete,
+    put,
+)
+from roadbend.store.view import Reader, View
+
+log = Log("parts")
+
+
+@dataclass(frozen=True)
+class Tenure:
+    """Our ownership of a part under one term."""
+
+    part: str
+    term: int
+    stamp: int
+    since: datetime
+
+
+class Ownership:
+    def __init__(
+        self,
+        settings: Settings,
+        operator: Operator,
+        boot: str,
+        state: StateClient,
+        view: View,
+        reader: Reader,
+        peers: Peers,
+    ):
+        self.lock = threading.RLock()
+        self._settings, self._op, self._boot = settings, operator, boot
+        self._state, self._view, self._reader, self._peers = state, view, reader, peers
+        self._zones = {settings.name: settings.zone, **{p.name: p.zone for p in settings.peers}}
+        self._permit: int | None = None
+        self._valid: datetime | None = None
+        self._renewed: datetime | None = None
+        self._absent: dict[str, datetime] = {}
+        self._alive_since: dict[str, datetime] = {}
+        self._aloof: dict[str, datetime] = {}
+        self.tenures: dict[str, Tenure] = {}
+        self.changed: list[Callable[[str], None]] = []
+
+    # What others ask.
+
+    def parts(self) -> list[str]:
+        zones = set(self._settings.zones) | set(self._zones.values())
+        catalog = self._view.catalog
+        if isinstance(catalog, list):
+            zones.update(z for rig in catalog for z in rig.get("yards", ()))
+        return sorted(zones)
+
+    def tenure(self, part: str) -> Tenure | None:
+        return self.tenures.get(part)
+
+    def may_start(self, now: datetime) -> bool:
+        """Our lease counts and the records were read lately: cancellations reach us soon."""
+        contact = self._reader.contact
+        return (
+            self._valid is not None
+            and now < self._valid
+            and contact is not None
+            and now - contact < timedelta(seconds=3)
+        )
+
+    def may_renew(self, now: datetime) -> bool:
+        s = self._settings
+        until = policy.renew_until(
+            self._reader.contact,
+            [link.known for link in self._peers.links.values()],
+            s.cancel_within,
+            s.lease,
+            self._op.state_margin,
+        )
+        return until is not None and now < until
+
+    def holder(self, part: str) -> str | None:
+        own = self._view.owns.get(part)
+        return own.node if own else None
+
+    # What happens to us.
+
+    def superseded(self, part: str, term: int) -> None:
+        """Somebody holds a higher term; whoever says so, we step down at once."""
+        with self.lock:
+            mine = self.tenures.get(part)
+            if mine is None or mine.term >= term:
+                return
+            del self.tenures[part]
+        log.info("stepped-down", part=part, term=mine.term, higher=term)
+        self._tell(part)
+
+    def on_record(self, key: str) -> None:
+        if key.startswith("r/term/"):
+            for part, term in list(self._view.terms.items()):
+                self.superseded(part, term.number)
+
+    def _drop_all(self, why: str) -> None:
+        with self.lock:
+            parts = list(self.tenures)
+            self.tenures.clear()
+        for part in parts:
+            log.info("lost", part=part, why=why)
+            self._tell(part)
+
+    def _tell(self, part: str) -> None:
+        for call in self.changed:
+            call(part)
+
+    # The loop.
+
+    async def run(self) -> None:
+        while True:
+            try:
+                if self._view.loaded:
+                    await self._keep_lease()
+                    if self._permit is not None:
+                        await self._consider()
+            except (Refused, NoAnswer, Unavailable):
+                pass
+            except Exception:
+                log.crash("ownership-failed")
+            await clock.pause(timedelta(milliseconds=300))
+
+    async def _keep_lease(self) -> None:
+        ttl = self._op.own_lease
+        now = clock.now()
+        if self._permit is not None and self._renewed is not None and now - self._renewed < ttl / 3:
+            return
+        try:
+            if self._permit is None:
+                permit = await self._state.lease(ttl)
+                key = records.node_key(self._settings.name)
+                rows = [put(key, {"boot": self._boot}, permit)]
+                # No condition: the newest process of this name is the live one.
+                ledger = await commit(self._state, {}, rows, within=ttl / 2, urgent=True)
+                self._view.applied(rows, ledger)
+                self._permit = permit
+            else:
+                await self._state.renew(self._permit)
+        except NoLease:
+            # Our keys are gone with it; what we owned may already be someone else's.
+            self._permit = self._valid = self._renewed = None
+            self._drop_all("lease ended")
+            return
+        # Counted from before the renewal was sent, shortened for drift.
+        self._renewed = now
+        self._valid = now + ttl * (1 - 2 * clock.DRIFT) - timedelta(milliseconds=200)
+
+    def _live(self, now: datetime) -> set[str]:
+        live = set(self._view.nodes) | {self._settings.name}
+        for name in live:
+            self._alive_since.setdefault(name, now)
+        for name in set(self._alive_since) - live:
+            del self._alive_since[name]
+        return live
+
+    async def _consider(self) -> None:
+        now = clock.now()
+        if self._reader.contact is None or now - self._reader.contact > timedelta(seconds=2):
+            return
+        me = self._settings.name
+        live = self._live(now)
+        for part in self.parts():
+            own = self._view.owns.get(part)
+            mine = self.tenures.get(part)
+            if own is None:
+                since = self._absent.setdefault(part, now)
+                if mine is not None:
+                    self._forget(part, "key gone")
+                if now < self._aloof.get(part, now):
+                    continue
+                first = policy.preferred(part, self._zones, live - self._shy(part, now))
+                grace = clock.ZERO if first == me else self._op.takeover_grace * 2
+                local = self._zones.get(me) == part
+                if not local and not any(self._zones.get(n) == part for n in live):
+                    # Its own controller is not up: at the start it is likely on its way.
+                    grace += self._op.takeover_grace
+                if now - since >= grace:
+                    await self._take(part, 0, now)
+                continue
+            self._absent.pop(part, None)
+            if own.node == me and own.boot != self._boot:
+                # Ours from before a restart: back at once, under a new term.
+                await self._take(part, own.stamp, now)
+            elif own.node == me and mine is None:
+                await self._release(part)
+            elif mine is not None and own.node != me:
+                self._forget(part, "held by another")
+            elif mine is not None:
+                await self._maybe_hand_over(part, mine, live, now)
+
+    def _shy(self, part: str, now: datetime) -> set[str]:
+        me = self._settings.name
+        return {me} if now < self._aloof.get(part, now) else set()
+
+    def _forget(self, part: str, why: str) -> None:
+        with self.lock:
+            gone = self.tenures.pop(part, None)
+        if gone is not None:
+            log.info("lost", part=part, why=why)
+            self._tell(part)
+
+    async def _take(self, part: str, own_stamp: int, now: datetime) -> None:
+        old = self._view.terms.get(part)
+        number = (old.number if old else 0) + 1
+        me = self._settings.name
+        rows = [
+            put(records.term_key(part), {"n": number, "node": me}),
+            put(records.own_key(part), {"node": me, "boot": self._boot, "term": number}, self._permit),
+        ]
+        when = {records.term_key(part): old.stamp if old else 0, records.own_key(part): own_stamp}
+        try:
+            ledger = await commit(self._state, when, rows, within=self._op.own_lease / 2, urgent=True)
+        except Conflict:
+            # Somebody was faster, or an unanswered try of our own went through: the records tell.
+            await self._reader.sync()
+            own, term = self._view.owns.get(part), self._view.terms.get(part)
+            if not (own and term and own.boot == self._boot and own.node == me and own.term == term.number):
+                return
+            ledger, number = term.stamp, term.number
+        except NoLease:
+            self._permit = None
+            self._drop_all("lease ended")
+            return
+        self._view.applied(rows, ledger)
+        # Whatever was written before our term must be in the view before we act on it.
+        await self._reader.sync()
+        term = self._view.terms.get(part)
+        if term is None or term.number != number or term.node != me:
+            return
+        # If its own controller is alive and still left it to us, it is not handed back at once.
+        for name, zone in self._zones.items():
+            if zone == part and name != me and name in self._view.nodes:
+                self._aloof[f"{part}>{name}"] = now + timedelta(seconds=25)
+        with self.lock:
+            self.tenures[part] = Tenure(part, number, term.stamp, clock.now())
+        log.info("took", part=part, term=number)
+        self._tell(part)
+
+    async def _release(self, part: str) -> None:
+        own = self._view.owns.get(part)
+        if own is None:
+            return
+        rows = [delete(records.own_key(part))]
+        try:
+            ledger = await commit(
+                self._state, {records.own_key(part): own.stamp}, rows, within=timedelta(seconds=2), urgent=True
+            )
+            self._view.applied(rows, ledger)
+        except Conflict:
+            await self._reader.sync()
+
+    async def _maybe_hand_over(self, part: str, mine: Tenure, live: set[str], now: datetime) -> None:
+        me = self._settings.name
+        first = policy.preferred(part, self._zones, live)
+        if first == me or first is None or now - mine.since < self._op.hand_back_after:
+            return
+        if self._zones.get(first) != part or self._zones.get(me) == part:
+            return
+        link = self._peers.links.get(first)
+        if link is None or not link.alive(now) or now - self._alive_since[first] < self._op.hand_back_after:
+            return
+        pulse = link.known.pulse
+        if pulse is None or pulse.contact_age is None or pulse.contact_age > timedelta(seconds=2):
+            return
+        if now < self._aloof.get(f"{part}>{first}", now):
+            return
+        log.info("hand-back", part=part, to=first)
+        self._aloof[part] = now + self._op.takeover_grace * 4
+        self._aloof[f"{part}>{first}"] = now + timedelta(seconds=30)
+        self._forget(part, "handed back")
+        await self._release(part)
+
+    async def hand_over_deaf(self, part: str) -> None:
+        """Our part's workers reach others but not us."""
+        now = clock.now()
+        self._aloof[part] = now + timedelta(seconds=20)
+        self._forget(part, "deaf to its workers")
+        await self._release(part)
--- /dev/null
+++ b/roadbend/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Talk between controllers: hand-written struct frames on the back address."""
--- /dev/null
+++ b/roadbend/peers/links.py
@@ -0,0 +1,198 @@
+"""Links to the other controllers: one connection each way, calls with replies, a pulse every second."""
+
+import math
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+import trio
+
+from roadbend import clock
+from roadbend.http.net import Net
+from roadbend.log import Log
+from roadbend.peers import frames
+from roadbend.peers.frames import BadFrame, Splitter
+from roadbend.peers.pulse import Known, Pulse
+from roadbend.settings import Peer
+
+log = Log("peers")
+PULSE_EVERY = timedelta(seconds=1)
+PULSE_WITHIN = timedelta(seconds=1.5)
+ALIVE_FOR = timedelta(seconds=3.5)
+MOST_INCOMING = 32
+MOST_WAITING = 256
+
+# A handler gets the sender's name and the payload, and gives the reply's payload (None: no reply).
+Handler = Callable[[str, bytes], bytes | None]
+
+
+class NoReply(Exception):
+    pass
+
+
+class Link:
+    def __init__(self, net: Net, peer: Peer, me: str):
+        self.peer = peer
+        self.known = Known()
+        self._net = net
+        self._me = me
+        self._stream: trio.abc.Stream | None = None
+        self._sending = trio.Lock()
+        self._number = 0
+        self._waiting: dict[int, trio.MemorySendChannel] = {}
+
+    def alive(self, now: datetime) -> bool:
+        return self.known.heard_at is not None and now - self.known.heard_at < ALIVE_FOR
+
+    async def call(self, kind: int, payload: bytes, within: timedelta) -> bytes:
+        if self._stream is None or len(self._waiting) >= MOST_WAITING:
+            raise NoReply(self.peer.name)
+        self._number = (self._number + 1) & 0xFFFFFFFF
+        number = self._number
+        send, receive = trio.open_memory_channel(1)
+        self._waiting[number] = send
+        try:
+            with trio.fail_after(within.total_seconds()):
+                await self._send(frames.pack(kind, number, payload))
+                return await receive.receive()
+        except (trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError, trio.EndOfChannel):
+            raise NoReply(self.peer.name) from None
+        finally:
+            self._waiting.pop(number, None)
+
+    async def cast(self, kind: int, payload: bytes) -> None:
+        """Says something that needs no answer."""
+        try:
+            with trio.fail_after(0.5):
+                await self._send(frames.pack(kind, 0, payload))
+        except (trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError):
+            raise NoReply(self.peer.name) from None
+
+    async def _send(self, data: bytes) -> None:
+        async with self._sending:
+            stream = self._stream
+            if stream is None:
+                raise trio.BrokenResourceError
+            clean = False
+            try:
+                await stream.send_all(data)
+                clean = True
+            finally:
+                # A frame that was cut short would spoil all that follow.
+                if not clean and self._stream is stream:
+                    self._stream = None
+                    await trio.aclose_forcefully(stream)
+
+    async def run(self, pulse: Callable[[], Pulse], took: Callable[["Link", Pulse, datetime], None]) -> None:
+        wait = 0.2
+        while True:
+            try:
+                with trio.fail_after(2):
+                    stream = await self._net.connect(self.peer.address)
+                try:
+                    await stream.send_all(frames.pack(frames.HELLO, 0, self._me.encode()))
+                    self._stream = stream
+                    wait = 0.2
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(self._read, stream, nursery.cancel_scope)
+                        nursery.start_soon(self._beat, pulse, took, nursery.cancel_scope)
+                finally:
+                    self._stream = None
+                    await trio.aclose_forcefully(stream)
+            except (OSError, trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+            except Exception:
+                log.crash("link-failed", peer=self.peer.name)
+            for send in list(self._waiting.values()):
+                send.close()
+            await trio.sleep(wait)
+            wait = min(1.0, wait * 2)
+
+    async def _beat(self, pulse, took, scope) -> None:
+        missed = 0
+        while True:
+            asked = clock.now()
+            try:
+                reply = await self.call(frames.PING, pulse().pack(), PULSE_WITHIN)
+                took(self, Pulse.unpack(reply), asked)
+                missed = 0
+            except (NoReply, BadFrame):
+                missed += 1
+                if missed >= 2:
+                    log.debug("link-silent", peer=self.peer.name)
+                    scope.cancel()
+            await clock.pause(PULSE_EVERY)
+
+    async def _read(self, stream, scope) -> None:
+        splitter = Splitter()
+        try:
+            while True:
+                data = await stream.receive_some(65536)
+                if not data:
+                    break
+                for kind, number, payload in splitter.feed(data):
+                    waiting = self._waiting.get(number)
+                    if waiting is not None and kind & frames.REPLY:
+                        try:
+                            waiting.send_nowait(payload)
+                        except (trio.WouldBlock, trio.BrokenResourceError):
+                            pass
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except BadFrame as error:
+            log.error("bad-frame", peer=self.peer.name, error=str(error))
+        scope.cancel()
+
+
+class Peers:
+    def __init__(self, net: Net, me: str, peers: tuple[Peer, ...]):
+        self.links = {peer.name: Link(net, peer, me) for peer in peers}
+        self.handlers: dict[int, Handler] = {}
+        self._incoming = 0
+
+    def alive(self, now: datetime) -> list[str]:
+        return [name for name, link in self.links.items() if link.alive(now)]
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        if self._incoming >= MOST_INCOMING:
+            await trio.aclose_forcefully(stream)
+            return
+        self._incoming += 1
+        sender = None
+        splitter = Splitter()
+        try:
+            while True:
+                with trio.fail_after(30 if sender else 5):
+                    data = await stream.receive_some(65536)
+                if not data:
+                    return
+                out = b""
+                for kind, number, payload in splitter.feed(data):
+                    if sender is None:
+                        sender = payload.decode("utf-8", "replace")
+                        if kind != frames.HELLO or sender not in self.links:
+                            raise BadFrame("no hello")
+                        continue
+                    handler = self.handlers.get(kind)
+                    if handler is None:
+                        raise BadFrame(f"kind {kind}")
+                    reply = handler(sender, payload)
+                    if reply is not None:
+                        out += frames.pack(kind | frames.REPLY, number, reply)
+                if out:
+                    with trio.fail_after(5):
+                        await stream.send_all(out)
+        except BadFrame as error:
+            log.error("bad-frame", peer=sender, error=str(error))
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
+            pass
+        except Exception:
+            log.crash("peer-failed", peer=sender)
+        finally:
+            self._incoming -= 1
+            await trio.aclose_forcefully(stream)
+
+
+def finite(value: float) -> float:
+    if not math.isfinite(value) or value < 0:
+        raise BadFrame("number")
+    return value
--- /dev/null
+++ b/roadbend/peers/pulse.py
@@ -0,0 +1,88 @@
+"""What controllers tell each other all the time: reach, ownership, reports heard, cancellations."""
+
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+from roadbend.peers.frames import Scanner, Writer
+
+_NEVER = 0xFFFFFFFF
+
+
+@dataclass(frozen=True)
+class Pulse:
+    boot: str
+    uptime: timedelta
+    # Age of the last answered read of the state service; None: none since the process began.
+    contact_age: timedelta | None
+    used: tuple[float, float]
+    owned: dict[str, int] = field(default_factory=dict)
+    # Reports heard lately by part, for parts that the sender does not own.
+    heard: dict[str, int] = field(default_factory=dict)
+    # Cancellations that the sender told users of, complete for the last `span`.
+    span: timedelta = timedelta()
+    told: tuple[str, ...] = ()
+    machines: int = 0
+
+    def pack(self) -> bytes:
+        out = Writer().text(self.boot).put("Q", _ms(self.uptime))
+        out.put("I", _NEVER if self.contact_age is None else min(_ms(self.contact_age), _NEVER - 1))
+        out.put("ffI", self.used[0], self.used[1], min(_ms(self.span), _NEVER))
+        out.put("H", len(self.owned))
+        for part, term in self.owned.items():
+            out.text(part).put("Q", term)
+        out.put("H", len(self.heard))
+        for part, count in self.heard.items():
+            out.text(part).put("I", count)
+        out.put("H", len(self.told))
+        for job in self.told:
+            out.text(job)
+        return out.bytes()
+
+    @staticmethod
+    def unpack(data: bytes) -> "Pulse":
+        scan = Scanner(data)
+        boot, uptime, contact = scan.text(), scan.one("Q"), scan.one("I")
+        calls, writes, span = scan.get("ffI")
+        owned = {}
+        for _ in range(scan.one("H")):
+            part = scan.text()
+            owned[part] = scan.one("Q")
+        heard = {}
+        for _ in range(scan.one("H")):
+            part = scan.text()
+            heard[part] = scan.one("I")
+        told = tuple(scan.text() for _ in range(scan.one("H")))
+        scan.end()
+        age = None if contact == _NEVER else timedelta(milliseconds=contact)
+        return Pulse(
+            boot, timedelta(milliseconds=uptime), age, (calls, writes), owned, heard,
+            timedelta(milliseconds=span), told,
+        )  # fmt: skip
+
+
+def _ms(length: timedelta) -> int:
+    return max(0, round(length.total_seconds() * 1000))
+
+
+@dataclass
+class Known:
+    """What we know of a peer. `covered`: all cancellations that it told users of before that instant
+    are known to us, from the records or from its own word."""
+
+    pulse: Pulse | None = None
+    asked: datetime | None = None
+    heard_at: datetime | None = None
+    covered: datetime | None = None
+
+    def take(self, pulse: Pulse, asked: datetime, now: datetime, contact: datetime | None) -> None:
+        base = self.reach(contact)
+        began = asked - pulse.uptime
+        # Its list closes the gap only if it goes back to what we had, in one life of that process:
+        # what a former process told its users, this one can't know.
+        if base is not None and max(began, asked - pulse.span) <= base:
+            self.covered = max(base, asked)
+        self.pulse, self.asked, self.heard_at = pulse, asked, now
+
+    def reach(self, contact: datetime | None) -> datetime | None:
+        known = [at for at in (self.covered, contact) if at is not None]
+        return max(known) if known else None
--- /dev/null
+++ b/roadbend/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks on machines inside a part."""
--- /dev/null
+++ b/roadbend/placement/runtime.py
@@ -0,0 +1,553 @@
+"""An owner's work on its part, for one term: queue, placement, records, silent machines.
+
+The truth about attempts is in the slice records as the view shows them. What is kept here besides is
+what can be lost: what machines last showed, the ends not yet recorded, stops that were decided."""
+
+import threading
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from datetime import datetime, timedelta
+
+import trio
+
+from roadbend import clock
+from roadbend.fleet import machines as fleet
+from roadbend.fleet.machines import Fact, Key, Machine, Stop
+from roadbend.fleet.messages import Report
+from roadbend.log import Log
+from roadbend.parts.ownership import Ownership, Tenure
+from roadbend.placement import policy
+from roadbend.placement.policy import Pending, Room
+from roadbend.rental.cloud import Rig
+from roadbend.settings import Operator, Settings
+from roadbend.store import ranges, records
+from roadbend.store.client import Conflict, StateClient, Unavailable, commit, delete, put
+from roadbend.store.records import Attempt, Job, Need, Slice, Use
+from roadbend.store.view import Reader, View
+
+log = Log("placement")
+MOST_PENDING = 96
+MOST_FACTS = 4096
+
+
+@dataclass
+class Shared:
+    """What a controller's parts have in common."""
+
+    settings: Settings
+    op: Operator
+    state: StateClient
+    view: View
+    reader: Reader
+    ownership: Ownership
+    rigs: dict[str, Rig] = field(default_factory=dict)
+    # Jobs that a peer told its user are cancelled, before the records say so here.
+    cancelled: OrderedDict[str, datetime] = field(default_factory=OrderedDict)
+    # Who is within its team's guarantee, by the view's version.
+    guarantee: tuple[int, set[str]] = (-1, set())
+
+    def guaranteed(self) -> set[str]:
+        if self.guarantee[0] != self.view.version:
+            self.guarantee = (self.view.version, within_guarantee(self.view.jobs.values(), self.settings))
+        return self.guarantee[1]
+
+
+def within_guarantee(jobs: Iterable[Job], settings: Settings) -> set[str]:
+    """Jobs that fit into their team's guarantee together with its earlier unfinished jobs."""
+    used: dict[str, list[float]] = {}
+    out = set()
+    for job in sorted(jobs, key=lambda j: (j.at, j.id)):
+        team = settings.teams.get(job.spec.team)
+        if team is None:
+            continue
+        sums = used.setdefault(team.name, [0.0, 0.0])
+        total = job.spec.need.times(job.spec.legs)
+        sums[0] += total.cpus
+        sums[1] += total.gpus
+        fits = (team.cpus <= 0 or sums[0] <= team.cpus) and (team.gpus <= 0 or sums[1] <= team.gpus)
+        if fits and (team.cpus > 0 or team.gpus > 0):
+            out.add(job.id)
+    return out
+
+
+class Batch:
+    """One transaction in the making: working copies of what it changes, and its conditions."""
+
+    def __init__(self, view: View, part: str, tenure: Tenure, txn_ops: int):
+        self._view, self._part, self._most = view, part, txn_ops
+        self.when: dict[str, int] = {records.term_key(part): tenure.stamp}
+        self.rows: dict[str, dict] = {}
+        self.slices: dict[str, Slice] = {}
+        self.teams: dict[str, Use] = {}
+        self._bytes = 0
+
+    def slice(self, job: str, team: str, need: Need) -> Slice:
+        if job in self.slices:
+            return self.slices[job]
+        found = self._view.slices.get(self._part, {}).get(job)
+        return found or Slice(job, self._part, team, need)
+
+    def team(self, name: str) -> Use:
+        return self.teams.get(name) or self._view.teams.get(name) or Use(name)
+
+    def room_for(self, *keys: str) -> bool:
+        fresh = sum(1 for key in keys if key not in self.rows)
+        return len(self.rows) + fresh <= self._most and self._bytes < 40_000
+
+    def need_job(self, job: Job) -> None:
+        self.when[records.job_key(job.id)] = job.stamp
+
+    def set_slice(self, piece: Slice) -> None:
+        key = records.slice_key(self._part, piece.job)
+        self.when.setdefault(key, self._view.stamp(key))
+        self.slices[piece.job] = piece
+        self._bytes += 0 if key in self.rows else piece.weight
+        self.rows[key] = put(key, piece.to_value())
+
+    def drop_slice(self, job: str) -> None:
+        key = records.slice_key(self._part, job)
+        self.when.setdefault(key, self._view.stamp(key))
+        self.rows[key] = delete(key)
+
+    def set_team(self, use: Use) -> None:
+        key = records.team_key(use.team)
+        self.when.setdefault(key, self._view.stamp(key))
+        self.teams[use.team] = use
+        self.rows[key] = put(key, use.to_value())
+
+    def set_job(self, job: Job) -> None:
+        self.need_job(job)
+        key = records.job_key(job.id)
+        self.rows[key] = put(key, job.to_value())
+
+    def end_job(self, job: Job, status: str, done: int) -> None:
+        self.need_job(job)
+        key, fin = records.job_key(job.id), records.fin_key(job.id)
+        self.when[fin] = 0
+        self.rows[key] = delete(key)
+        self.rows[fin] = put(fin, records.fin_value(status, done))
+
+
+def charge(use: Use, part: str, need: Need, sign: int) -> Use:
+    cpus, gpus = use.parts.get(part, (0.0, 0.0))
+    return use.with_part(part, max(0.0, cpus + sign * need.cpus), max(0.0, gpus + sign * need.gpus))
+
+
+class PartRuntime:
+    def __init__(self, shared: Shared, tenure: Tenure):
+        self.lock = threading.RLock()
+        self.shared, self.tenure, self.part = shared, tenure, tenure.part
+        self.machines: dict[str, Machine] = {}
+        self.facts: dict[Key, Fact] = {}
+        self.stops: dict[Key, Stop] = {}
+        self.waits: deque[timedelta] = deque(maxlen=64)
+        self.kick = trio.Event()
+        # Pairs that just failed: a task is not put on the same machine again at once.
+        self.avoid: dict[tuple[str, str], datetime] = {}
+        self.backoff: dict[str, tuple[int, datetime]] = {}
+        self.fenced: list[str] = []
+        # Rooms that boot, filled in by rental.
+        self.booting: list[Room] = []
+        self.left: list[Pending] = []
+        self._seq = 0
+        self._index: tuple[int, dict[str, dict[Key, tuple[Slice, Attempt]]]] = (-1, {})
+        self.first_start: dict[Key, datetime] = {}
+        # Machines named in the transaction whose answer is out; they must not be returned meanwhile.
+        self.in_flight: set[str] = set()
+
+    # Looking at the records.
+
+    def by_machine(self) -> dict[str, dict[Key, tuple[Slice, Attempt]]]:
+        view = self.shared.view
+        if self._index[0] != view.version:
+            index: dict[str, dict[Key, tuple[Slice, Attempt]]] = {}
+            for piece in view.slices.get(self.part, {}).values():
+                for leg, attempt in piece.run.items():
+                    index.setdefault(attempt.machine, {})[(piece.job, leg)] = (piece, attempt)
+            self._index = (view.version, index)
+        return self._index[1]
+
+    def live(self, job: str) -> Job | None:
+        return None if job in self.shared.cancelled else self.shared.view.jobs.get(job)
+
+    def pending(self) -> list[Pending]:
+        view, sure = self.shared.view, self.shared.guaranteed()
+        mine = view.slices.get(self.part, {})
+        now = clock.now()
+        out = []
+        for job in view.jobs.values():
+            held = job.alloc.get(self.part)
+            if not held or job.id in self.shared.cancelled:
+                continue
+            if job.id in self.backoff and self.backoff[job.id][1] > now:
+                continue
+            piece = mine.get(job.id)
+            if piece is not None:
+                held = ranges.minus(held, ranges.union(piece.done, ((n, n + 1) for n in piece.run)))
+            for leg in ranges.numbers(ranges.first(held, MOST_PENDING)):
+                out.append(Pending(job, leg, job.id in sure))
+        out.sort(key=policy.rank)
+        return out
+
+    def rooms(self) -> list[Room]:
+        """Machines that may be given work, with what the records leave free on them."""
+        now, index = clock.now(), self.by_machine()
+        out = []
+        for machine in self.machines.values():
+            rig = self.shared.rigs.get(machine.rig)
+            if rig is None or not self.usable(machine, now):
+                continue
+            room = Room(
+                machine.id, machine.rig, machine.zone, machine.spot,
+                rig.room.cpus, rig.room.gpus, rig.room.memory,
+                frozenset(machine.images), rig.room, 0.0, rig.spot_price if machine.spot else rig.price,
+            )  # fmt: skip
+            for piece, _ in index.get(machine.id, {}).values():
+                room.take(piece.need)
+            out.append(room)
+        return out
+
+    def usable(self, machine: Machine, now: datetime) -> bool:
+        return (
+            machine.draining is None
+            and machine.recall_at is None
+            and not machine.fencing
+            and machine.foreign == 0
+            and (machine.ours or machine.order[0] == 1 and not machine.tasks)
+            and machine.fresh(now, self.shared.settings.report_every * 2.2)
+            and len(machine.failures) < self.shared.op.error_limit
+        )
+
+    # Reports.
+
+    def report(self, report: Report) -> list[dict] | None:
+        """The orders for the response; None for a report that is older than one we had."""
+        now = clock.now()
+        with self.lock:
+            machine = self.machines.get(report.machine)
+            if machine is None:
+                machine = Machine(report.machine, report.address, report.rig, report.zone, report.spot, now)
+                self.machines[machine.id] = machine
+                log.info("machine-up", part=self.part, machine=machine.id, rig=machine.rig, spot=machine.spot)
+                self.kick.set()
+            elif report.order <= machine.order:
+                return None
+            had_notice, was_ours = machine.recall_at is not None, machine.ours
+            before = len(self.facts)
+            recorded = self.by_machine().get(machine.id, {})
+            self._stop_dead(recorded, now)
+            may_start = self.shared.ownership.may_start(now) and not machine.fencing
+            jobs = {key[0]: job for key in recorded if (job := self.live(key[0])) is not None}
+            orders = fleet.read(
+                machine, report, self.tenure.term, recorded, jobs, self.part, self.stops, self.facts, may_start, now
+            )
+            machine.answered = now
+            self._learn(machine, recorded, now)
+            if len(self.facts) != before or machine.ours != was_ours:
+                self.kick.set()
+            if machine.recall_at is not None and not had_notice:
+                log.info("notice", part=self.part, machine=machine.id, seconds=report.notice)
+                self._evacuate(machine, recorded, now)
+                self.kick.set()
+        return orders
+
+    def _stop_dead(self, recorded, now: datetime) -> None:
+        """Tasks whose job is over or cancelled are stopped without grace: their work is useless."""
+        for key, (_, attempt) in recorded.items():
+            if self.live(key[0]) is None:
+                stop = self.stops.get(key)
+                if stop is None or stop.attempt != attempt.number or stop.grace > clock.ZERO:
+                    self.stops[key] = Stop(attempt.number, clock.ZERO, "cancelled", now)
+
+    def _evacuate(self, machine: Machine, recorded, now: datetime) -> None:
+        """A spot notice: let tasks run as long as it pays, then save and go."""
+        left = (machine.recall_at or now) - now
+        for key, (_, attempt) in recorded.items():
+            job = self.live(key[0])
+            if job is None or key in self.stops:
+                continue
+            if job.spec.checkpoint > clock.ZERO:
+                grace = min(max(left - timedelta(seconds=1), clock.ZERO), job.spec.save + timedelta(seconds=2))
+                self.stops[key] = Stop(attempt.number, grace, "notice", now)
+
+    def _learn(self, machine: Machine, recorded, now: datetime) -> None:
+        rig = self.shared.rigs.get(machine.rig)
+        for key, seen in machine.tasks.items():
+            job = self.shared.view.jobs.get(key[0])
+            if job is None or rig is None:
+                continue
+            if seen.state == "running":
+                machine.note_image(job.spec.image, job.spec.image_gb, rig.cache_gb)
+                if seen.running_since == now and key not in self.first_start:
+                    self.first_start[key] = now
+        if recorded or machine.tasks:
+            machine.empty_since = None
+        elif machine.empty_since is None:
+            machine.empty_since = now
+
+    # The loop.
+
+    async def run(self) -> None:
+        while self.shared.ownership.tenure(self.part) == self.tenure:
+            with trio.move_on_after(0.5):
+                await self.kick.wait()
+            self.kick = trio.Event()
+            try:
+                again = True
+                while again and self.shared.ownership.tenure(self.part) == self.tenure:
+                    again = await self.step()
+            except Unavailable:
+                # Whether it was carried out shows in the records; every later write is conditional.
+                await clock.pause(timedelta(milliseconds=200))
+            except Exception:
+                log.crash("step-failed", part=self.part)
+                await clock.pause(timedelta(seconds=1))
+
+    async def step(self) -> bool:
+        now = clock.now()
+        if not self.shared.ownership.may_start(now):
+            return False
+        with self.lock:
+            for recorded in self.by_machine().values():
+                self._stop_dead(recorded, now)
+            self._tidy(now)
+            batch = Batch(self.shared.view, self.part, self.tenure, self.shared.settings.txn_ops)
+            more = self._record_ends(batch, now)
+            if not batch.rows:
+                more = self._start(batch, now)
+        if not batch.rows:
+            return False
+        rows = list(batch.rows.values())
+        self.in_flight = {a.machine for piece in batch.slices.values() for a in piece.run.values()}
+        try:
+            ledger = await commit(self.shared.state, batch.when, rows, within=timedelta(seconds=3))
+        except Conflict as conflict:
+            log.debug("conflict", part=self.part, failed=conflict.failed)
+            with trio.move_on_after(2):
+                await self.shared.reader.sync()
+            return True
+        else:
+            self.shared.view.applied(rows, ledger)
+        finally:
+            self.in_flight = set()
+        return more
+
+    def _tidy(self, now: datetime) -> None:
+        index = self.by_machine()
+        live = {(key, entry[1].number) for rows in index.values() for key, entry in rows.items()}
+        for key in [k for k, fact in self.facts.items() if (k, fact.attempt) not in live]:
+            del self.facts[key]
+        for key in [k for k, stop in self.stops.items() if (k, stop.attempt) not in live]:
+            del self.stops[key]
+        for pair in [p for p, until in self.avoid.items() if until <= now]:
+            del self.avoid[pair]
+        if len(self.first_start) > 4096:
+            self.first_start.clear()
+        for job in [j for j, (_, until) in self.backoff.items() if until + timedelta(minutes=5) < now]:
+            del self.backoff[job]
+
+    def _record_ends(self, batch: Batch, now: datetime) -> bool:
+        """Ends into the records, and slices and jobs that are over out of them."""
+        view, part = self.shared.view, self.part
+        by_job: dict[str, list[tuple[int, Fact]]] = {}
+        for (job, leg), fact in self.facts.items():
+            by_job.setdefault(job, []).append((leg, fact))
+        # Slices of cancelled jobs with nothing left, and slices all done, also end here.
+        for piece in view.slices.get(part, {}).values():
+            if not piece.run:
+                by_job.setdefault(piece.job, [])
+        more = False
+        for name, facts in by_job.items():
+            piece = view.slices.get(part, {}).get(name)
+            if piece is None:
+                continue
+            job = view.jobs.get(name)
+            keys = [records.slice_key(part, name), records.team_key(piece.team)]
+            if job is not None:
+                keys += [records.job_key(name), records.fin_key(name)]
+            if not batch.room_for(*keys):
+                more = True
+                break
+            use, run, done = batch.team(piece.team), dict(piece.run), piece.done
+            changed = False
+            for leg, fact in facts:
+                attempt = run.get(leg)
+                if attempt is None or attempt.number != fact.attempt:
+                    continue
+                del run[leg]
+                changed = True
+                use = charge(use, part, piece.need, -1)
+                if fact.done and job is not None and not job.spec.service:
+                    done = ranges.union(done, ((leg, leg + 1),))
+                self._note_end(name, leg, fact, now)
+            piece = replace(piece, run=run, done=done)
+            held = job.alloc.get(part, ()) if job is not None else ()
+            over = job is None or not ranges.minus(held, done)
+            if over and not run:
+                batch.drop_slice(name)
+                if job is not None:
+                    all_done = ranges.union(job.done, done)
+                    if ranges.size(all_done) >= job.spec.legs:
+                        batch.end_job(job, "done", job.spec.legs)
+                    else:
+                        batch.set_job(replace(job.with_part(part, ()), done=all_done))
+                changed_slice = False
+            else:
+                changed_slice = changed
+            if changed_slice:
+                batch.set_slice(piece)
+            if changed:
+                batch.set_team(use)
+        return more
+
+    def _note_end(self, job: str, leg: int, fact: Fact, now: datetime) -> None:
+        log.debug("ended", part=self.part, task=f"{job}/{leg}", machine=fact.machine, cause=fact.cause)
+        if fact.cause == "done":
+            machine = self.machines.get(fact.machine)
+            if machine is not None:
+                machine.failures.clear()
+            self.backoff.pop(job, None)
+        elif fact.cause in ("error", "unknown", "no_room", "busy"):
+            self.avoid[(job, fact.machine)] = now + timedelta(seconds=20 if fact.cause == "error" else 4)
+            if fact.cause == "error":
+                machine = self.machines.get(fact.machine)
+                if machine is not None:
+                    machine.failures[job] = now
+                times = self.backoff.get(job, (0, now))[0] + 1
+                # A job that fails everywhere comes back ever more slowly and waits for its user.
+                pause = timedelta(seconds=min(60.0, 0.5 * 2 ** min(times, 8))) if times > 3 else clock.ZERO
+                self.backoff[job] = (times, now + pause)
+                log.info("task-error", part=self.part, task=f"{job}/{leg}", machine=fact.machine, times=times)
+
+    def _start(self, batch: Batch, now: datetime) -> bool:
+        """Write-ahead of starts. The order goes out only with a report's response, after the answer."""
+        queue = self.pending()
+        rooms = self.rooms()
+        headroom = {}
+        allowed: list[Pending] = []
+        for item in queue:
+            team = self.shared.settings.teams.get(item.job.spec.team)
+            if team is None:
+                continue
+            if team.name not in headroom:
+                use = batch.team(team.name)
+                headroom[team.name] = [
+                    (team.cpus_max or float("inf")) - use.cpus,
+                    (team.gpus_max or float("inf")) - use.gpus,
+                ]
+            left, need = headroom[team.name], item.job.spec.need
+            if need.cpus <= left[0] + policy.EPS and need.gpus <= left[1] + policy.EPS:
+                left[0] -= need.cpus
+                left[1] -= need.gpus
+                allowed.append(item)
+        placed, self.left = self._place(allowed, rooms)
+        more = False
+        for item, room in placed:
+            job, need = item.job, item.job.spec.need
+            keys = records.slice_key(self.part, job.id), records.team_key(job.spec.team)
+            piece = batch.slice(job.id, job.spec.team, need)
+            if piece.weight + 80 > self.shared.settings.value_bytes * 0.85:
+                continue
+            if not batch.room_for(*keys):
+                more = True
+                break
+            self._seq += 1
+            attempt = Attempt((self.tenure.term << 32) | self._seq, room.id)
+            batch.need_job(job)
+            batch.set_slice(replace(piece, run={**piece.run, item.leg: attempt}))
+            batch.set_team(charge(batch.team(job.spec.team), self.part, need, +1))
+            wait = clock.wall() - job.at
+            self.waits.append(max(clock.ZERO, wait))
+            log.debug(
+                "start", part=self.part, task=f"{job.id}/{item.leg}", machine=room.id,
+                wait=f"{wait.total_seconds():.1f}", cached=job.spec.image in room.images,
+            )  # fmt: skip
+        if not placed and self.left:
+            self._preempt(rooms, now)
+        return more
+
+    def _place(self, queue: list[Pending], rooms: list[Room]):
+        if not self.avoid:
+            return policy.place(queue, rooms)
+        placed, left = [], []
+        for item in queue:
+            open_rooms = [room for room in rooms if (item.job.id, room.id) not in self.avoid]
+            room = policy.best_room(item.job, open_rooms)
+            if room is None:
+                left.append(item)
+            else:
+                room.take(item.job.spec.need)
+                placed.append((item, room))
+        return placed, left
+
+    def _preempt(self, rooms: list[Room], now: datetime) -> None:
+        if any(stop.why == "preempted" for stop in self.stops.values()):
+            # One round at a time: its room must be seen free before more is taken.
+            fresh = [s for s in self.stops.values() if s.why == "preempted" and now - s.since < timedelta(seconds=15)]
+            if len(fresh) >= 8:
+                return
+        over = self._beyond()
+        running = []
+        for machine, rows in self.by_machine().items():
+            for key, (piece, attempt) in rows.items():
+                job = self.live(key[0])
+                if job is None or key in self.stops:
+                    continue
+                running.append(
+                    (
+                        machine,
+                        piece.need,
+                        job.spec.priority,
+                        over.get(job.spec.team, False) and job.id not in self.shared.guaranteed(),
+                        self._loss(key, job, now),
+                        (key, attempt, job),
+                    )
+                )
+        pledged = sum(1 for s in self.stops.values() if s.why == "preempted")
+        for item in self.left[: 8 + pledged]:
+            if pledged > 0:
+                pledged -= 1
+                continue
+            rows = [row for row in running if not (row[3] and row[5][2].spec.team == item.job.spec.team)]
+            found = policy.victims(item, rooms, rows)
+            if found is None:
+                continue
+            room, chosen = found
+            for key, attempt, job in chosen:
+                grace = job.spec.save + timedelta(seconds=1) if job.spec.checkpoint > clock.ZERO else clock.ZERO
+                self.stops[key] = Stop(attempt.number, grace, "preempted", now)
+                running = [row for row in running if row[5][0] != key]
+                log.info("preempt", part=self.part, task=f"{key[0]}/{key[1]}", machine=room.id, by=item.job.id)
+            room.cpus = room.gpus = room.memory = -1.0
+
+    def _beyond(self) -> dict[str, bool]:
+        out = {}
+        for team in self.shared.settings.teams.values():
+            use = self.shared.view.teams.get(team.name)
+            if use is not None:
+                out[team.name] = (team.gpus > 0 and use.gpus > team.gpus + policy.EPS) or (
+                    team.cpus > 0 and use.cpus > team.cpus + policy.EPS
+                )
+        return out
+
+    def _loss(self, key: Key, job: Job, now: datetime) -> float:
+        """Seconds of work that stopping a task now would waste."""
+        machine = next((m for m in self.machines.values() if key in m.tasks), None)
+        seen = machine.tasks[key] if machine else None
+        if seen is None or seen.running_since is None:
+            return 0.0
+        if job.spec.checkpoint > clock.ZERO:
+            return job.spec.save.total_seconds() + 1.0
+        return (now - seen.running_since).total_seconds()
+
+    # Gone for certain.
+
+    def gone(self, machine: str, cause: str) -> None:
+        """Proof from outside a report: the cloud's answer to a deletion, or a lease that ran out."""
+        with self.lock:
+            for key, (_, attempt) in self.by_machine().get(machine, {}).items():
+                self.facts.setdefault(key, Fact(attempt.number, machine, False, cause))
+            if cause == "deleted":
+                self.machines.pop(machine, None)
+        self.kick.set()
--- /dev/null
+++ b/roadbend/rental/cloud.py
@@ -0,0 +1,154 @@
+"""The cloud's client. Nonsense counts as no answer."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+from roadbend import clock
+from roadbend.fleet.messages import number, text
+from roadbend.http.client import Client, NoAnswer
+from roadbend.http.server import Malformed
+from roadbend.store.budget import Bucket
+from roadbend.store.records import Need
+
+
+@dataclass(frozen=True)
+class Rig:
+    name: str
+    room: Need
+    cache_gb: float
+    pull: float
+    price: float
+    spot_price: float
+    startup: timedelta
+    zones: tuple[str, ...]
+
+    def to_value(self) -> dict:
+        return {
+            "name": self.name,
+            "vcpus": self.room.cpus,
+            "gpus": self.room.gpus,
+            "memoryGb": self.room.memory,
+            "cacheGb": self.cache_gb,
+            "pullGbPerS": self.pull,
+            "price": self.price,
+            "lowPrice": self.spot_price,
+            "startupS": self.startup.total_seconds(),
+            "yards": list(self.zones),
+        }
+
+
+def read_rigs(rows: Any) -> dict[str, Rig]:
+    if not isinstance(rows, list):
+        raise Malformed("catalog: expected a list")
+    rigs = {}
+    for row in rows:
+        if not isinstance(row, dict) or not isinstance(row.get("yards"), list):
+            raise Malformed("catalog: expected maps with yards")
+        rig = Rig(
+            text(row.get("name"), "name"),
+            Need(
+                number(row.get("vcpus"), "vcpus"),
+                number(row.get("gpus"), "gpus"),
+                number(row.get("memoryGb"), "memoryGb"),
+            ),
+            number(row.get("cacheGb"), "cacheGb"),
+            max(1e-6, number(row.get("pullGbPerS"), "pullGbPerS")),
+            number(row.get("price"), "price"),
+            number(row.get("lowPrice"), "lowPrice"),
+            timedelta(seconds=min(86400.0, number(row.get("startupS"), "startupS"))),
+            tuple(text(zone, "yards") for zone in row["yards"]),
+        )
+        rigs[rig.name] = rig
+    return rigs
+
+
+@dataclass(frozen=True)
+class Listed:
+    id: str
+    address: str
+    rig: str
+    zone: str
+    spot: bool
+    status: str
+    age: timedelta
+
+
+class NoCapacity(Exception):
+    pass
+
+
+class Busy(Exception):
+    """Over the limit, or the cloud is out: not executed."""
+
+
+class Cloud:
+    def __init__(self, client: Client, rps: float, sharers: int):
+        self._client = client
+        rate = rps * 0.9 / max(1, sharers)
+        self._bucket = Bucket(rate, max(1.0, rate * 1.5), clock.now())
+
+    async def _call(self, method: str, target: str, body: Any = None, *, urgent: bool = False) -> Any:
+        while not urgent:
+            self._bucket.fill(clock.now())
+            wait = self._bucket.wait(1)
+            if wait <= clock.ZERO:
+                break
+            await clock.pause(wait + timedelta(milliseconds=1))
+        self._bucket.spend(1)
+        status, answer = await self._client.request(method, target, body, within=timedelta(seconds=5))
+        if status == 503 and isinstance(answer, dict) and answer.get("error") == "no capacity":
+            raise NoCapacity
+        if status in (429, 503):
+            raise Busy(str(status))
+        if status != 200:
+            raise NoAnswer(f"status {status}")
+        return answer
+
+    async def catalog(self) -> dict[str, Rig]:
+        answer = await self._call("GET", "/catalog")
+        try:
+            rigs = read_rigs(answer.get("rigs") if isinstance(answer, dict) else None)
+        except Malformed as error:
+            raise NoAnswer(f"nonsense: {error}") from None
+        if not rigs:
+            raise NoAnswer("nonsense: empty catalog")
+        return rigs
+
+    async def hire(self, name: str, rig: str, zone: str, spot: bool, count: int) -> list[str]:
+        body = {"hire": name, "rig": rig, "yard": zone, "loaners": spot, "howMany": count}
+        answer = await self._call("POST", "/machines", body)
+        rows = answer.get("hitches") if isinstance(answer, dict) else None
+        if not isinstance(rows, list) or not all(isinstance(row, str) for row in rows):
+            raise NoAnswer("nonsense: hire")
+        return rows
+
+    async def delete(self, names: list[str], urgent: bool = False) -> None:
+        await self._call("POST", "/machines/delete", {"hitches": names[:100]}, urgent=urgent)
+
+    async def machines(self) -> list[Listed]:
+        rows, after = [], ""
+        while True:
+            target = "/machines?most=500" + (f"&after={after}" if after else "")
+            answer = await self._call("GET", target)
+            page = answer.get("hitches") if isinstance(answer, dict) else None
+            if not isinstance(page, list):
+                raise NoAnswer("nonsense: machines")
+            try:
+                for row in page:
+                    rows.append(
+                        Listed(
+                            text(row["id"], "id"),
+                            str(row.get("address") or ""),
+                            text(row["rig"], "rig"),
+                            text(row["yard"], "yard"),
+                            row.get("loaners") is True,
+                            text(row["status"], "status"),
+                            timedelta(seconds=number(row["ageS"], "ageS")),
+                        )
+                    )
+            except (Malformed, KeyError, TypeError, AttributeError) as error:
+                raise NoAnswer(f"nonsense: {error}") from None
+            if not answer.get("more") or not page:
+                return rows
+            after = rows[-1].id
--- /dev/null
+++ b/roadbend/rental/service.py
@@ -0,0 +1,265 @@
+"""Hiring for a part's queue, returning what is empty, deleting what never came up, adopting strays."""
+
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from roadbend import clock
+from roadbend.fleet.service import Fleet
+from roadbend.http.client import NoAnswer
+from roadbend.http.server import Malformed
+from roadbend.log import Log
+from roadbend.placement import policy as placing
+from roadbend.placement.runtime import PartRuntime, Shared
+from roadbend.rental import policy
+from roadbend.rental.cloud import Busy, Cloud, Listed, NoCapacity, read_rigs
+from roadbend.store import records
+from roadbend.store.client import Conflict, NoLease, Unavailable, commit, put
+
+log = Log("rental")
+
+
+@dataclass
+class Boot:
+    """A machine that we hired and that has not reported yet."""
+
+    id: str
+    rig: str
+    spot: bool
+    since: datetime
+
+
+@dataclass
+class Refusal:
+    until: datetime
+    pause: timedelta
+
+
+class Rental:
+    def __init__(self, shared: Shared, cloud: Cloud, fleet: Fleet, runtimes: dict[str, PartRuntime]):
+        self._shared, self._cloud, self._fleet, self._runtimes = shared, cloud, fleet, runtimes
+        self.refused: dict[tuple[str, str, bool], Refusal] = {}
+        self._boots: dict[str, dict[str, Boot]] = {}
+        self._names = 0
+        self._down = False
+        self._first_listed: dict[str, datetime] = {}
+
+    # The catalog and the list, once a controller.
+
+    def adopt_catalog(self) -> None:
+        """What was last seen by anyone, for a start while the cloud is out."""
+        if not self._shared.rigs and self._shared.view.catalog is not None:
+            try:
+                self._shared.rigs = read_rigs(self._shared.view.catalog)
+                log.info("catalog-adopted", rigs=len(self._shared.rigs))
+            except Malformed as error:
+                log.error("bad-record", key=records.CATALOG_KEY, error=error)
+
+    async def catalog_loop(self) -> None:
+        while True:
+            self.adopt_catalog()
+            try:
+                rigs = await self._cloud.catalog()
+                self._shared.rigs = rigs
+                self._down = False
+                await self._keep_catalog(rigs)
+                await clock.pause(timedelta(seconds=20))
+            except (NoAnswer, Busy, NoCapacity) as error:
+                log.info("no-catalog", error=str(error)[:60])
+                await clock.pause(timedelta(seconds=1 if not self._shared.rigs else 4))
+
+    async def _keep_catalog(self, rigs) -> None:
+        view = self._shared.view
+        if not view.loaded:
+            return
+        value = [rig.to_value() for rig in rigs.values()]
+
+        def lasting(rows):
+            return [{k: v for k, v in row.items() if k != "lowPrice"} for row in rows]
+
+        if view.catalog is not None and lasting(view.catalog) == lasting(value):
+            return
+        rows = [put(records.CATALOG_KEY, value)]
+        when = {records.CATALOG_KEY: view.catalog_stamp}
+        try:
+            view.applied(rows, await commit(self._shared.state, when, rows, within=timedelta(seconds=3)))
+        except (Conflict, NoLease, Unavailable):
+            pass
+
+    async def list_loop(self) -> None:
+        while True:
+            try:
+                if self._runtimes:
+                    rows = await self._cloud.machines()
+                    self._fleet.listed = {row.id: row for row in rows}
+                    self._down = False
+                    self._sort_listed(rows)
+            except (NoAnswer, Busy, NoCapacity) as error:
+                log.debug("no-list", error=str(error)[:60])
+            except Exception:
+                log.crash("list-failed")
+            await clock.pause(timedelta(seconds=4))
+
+    def _sort_listed(self, rows: list[Listed]) -> None:
+        """Strays: machines of our parts that we don't know. They are used when they report, and
+        returned when they never do."""
+        now = clock.now()
+        ids = {row.id for row in rows}
+        self._first_listed = {k: at for k, at in self._first_listed.items() if k in ids}
+        for row in rows:
+            runtime = self._runtimes.get(row.zone)
+            if runtime is None or row.id in runtime.machines:
+                continue
+            self._first_listed.setdefault(row.id, now)
+            boots = self._boots.setdefault(row.zone, {})
+            if row.status in ("booting", "running") and row.id not in boots:
+                boots[row.id] = Boot(row.id, row.rig, row.spot, now - row.age)
+
+    # A part's loop.
+
+    async def run(self, runtime: PartRuntime) -> None:
+        part = runtime.part
+        while self._shared.ownership.tenure(part) == runtime.tenure:
+            await clock.pause(timedelta(milliseconds=700))
+            try:
+                now = clock.now()
+                if self._shared.ownership.may_start(now) and self._shared.rigs:
+                    await self._round(runtime, now)
+            except (NoAnswer, Busy) as error:
+                log.debug("cloud-trouble", part=part, error=str(error)[:60])
+                await clock.pause(timedelta(seconds=1))
+            except Exception:
+                log.crash("rental-failed", part=part)
+                await clock.pause(timedelta(seconds=1))
+
+    def closed(self, part: str, now: datetime) -> set[tuple[str, bool]]:
+        return {(rig, spot) for (p, rig, spot), row in self.refused.items() if p == part and row.until > now}
+
+    def boot_rooms(self, runtime: PartRuntime, now: datetime) -> list[placing.Room]:
+        out = []
+        for boot in self._boots.get(runtime.part, {}).values():
+            rig = self._shared.rigs.get(boot.rig)
+            if rig is None or boot.id in runtime.machines:
+                continue
+            if now - boot.since > rig.startup * 1.8:
+                # It may still come, but others are hired in its place.
+                continue
+            price = rig.spot_price if boot.spot else rig.price
+            room = policy.empty_room(boot.id, policy.Option(rig, boot.spot, price), runtime.part)
+            room.ready_in = max(1.0, (rig.startup - (now - boot.since)).total_seconds())
+            out.append(room)
+        return out
+
+    async def _round(self, runtime: PartRuntime, now: datetime) -> None:
+        part, op = runtime.part, self._shared.op
+        boots = self._boots.setdefault(part, {})
+        for name in [n for n in boots if n in runtime.machines]:
+            del boots[name]
+        rooms = runtime.rooms()
+        fresh = self.boot_rooms(runtime, now)
+        runtime.booting = fresh
+        _, left = placing.place(runtime.pending(), rooms + fresh)
+        left = self._within_limits(runtime, left)
+        choices = policy.options(self._shared.rigs.values(), part, self.closed(part, now))
+        want = policy.wanted(left, choices, part)
+        for (rig, spot), count in want.items():
+            await self._hire(runtime, rig, spot, min(count, 20))
+        await self._give_back(runtime, now, bool(left))
+        late = []
+        for boot in list(boots.values()):
+            rig = self._shared.rigs.get(boot.rig)
+            limit = op.boot_patience * rig.startup if rig else timedelta(seconds=120)
+            if now - boot.since > limit and boot.id not in runtime.machines:
+                late.append(boot.id)
+        if late:
+            log.info("never-up", part=part, machines=",".join(late[:5]), count=len(late))
+            await self._cloud.delete(late)
+            for name in late[:100]:
+                boots.pop(name, None)
+                runtime.gone(name, "deleted")
+
+    def _within_limits(self, runtime: PartRuntime, left: list[placing.Pending]) -> list[placing.Pending]:
+        """Nothing is hired for tasks that their team's limit keeps waiting anyway."""
+        room: dict[str, list[float]] = {}
+        out = []
+        for item in left:
+            team = self._shared.settings.teams.get(item.job.spec.team)
+            if team is None:
+                continue
+            if team.name not in room:
+                use = self._shared.view.teams.get(team.name)
+                room[team.name] = [
+                    (team.cpus_max or float("inf")) - (use.cpus if use else 0),
+                    (team.gpus_max or float("inf")) - (use.gpus if use else 0),
+                ]
+            have, need = room[team.name], item.job.spec.need
+            if need.cpus <= have[0] + 1e-6 and need.gpus <= have[1] + 1e-6:
+                have[0] -= need.cpus
+                have[1] -= need.gpus
+                out.append(item)
+        return out
+
+    async def _hire(self, runtime: PartRuntime, rig: str, spot: bool, count: int) -> None:
+        part = runtime.part
+        self._names += 1
+        # Never used again: the term is ours alone, and the number grows within it.
+        name = f"{part}-{runtime.tenure.term}-{self._names}"
+        key = (part, rig, spot)
+        for attempt in range(6):
+            try:
+                got = await self._cloud.hire(name, rig, part, spot, count)
+                break
+            except NoCapacity:
+                self._refuse(key)
+                return
+            except NoAnswer:
+                # It may have been carried out; the same name tells which machines it got.
+                await clock.pause(timedelta(milliseconds=300 * 2**attempt))
+        else:
+            raise NoAnswer("hire")
+        now = clock.now()
+        for machine in got:
+            self._boots.setdefault(part, {})[machine] = Boot(machine, rig, spot, now)
+        log.info("hired", part=part, rig=rig, spot=spot, wanted=count, got=len(got))
+        if len(got) < count:
+            self._refuse(key)
+        else:
+            self.refused.pop(key, None)
+
+    def _refuse(self, key: tuple[str, str, bool]) -> None:
+        op, now = self._shared.op, clock.now()
+        old = self.refused.get(key)
+        pause = min(op.refusal_pause_max, old.pause * 2) if old else op.refusal_pause
+        self.refused[key] = Refusal(now + pause, pause)
+        log.info("refused", part=key[0], rig=key[1], spot=key[2], pause=pause.total_seconds())
+
+    async def _give_back(self, runtime: PartRuntime, now: datetime, short: bool) -> None:
+        op = self._shared.op
+        index = runtime.by_machine()
+        idle, sick = [], []
+        for machine in runtime.machines.values():
+            busy = machine.id in index or machine.foreign or machine.id in runtime.in_flight
+            if len(machine.failures) >= op.error_limit and machine.draining is None:
+                machine.draining = "sick"
+                log.info("sick", part=runtime.part, machine=machine.id)
+            if busy or machine.fencing:
+                continue
+            if machine.draining is not None:
+                sick.append(machine.id)
+            elif machine.ours and machine.empty_since is not None and machine.recall_at is None:
+                idle.append((machine.id, machine.rig, machine.spot, machine.empty_since))
+        back = policy.to_return(idle, now, op.idle_return, round(op.spare_slots / 2))
+        names = sick + back
+        if not names:
+            return
+        for name in names:
+            # Marked before the call: nothing is started on it while the answer is out.
+            if runtime.machines[name].draining is None:
+                runtime.machines[name].draining = "returned"
+        if any(name in runtime.by_machine() for name in names):
+            names = [name for name in names if name not in runtime.by_machine()]
+        if not names:
+            return
+        await self._cloud.delete(names)
+        log.info("returned", part=runtime.part, count=len(names))
+        for name in names[:100]:
+            runtime.gone(name, "deleted")
--- /dev/null
+++ b/roadbend/settings.py
@@ -0,0 +1,237 @@
+"""Settings: the platform's TOML (what we don't know is ignored) and the operators' S-expressions
+(every key checked, an unknown key or a bad value refused by name)."""
+
+import tomllib
+from dataclasses import dataclass, field, fields
+from datetime import timedelta
+from pathlib import Path
+
+import sexpdata
+
+
+class SettingsError(Exception):
+    """A settings file can't be used; the message names the key."""
+
+
+@dataclass(frozen=True)
+class Peer:
+    name: str
+    zone: str
+    address: str
+
+
+@dataclass(frozen=True)
+class Team:
+    name: str
+    cpus: float
+    cpus_max: float
+    gpus: float
+    gpus_max: float
+
+
+@dataclass(frozen=True)
+class Settings:
+    name: str
+    zone: str
+    listen: str
+    back: str
+    peers: tuple[Peer, ...]
+    cloud: str
+    state: str
+    zones: tuple[str, ...]
+    teams: dict[str, Team]
+    clock_off: timedelta
+    report_every: timedelta
+    lease: timedelta
+    cancel_within: timedelta
+    state_rps: float
+    state_write_rps: float
+    value_bytes: int
+    txn_ops: int
+    cloud_rps: float
+    list_lag: timedelta
+    sockets: int
+
+    @property
+    def controllers(self) -> int:
+        return len(self.peers) + 1
+
+
+_MISSING = object()
+
+
+def _get(table, path: str, kind, default=_MISSING):
+    value = table
+    for part in path.split("."):
+        value = value.get(part, _MISSING) if isinstance(value, dict) else _MISSING
+        if value is _MISSING:
+            break
+    if value is _MISSING:
+        if default is _MISSING:
+            raise SettingsError(f"missing key: {path}")
+        return default
+    if kind is float and isinstance(value, int) and not isinstance(value, bool):
+        value = float(value)
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise SettingsError(f"bad value for {path}: expected {kind.__name__}")
+    return value
+
+
+def _positive(table, path: str, default=_MISSING) -> float:
+    value = _get(table, path, float, default)
+    if not 0 < value < float("inf"):
+        raise SettingsError(f"bad value for {path}: must be above zero")
+    return value
+
+
+def _address(text: str, path: str) -> str:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise SettingsError(f"bad value for {path}: expected host:port")
+    return text
+
+
+def read_platform(text: str) -> Settings:
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"not TOML: {error}") from None
+    peers = []
+    for row in _get(table, "others", list, []):
+        peers.append(
+            Peer(
+                _get(row, "host_name", str),
+                _get(row, "domain", str),
+                _address(_get(row, "address", str), "others.address"),
+            )
+        )
+    teams = {}
+    for row in _get(table, "deployment.teams", list, []):
+        team = Team(
+            _get(row, "name", str),
+            _get(row, "cpus", float, 0.0),
+            _get(row, "cpus_max", float, 0.0),
+            _get(row, "gpus", float, 0.0),
+            _get(row, "gpus_max", float, 0.0),
+        )
+        teams[team.name] = team
+    zones = _get(table, "deployment.zones", list, [])
+    if not all(isinstance(zone, str) for zone in zones):
+        raise SettingsError("bad value for deployment.zones: expected names")
+    return Settings(
+        name=_get(table, "host_name", str),
+        zone=_get(table, "domain", str),
+        listen=_address(_get(table, "client_listen", str), "client_listen"),
+        back=_address(_get(table, "back", str), "back"),
+        peers=tuple(peers),
+        cloud=_address(_get(table, "outside.cloud", str), "outside.cloud"),
+        state=_address(_get(table, "outside.state", str), "outside.state"),
+        zones=tuple(zones),
+        teams=teams,
+        clock_off=timedelta(milliseconds=_get(table, "deployment.clock_off_ms", float, 100.0)),
+        report_every=timedelta(seconds=_positive(table, "deployment.workers.report_s")),
+        lease=timedelta(seconds=_positive(table, "deployment.workers.lease_s")),
+        cancel_within=timedelta(seconds=_positive(table, "deployment.workers.cancel_s")),
+        state_rps=_positive(table, "deployment.state.rps"),
+        state_write_rps=_positive(table, "deployment.state.write_rps"),
+        value_bytes=int(_positive(table, "deployment.state.value_kb") * 1024),
+        txn_ops=int(_positive(table, "deployment.state.txn_ops")),
+        cloud_rps=_positive(table, "deployment.cloud.rps"),
+        list_lag=timedelta(seconds=_positive(table, "deployment.cloud.list_lag_s", 5.0)),
+        sockets=int(_positive(table, "deployment.machine_limits.sockets", 1000.0)),
+    )
+
+
+def _s(default: float, low: float, high: float, text: str):
+    return field(
+        default=timedelta(seconds=default),
+        metadata={"low": timedelta(seconds=low), "high": timedelta(seconds=high), "text": text},
+    )
+
+
+def _n(default: float, low: float, high: float, text: str):
+    return field(default=default, metadata={"low": low, "high": high, "text": text})
+
+
+@dataclass(frozen=True)
+class Operator:
+    """Operators' own settings. Durations are written in seconds."""
+
+    omega: float = _n(1.0, 0.0, 1.0, "weight of promised (shadow) load in a bid; the paper's ω")
+    mu: float = _n(1.0, 0.0, 100.0, "relative queuing delay from which a job is offered again; the paper's μ")
+    varpi: float = _n(1.0, 0.0, 100.0, "weight of a bidder's average queuing time when reoffering; the paper's ϖ")
+    bid_wait: timedelta = _s(0.25, 0.01, 5, "how long a requester waits for bids")
+    promise_life: timedelta = _s(2.0, 0.1, 60, "when a promise that nobody revoked expires")
+    rebid_every: timedelta = _s(1.0, 0.1, 60, "how often jobs that no part holds are offered again")
+    reoffer_every: timedelta = _s(5.0, 0.5, 600, "period of offering long waiters again")
+    own_lease: timedelta = _s(6.0, 1, 60, "lease on owning parts; a dead controller's parts wait this long")
+    takeover_grace: timedelta = _s(1.5, 0, 60, "wait before taking a part whose own controller seems alive")
+    hand_back_after: timedelta = _s(5.0, 0, 600, "a returned controller gets its part back after this time")
+    sync_every: timedelta = _s(0.3, 0.02, 5, "how often the records are read when nobody asks")
+    sync_gap: timedelta = _s(0.12, 0.0, 5, "least time between two reads of the records")
+    silent_after: timedelta = _s(9.0, 2, 120, "a machine that has not reported for this long is looked into")
+    find_owner: timedelta = _s(14.0, 2, 120, "time a new owner gives machines to report before doubting them")
+    fence_share: float = _n(0.5, 0.05, 1.0, "part of the machines silent at once that makes us doubt our own net")
+    idle_return: timedelta = _s(8.0, 0, 3600, "an empty machine is returned after this time")
+    boot_patience: float = _n(2.5, 1.1, 20, "times the nominal boot time after which a machine counts as dead")
+    refusal_pause: timedelta = _s(6.0, 0.5, 600, "pause after the cloud refused a type, zone and kind")
+    refusal_pause_max: timedelta = _s(30.0, 0.5, 3600, "the longest such pause, reached by doubling")
+    spare_slots: float = _n(1.0, 0, 100, "spare places an owner keeps for production arrivals")
+    error_limit: int = _n(3, 1, 100, "failures of different jobs after which a machine is replaced")
+    state_margin: timedelta = _s(2.0, 0.2, 30, "safety margin in the arguments about leases")
+    users_at_once: int = _n(64, 4, 1024, "most requests of users in progress; the adaptive limit's ceiling")
+
+
+_FIELDS = {spec.name.replace("_", "-"): spec for spec in fields(Operator)}
+
+
+def read_operator(text: str) -> Operator:
+    """(roadbend (omega 1.0) (bid-wait 0.25) ...)"""
+    try:
+        tree = sexpdata.loads(text)
+    except Exception as error:  # sexpdata raises several unrelated kinds
+        raise SettingsError(f"not an S-expression: {type(error).__name__}") from None
+    if not isinstance(tree, list) or not tree or tree[0] != sexpdata.Symbol("roadbend"):
+        raise SettingsError("operators' settings must have the form (roadbend (key value) ...)")
+    values = {}
+    for row in tree[1:]:
+        if not isinstance(row, list) or len(row) != 2 or not isinstance(row[0], sexpdata.Symbol):
+            raise SettingsError(f"expected (key value), found: {sexpdata.dumps(row)}")
+        key, value = row[0].value(), row[1]
+        spec = _FIELDS.get(key)
+        if spec is None:
+            raise SettingsError(f"unknown key: {key}")
+        if spec.name in values:
+            raise SettingsError(f"key given twice: {key}")
+        if isinstance(value, bool) or not isinstance(value, int | float) or value != value:
+            raise SettingsError(f"bad value for {key}: expected a number")
+        if isinstance(spec.default, timedelta):
+            value = timedelta(seconds=min(float(value), 1e9))
+        elif isinstance(spec.default, int):
+            if not isinstance(value, int):
+                raise SettingsError(f"bad value for {key}: expected a whole number")
+        else:
+            value = float(value)
+        low, high = spec.metadata["low"], spec.metadata["high"]
+        if not low <= value <= high:
+            raise SettingsError(f"bad value for {key}: must be from {_show(low)} to {_show(high)}")
+        values[spec.name] = value
+    return Operator(**values)
+
+
+def _show(value) -> str:
+    return f"{value.total_seconds():g}" if isinstance(value, timedelta) else f"{value:g}"
+
+
+def load(platform: Path, operator: Path | None) -> tuple[Settings, Operator]:
+    try:
+        settings = read_platform(platform.read_text())
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"can't read {platform.name}: {type(error).__name__}") from None
+    # A missing file means the defaults.
+    if operator is None or not operator.exists():
+        return settings, Operator()
+    try:
+        return settings, read_operator(operator.read_text())
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"can't read {operator.name}: {type(error).__name__}") from None
--- /dev/null
+++ b/roadbend/store/client.py
@@ -0,0 +1,152 @@
+"""The state service's client. Refused means certainly not carried out; NoAnswer means nobody knows."""
+
+from datetime import timedelta
+from typing import Any
+from urllib.parse import quote
+
+from roadbend import clock
+from roadbend.http.client import Client, NoAnswer
+from roadbend.store.budget import Budget
+
+
+class Refused(Exception):
+    """Not executed: an outage, or over the limits."""
+
+
+class NoLease(Exception):
+    """The lease has ended."""
+
+
+class Conflict(Exception):
+    def __init__(self, failed: list[str]):
+        super().__init__(",".join(failed))
+        self.failed = failed
+
+
+def _whole(value: Any) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise NoAnswer("nonsense: not a whole number")
+    return value
+
+
+class StateClient:
+    def __init__(self, client: Client, budget: Budget, within: timedelta = timedelta(seconds=1.5)):
+        self._client = client
+        self._budget = budget
+        self._within = within
+
+    async def _call(self, method: str, target: str, body: Any = None, *, writes: int = 0, urgent: bool = False):
+        await self._budget.take(writes, urgent)
+        status, answer = await self._client.request(method, target, body, within=self._within)
+        if status == 429:
+            self._budget.push_back()
+            raise Refused("429")
+        if status == 503:
+            raise Refused("503")
+        return status, answer
+
+    async def get(self, key: str) -> tuple[Any, int] | None:
+        status, answer = await self._call("GET", f"/keys/{quote(key, safe='/%')}")
+        if status == 404:
+            return None
+        if status != 200 or not isinstance(answer, dict) or "value" not in answer:
+            raise NoAnswer(f"nonsense: {status}")
+        return answer["value"], _whole(answer.get("stamp"))
+
+    async def read_all(self, prefix: str) -> tuple[list[tuple[str, Any, int]], int]:
+        """All of it, and the revision from which to follow (the first page's, so nothing is missed)."""
+        rows, after, ledger = [], "", None
+        while True:
+            target = f"/keys?starts={quote(prefix, safe='')}&most=500"
+            if after:
+                target += f"&after={quote(after, safe='')}"
+            status, answer = await self._call("GET", target)
+            if status != 200 or not isinstance(answer, dict) or not isinstance(answer.get("entries"), list):
+                raise NoAnswer(f"nonsense: {status}")
+            if ledger is None:
+                ledger = _whole(answer.get("ledger"))
+            for row in answer["entries"]:
+                if not isinstance(row, dict) or not isinstance(row.get("path"), str):
+                    raise NoAnswer("nonsense: entry")
+                rows.append((row["path"], row.get("value"), _whole(row.get("stamp"))))
+            if not answer.get("more"):
+                return rows, ledger
+            if not answer["entries"]:
+                raise NoAnswer("nonsense: more of nothing")
+            after = rows[-1][0]
+
+    async def follow(self, prefix: str, after: int) -> tuple[list[dict], int] | None:
+        """What changed after a revision; None when that revision is too old."""
+        status, answer = await self._call(
+            "GET", f"/follow?starts={quote(prefix, safe='')}&after={after}&holdMs=0", urgent=True
+        )
+        if status == 410:
+            return None
+        if status != 200 or not isinstance(answer, dict):
+            raise NoAnswer(f"nonsense: {status}")
+        events = answer.get("log") or []
+        if not isinstance(events, list) or not all(isinstance(e, dict) for e in events):
+            raise NoAnswer("nonsense: log")
+        return events, _whole(answer.get("ledger"))
+
+    async def multi(self, when: dict[str, int], apply: list[dict], urgent: bool = False) -> int:
+        body = {"when": [{"path": k, "stamp": v} for k, v in when.items()], "apply": apply}
+        status, answer = await self._call("POST", "/multi", body, writes=len(apply), urgent=urgent)
+        if status == 200 and isinstance(answer, dict):
+            return _whole(answer.get("ledger"))
+        if status == 409 and isinstance(answer, dict):
+            raise Conflict([str(k) for k in answer.get("failed") or []])
+        if status == 400 and isinstance(answer, dict) and answer.get("error") == "no such lease":
+            raise NoLease("write")
+        raise NoAnswer(f"nonsense: {status} {answer!r}"[:200])
+
+    async def lease(self, ttl: timedelta) -> int:
+        status, answer = await self._call("POST", "/leases", {"ttlMs": round(ttl.total_seconds() * 1000)}, urgent=True)
+        if status != 200 or not isinstance(answer, dict):
+            raise NoAnswer(f"nonsense: {status}")
+        return _whole(answer.get("permit"))
+
+    async def renew(self, permit: int) -> None:
+        status, _ = await self._call("POST", f"/leases/{permit}/renew", {}, urgent=True)
+        if status == 404:
+            raise NoLease("renew")
+        if status != 200:
+            raise NoAnswer(f"nonsense: {status}")
+
+
+def put(key: str, value: Any, permit: int | None = None) -> dict:
+    row = {"write": key, "value": value}
+    if permit is not None:
+        row["permit"] = permit
+    return row
+
+
+def delete(key: str) -> dict:
+    return {"delete": key}
+
+
+class Unavailable(Exception):
+    """The state service gave no definite answer in time."""
+
+
+async def commit(
+    state: StateClient,
+    when: dict[str, int],
+    apply: list[dict],
+    *,
+    within: timedelta,
+    urgent: bool = False,
+) -> int:
+    """Repeats one transaction until the answer is definite. Its conditions make that safe: once it has
+    been applied they no longer hold. So a Conflict after an unanswered try may be our own success, and
+    a caller that gets one always reads the records again before it goes on."""
+    deadline = clock.now() + within
+    wait = timedelta(milliseconds=40)
+    while True:
+        try:
+            return await state.multi(when, apply, urgent)
+        except (Refused, NoAnswer) as error:
+            if clock.now() + wait >= deadline:
+                raise Unavailable(str(error)) from None
+        await clock.pause(wait)
+        wait = min(wait * 2, timedelta(milliseconds=500))
--- /dev/null
+++ b/roadbend/store/ranges.py
@@ -0,0 +1,75 @@
+"""Sets of task numbers as sorted, disjoint, half-open ranges, so that 100,000 tasks cost nothing."""
+
+from collections.abc import Iterable, Iterator
+
+Ranges = tuple[tuple[int, int], ...]
+EMPTY: Ranges = ()
+
+
+def normal(pairs: Iterable[tuple[int, int]]) -> Ranges:
+    out: list[list[int]] = []
+    for low, high in sorted((int(low), int(high)) for low, high in pairs):
+        if low >= high:
+            continue
+        if out and low <= out[-1][1]:
+            out[-1][1] = max(out[-1][1], high)
+        else:
+            out.append([low, high])
+    return tuple((low, high) for low, high in out)
+
+
+def union(a: Ranges, b: Iterable[tuple[int, int]]) -> Ranges:
+    return normal([*a, *b])
+
+
+def of(numbers: Iterable[int]) -> Ranges:
+    return normal((n, n + 1) for n in numbers)
+
+
+def minus(a: Ranges, b: Ranges) -> Ranges:
+    out = []
+    for low, high in a:
+        for cut_low, cut_high in b:
+            if cut_high <= low or cut_low >= high:
+                continue
+            if cut_low > low:
+                out.append((low, cut_low))
+            low = max(low, cut_high)
+            if low >= high:
+                break
+        if low < high:
+            out.append((low, high))
+    return tuple(out)
+
+
+def size(a: Ranges) -> int:
+    return sum(high - low for low, high in a)
+
+
+def has(a: Ranges, n: int) -> bool:
+    return any(low <= n < high for low, high in a)
+
+
+def numbers(a: Ranges) -> Iterator[int]:
+    for low, high in a:
+        yield from range(low, high)
+
+
+def first(a: Ranges, n: int) -> Ranges:
+    """The n lowest numbers of a."""
+    out = []
+    for low, high in a:
+        if n <= 0:
+            break
+        take = min(n, high - low)
+        out.append((low, low + take))
+        n -= take
+    return tuple(out)
+
+
+def last(a: Ranges, n: int) -> Ranges:
+    return minus(a, first(a, size(a) - n))
+
+
+def valid(a: Ranges, top: int) -> bool:
+    return all(0 <= low < high <= top for low, high in a)
--- /dev/null
+++ b/roadbend/store/view.py
@@ -0,0 +1,205 @@
+"""This controller's view of the live records, and the read barrier.
+
+Every record is applied by its stamp, from whichever side it comes first: our own transactions'
+answers or the service's log. A read that began after a question came makes the view fresh enough to
+answer that question, whoever wrote last."""
+
+import threading
+from collections.abc import Callable
+from datetime import datetime
+from typing import Any
+from urllib.parse import unquote
+
+import trio
+
+from roadbend import clock
+from roadbend.http.client import NoAnswer
+from roadbend.log import Log
+from roadbend.settings import Operator
+from roadbend.store import records
+from roadbend.store.client import Refused, StateClient
+from roadbend.store.records import Job, Live, Own, Slice, Term, Use
+
+log = Log("store")
+
+
+class View:
+    def __init__(self):
+        self.lock = threading.RLock()
+        self.ledger = 0
+        self.version = 0
+        self.loaded = False
+        self.jobs: dict[str, Job] = {}
+        self.slices: dict[str, dict[str, Slice]] = {}
+        self.teams: dict[str, Use] = {}
+        self.terms: dict[str, Term] = {}
+        self.owns: dict[str, Own] = {}
+        self.nodes: dict[str, Live] = {}
+        self.catalog: Any = None
+        self.catalog_stamp = 0
+        self._stamps: dict[str, int] = {}
+        self._gone: dict[str, int] = {}
+        self.watchers: list[Callable[[str], None]] = []
+
+    def stamp(self, key: str) -> int:
+        return self._stamps.get(key, 0)
+
+    def put(self, key: str, value: Any, stamp: int) -> None:
+        with self.lock:
+            if stamp <= self._stamps.get(key, 0) or stamp <= self._gone.get(key, 0):
+                return
+            try:
+                self._store(key, value, stamp)
+            except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+                # A record that can't be read must not stop the rest from being served.
+                log.error("bad-record", key=key, error=repr(error)[:120])
+                return
+            self._stamps[key] = stamp
+            self._gone.pop(key, None)
+            self.version += 1
+        self._tell(key)
+
+    def drop(self, key: str, stamp: int) -> None:
+        with self.lock:
+            if stamp <= self._stamps.get(key, 0) or stamp <= self._gone.get(key, 0):
+                return
+            self._gone[key] = stamp
+            if self._stamps.pop(key, None) is None:
+                return
+            kind, rest = self._split(key)
+            if kind == "job":
+                self.jobs.pop(rest, None)
+            elif kind == "slice":
+                part, _, job = rest.partition("/")
+                self.slices.get(unquote(part), {}).pop(job, None)
+            elif kind in ("team", "term", "own", "node"):
+                getattr(self, f"{kind}s").pop(unquote(rest), None)
+            self.version += 1
+        self._tell(key)
+
+    def applied(self, apply: list[dict], ledger: int) -> None:
+        """Our own transaction was carried out at this revision. An answer that comes after the log has
+        passed that revision is old news: applying it could bring back a record removed since."""
+        if ledger <= self.ledger:
+            return
+        for row in apply:
+            if "write" in row:
+                if row["write"].startswith(records.LIVE):
+                    self.put(row["write"], row["value"], ledger)
+            elif row["delete"].startswith(records.LIVE):
+                self.drop(row["delete"], ledger)
+
+    def events(self, rows: list[dict], ledger: int) -> None:
+        for row in rows:
+            stamp = row.get("stamp")
+            if not isinstance(stamp, int):
+                raise NoAnswer("nonsense: stamp")
+            if isinstance(row.get("write"), str):
+                self.put(row["write"], row.get("value"), stamp)
+            elif isinstance(row.get("delete"), str):
+                self.drop(row["delete"], stamp)
+        with self.lock:
+            self.ledger = max(self.ledger, ledger)
+            if self._gone:
+                self._gone = {k: s for k, s in self._gone.items() if s > self.ledger}
+
+    def load(self, rows: list[tuple[str, Any, int]], ledger: int) -> None:
+        """Everything read anew: what is not listed and not newer than the listing is gone."""
+        listed = {key for key, _, _ in rows}
+        for key, value, stamp in rows:
+            self.put(key, value, stamp)
+        for key in [k for k, s in self._stamps.items() if k not in listed and s <= ledger]:
+            self.drop(key, ledger)
+        with self.lock:
+            self.ledger = ledger
+            self.loaded = True
+
+    @staticmethod
+    def _split(key: str) -> tuple[str, str]:
+        _, _, tail = key.partition("/")
+        kind, _, rest = tail.partition("/")
+        return kind, rest
+
+    def _store(self, key: str, value: Any, stamp: int) -> None:
+        kind, rest = self._split(key)
+        if kind == "job":
+            self.jobs[rest] = Job.from_value(rest, value, stamp)
+        elif kind == "slice":
+            part, _, job = rest.partition("/")
+            part = unquote(part)
+            self.slices.setdefault(part, {})[job] = Slice.from_value(part, job, value, stamp)
+        elif kind == "team":
+            team = unquote(rest)
+            parts = {part: (float(c), float(g)) for part, (c, g) in value.items()}
+            self.teams[team] = Use(team, parts, stamp)
+        elif kind == "term":
+            self.terms[unquote(rest)] = Term(int(value["n"]), value["node"], stamp)
+        elif kind == "own":
+            self.owns[unquote(rest)] = Own(value["node"], value["boot"], int(value["term"]), stamp)
+        elif kind == "node":
+            self.nodes[unquote(rest)] = Live(unquote(rest), value["boot"], stamp)
+        elif kind == "catalog":
+            self.catalog, self.catalog_stamp = value, stamp
+
+    def _tell(self, key: str) -> None:
+        for watcher in self.watchers:
+            watcher(key)
+
+
+class Reader:
+    """Keeps the view fresh. One read serves everyone who waits when it begins."""
+
+    def __init__(self, view: View, state: StateClient, operator: Operator):
+        self.view = view
+        self._state = state
+        self._op = operator
+        self._wanted = trio.Event()
+        self._begun = 0
+        self._ended = 0
+        self._turn = trio.Condition()
+        # The sending time of the last read that was answered: the view holds all that was written before.
+        self.contact: datetime | None = None
+        self.refusals = 0
+
+    async def sync(self) -> None:
+        """Returns when a read has ended that began after this call; the caller sets the time limit."""
+        want = self._begun + 1
+        self._wanted.set()
+        async with self._turn:
+            while self._ended < want:
+                await self._turn.wait()
+
+    async def run(self) -> None:
+        pause = clock.ZERO
+        while True:
+            with trio.move_on_after(max(0.0, (self._op.sync_every - self._op.sync_gap).total_seconds())):
+                await self._wanted.wait()
+            await clock.pause(self._op.sync_gap + pause)
+            self._wanted = trio.Event()
+            self._begun += 1
+            mine, sent = self._begun, clock.now()
+            try:
+                await self._read()
+            except (Refused, NoAnswer) as error:
+                self.refusals += 1
+                if self.refusals in (1, 10) or self.refusals % 100 == 0:
+                    log.error("no-state", error=str(error)[:80], times=self.refusals)
+                pause = min(pause + self._op.sync_gap, self._op.sync_every)
+                continue
+            if self.refusals > 1:
+                log.info("state-back", after=self.refusals)
+            pause, self.refusals, self.contact = clock.ZERO, 0, sent
+            async with self._turn:
+                self._ended = max(self._ended, mine)
+                self._turn.notify_all()
+
+    async def _read(self) -> None:
+        if self.view.loaded:
+            news = await self._state.follow(records.LIVE, self.view.ledger)
+            if news is not None:
+                self.view.events(*news)
+                return
+            log.info("log-too-old", ledger=self.view.ledger)
+        rows, ledger = await self._state.read_all(records.LIVE)
+        self.view.load(rows, ledger)
+        log.info("records-read", count=len(rows), ledger=ledger)
