Bid a service's start, not a made-up run time, and leave dear hires to cheaper parts

Changed: a service's job time is what its user waits for (fetch and boot); a part that could only hire at over 1.3 times the least price a task does not bid until the job has waited 3 s (the paper's acceptance allows the responder's preferences). Ruled out: slow bidding (starts are decided within 0.1 s) and report delay (at most 3 s).

--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -146,7 +146,8 @@
             job = view.jobs.get(name)
             if job is None or not job.free or name in self._shared.cancelled:
                 return
-            ask = Ask(name, len(self._peers.links) + 1, ranges.size(job.free), job.spec)
+            waited = max(clock.ZERO, clock.wall() - job.at)
+            ask = Ask(name, len(self._peers.links) + 1, ranges.size(job.free), job.spec, waited=waited)
             bids = await self.gather(ask)
             job = view.jobs.get(name)
             if job is None:
--- a/roadbend/bidding/messages.py
+++ b/roadbend/bidding/messages.py
@@ -20,6 +20,8 @@
     part: str = ""
     theirs: timedelta | None = None
     their_average: timedelta = timedelta()
+    # How long the job has waited since its submission.
+    waited: timedelta = timedelta()
 
     def pack(self) -> bytes:
         s = self.spec
@@ -32,8 +34,12 @@
         out.maybe(s.zone).put("???", s.together, s.apart, s.spot).text(s.image).put("d", s.image_gb)
         out.put("ddd", *(x.total_seconds() for x in (s.expected, s.checkpoint, s.save)))
         out.put("d", -1.0 if s.due is None else s.due.total_seconds())
-        out.text(self.part).put("dd", -1.0 if self.theirs is None else self.theirs.total_seconds(),
-                                self.their_average.total_seconds())  # fmt: skip
+        out.text(self.part).put(
+            "ddd",
+            -1.0 if self.theirs is None else self.theirs.total_seconds(),
+            self.their_average.total_seconds(),
+            max(0.0, self.waited.total_seconds()),
+        )
         return out.bytes()
 
     @staticmethod
@@ -48,13 +54,14 @@
         image, image_gb = scan.text(), finite(scan.one("d"))
         expected, checkpoint, save = (_span(x) for x in scan.get("ddd"))
         due = scan.one("d")
-        part, (theirs, average) = scan.text(), scan.get("dd")
+        part, (theirs, average, waited) = scan.text(), scan.get("ddd")
         scan.end()
         spec = Spec(
             team, lane, service, priority, legs, need, rigs, zone, together, apart, spot, image, image_gb,
             expected, checkpoint, save, None if due < 0 else _span(due),
         )  # fmt: skip
-        return Ask(job, requests, free, spec, part, None if theirs < 0 else _span(theirs), _span(average))
+        theirs = None if theirs < 0 else _span(theirs)
+        return Ask(job, requests, free, spec, part, theirs, _span(average), _span(waited))
 
 
 def _span(value: float) -> timedelta:
--- a/roadbend/bidding/offers.py
+++ b/roadbend/bidding/offers.py
@@ -13,12 +13,12 @@
 from roadbend.rental.cloud import Rig
 from roadbend.store.records import Job, Spec
 
-# What an unknown run time counts as; a service keeps its place for long.
+# The load of a task whose run time nobody gave.
 UNKNOWN = timedelta(seconds=60)
 
 
 def length(spec: Spec) -> timedelta:
-    return UNKNOWN if spec.service or spec.expected <= clock.ZERO else spec.expected
+    return UNKNOWN if spec.expected <= clock.ZERO else spec.expected
 
 
 def job_load(spec: Spec, tasks: int) -> float:
@@ -50,7 +50,7 @@
         placing.place(ahead, ready + booting)
         now_count = self._fit(job, ready)
         fit_booting = self._fit(job, booting)
-        could_hire = self._hire(job)
+        could_hire = self._hire(job, ask)
         room = now_count + fit_booting
         wait = clock.ZERO
         if now_count == 0:
@@ -72,7 +72,7 @@
         bid = Bid(
             runtime.part,
             self._node,
-            length(spec) + fetch + wait,
+            spec.expected + fetch + wait,
             casa.load_time(load, cores),
             casa.load_time(self._shadow.load(now), cores),
             now_count,
@@ -101,13 +101,22 @@
             )
         )
 
-    def _hire(self, job: Job) -> tuple[float, int] | None:
-        """Boot time and places of the cheapest machine that we believe we can hire."""
-        runtime = self._runtime
-        choices = renting.options(runtime.shared.rigs.values(), runtime.part, self._closed())
-        option = renting.cheapest(placing.Pending(job, 0, False), choices, runtime.part, job.spec.legs)
+    def _hire(self, job: Job, ask: Ask) -> tuple[float, int] | None:
+        """Boot time and places of the cheapest machine that we believe we can hire.
+
+        A part that could only hire dearly leaves a job to those who can do it cheaply, for as long as
+        the job can wait: the paper's acceptance takes the responder's own preferences into account."""
+        runtime, op = self._runtime, self._runtime.shared.op
+        rigs = runtime.shared.rigs.values()
+        choices = renting.options(rigs, runtime.part, self._closed())
+        item = placing.Pending(job, 0, False)
+        option = renting.cheapest(item, choices, runtime.part, ask.free)
         if option is None:
             return None
+        price = renting.cost(item, option, runtime.part, ask.free)
+        least = renting.least_cost(item, rigs, ask.free)
+        if price > least * op.dear and ask.waited < op.dear_wait:
+            return None
         places = renting.empty_room("", option, runtime.part).count(job.spec.need)
         return option.rig.startup.total_seconds(), places * 4
 
--- a/roadbend/rental/policy.py
+++ b/roadbend/rental/policy.py
@@ -36,19 +36,34 @@
     )  # fmt: skip
 
 
+def cost(item: Pending, option: Option, part: str, alike: int) -> float | None:
+    """Price a task. An array fills a machine only as far as it has tasks; a service stays, and what
+    comes later fills the rest."""
+    if not allowed(item.job, option.rig.name, part, option.spot):
+        return None
+    count = empty_room("", option, part).count(item.job.spec.need)
+    if count < 1:
+        return None
+    return option.price / (count if item.job.spec.service else min(count, max(1, alike)))
+
+
 def cheapest(item: Pending, choices: list[Option], part: str, alike: int) -> Option | None:
-    """Least price a task, counting only as many tasks as there are to put on the machine."""
-    best, best_cost = None, 0.0
-    for option in choices:
-        if not allowed(item.job, option.rig.name, part, option.spot):
-            continue
-        count = empty_room("", option, part).count(item.job.spec.need)
-        if count < 1:
-            continue
-        cost = option.price / min(count, max(1, alike))
-        if best is None or cost < best_cost:
-            best, best_cost = option, cost
-    return best
+    priced = [
+        (price, at) for at, option in enumerate(choices) if (price := cost(item, option, part, alike)) is not None
+    ]
+    return choices[min(priced)[1]] if priced else None
+
+
+def least_cost(item: Pending, rigs: Iterable[Rig], alike: int) -> float | None:
+    """The least price a task in any zone, whether it can be had or not: what is dear is told by it."""
+    rigs = list(rigs)
+    prices = [
+        price
+        for zone in {zone for rig in rigs for zone in rig.zones}
+        for option in options(rigs, zone, set())
+        if (price := cost(item, option, zone, alike)) is not None
+    ]
+    return min(prices, default=None)
 
 
 def wanted(left: list[Pending], choices: list[Option], part: str) -> dict[tuple[str, bool], int]:
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -172,6 +172,8 @@
     silent_after: timedelta = _s(9.0, 2, 120, "a machine that has not reported for this long is looked into")
     find_owner: timedelta = _s(14.0, 2, 120, "time a new owner gives machines to report before doubting them")
     fence_share: float = _n(0.5, 0.05, 1.0, "part of the machines silent at once that makes us doubt our own net")
+    dear: float = _n(1.3, 1.0, 100, "times the cheapest price a task above which a part does not bid to hire")
+    dear_wait: timedelta = _s(3.0, 0, 600, "a job that has waited for this long is bid for at any price")
     idle_return: timedelta = _s(8.0, 0, 3600, "an empty machine is returned after this time")
     boot_patience: float = _n(2.5, 1.1, 20, "times the nominal boot time after which a machine counts as dead")
     refusal_pause: timedelta = _s(6.0, 0.5, 600, "pause after the cloud refused a type, zone and kind")
