Hire just in time, and keep measured warm room for services that must start at once

Cause: every queued task without free room called for a machine, though most arrays have slack for a second round on machines that are there; and the services' second places vanished as soon as hiring got tighter. Changed: queued tasks are laid on the machines as these come free (run times scaled by what lanes really took); only a task that would start too late, and that a new machine would start sooner, calls for one. For classes whose aim is a start sooner than a boot, each part keeps mean plus one deviation of the arrivals of a boot time as places that are free or held by work that may be stopped.

--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -17,7 +17,8 @@
 from roadbend.fleet.messages import Report
 from roadbend.log import Log
 from roadbend.parts.ownership import Ownership, Tenure
-from roadbend.placement import policy
+from roadbend.placement import forecast, policy
+from roadbend.placement.forecast import Line
 from roadbend.placement.policy import Pending, Room
 from roadbend.rental.cloud import Rig
 from roadbend.settings import Operator, Settings
@@ -46,6 +47,18 @@
     cancelled: OrderedDict[str, datetime] = field(default_factory=OrderedDict)
     # Who is within its team's guarantee, by the view's version.
     guarantee: tuple[int, set[str]] = (-1, set())
+    # By lane, how long tasks ran over how long their owner said, learnt as they end.
+    factors: dict[str, float] = field(default_factory=dict)
+
+    def factor(self, lane: str) -> float:
+        return self.factors.get(lane, 1.0)
+
+    def learn(self, job: Job, ran: timedelta) -> None:
+        if job.spec.expected > timedelta(seconds=1):
+            x = min(4.0, max(0.25, ran / job.spec.expected))
+            self.factors[job.spec.lane] = 0.93 * self.factor(job.spec.lane) + 0.07 * x
+            while len(self.factors) > 256:
+                self.factors.pop(next(iter(self.factors)))
 
     def guaranteed(self) -> set[str]:
         if self.guarantee[0] != self.view.version:
@@ -219,6 +232,33 @@
             and len(machine.failures) < self.shared.op.error_limit
         )
 
+    def lines(self, more: list[Room]) -> list[Line]:
+        """The machines with what runs on them and when that is thought to end."""
+        now, index = clock.now(), self.by_machine()
+        out = []
+        for room in self.rooms():
+            machine = self.machines[room.id]
+            releases = []
+            for key, (piece, attempt) in index.get(room.id, {}).items():
+                if key in self.stops:
+                    releases.append((self.stops[key].grace.total_seconds() + 1.0, piece.need))
+                    continue
+                job = self.shared.view.jobs.get(key[0])
+                if job is None or job.spec.service:
+                    continue
+                seen = machine.tasks.get(key)
+                run = forecast.task_seconds(job, self.shared.factor(job.spec.lane), None)
+                if seen is not None and seen.attempt == attempt.number and seen.running_since is not None:
+                    spent = (now - seen.running_since).total_seconds()
+                    # An estimate that has been passed says little: the longer it ran, the longer it may.
+                    left = max(run - spent, 0.25 * spent, 1.0)
+                else:
+                    left = run + job.spec.image_gb / max(1e-6, self.shared.rigs[room.rig].pull)
+                releases.append((left, piece.need))
+            releases.sort(key=lambda row: row[0])
+            out.append(Line(room, releases))
+        return out + [Line(room) for room in more]
+
     # Reports.
 
     def report(self, report: Report) -> list[dict] | None:
@@ -407,6 +447,9 @@
             machine = self.machines.get(fact.machine)
             if machine is not None:
                 machine.failures.clear()
+                seen, known = machine.tasks.get((job, leg)), self.shared.view.jobs.get(job)
+                if known is not None and seen is not None and seen.running_since is not None:
+                    self.shared.learn(known, seen.since - seen.running_since)
             self.backoff.pop(job, None)
         elif fact.cause in ("error", "unknown", "no_room", "busy"):
             self.avoid[(job, fact.machine)] = now + timedelta(seconds=20 if fact.cause == "error" else 4)
--- a/roadbend/rental/policy.py
+++ b/roadbend/rental/policy.py
@@ -1,9 +1,12 @@
 """What to hire and what to give back. Pure."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
+from roadbend.placement import forecast
+from roadbend.placement.forecast import Line
 from roadbend.placement.policy import Pending, Room, allowed
 from roadbend.rental.cloud import Rig
 
@@ -66,32 +69,60 @@
     return min(prices, default=None)
 
 
-def wanted(left: list[Pending], choices: list[Option], part: str) -> dict[tuple[str, bool], int]:
-    """How many machines of which type and kind would hold the tasks that found no room."""
-    fresh: list[Room] = []
+@dataclass(frozen=True)
+class Timing:
+    """What the hiring needs to know of a queued task: seconds."""
+
+    item: Pending
+    length: float
+    slack: float
+
+
+def wanted(
+    queue: list[Timing], lines: list[Line], choices: list[Option], part: str, boot_factor: float
+) -> dict[tuple[str, bool], int]:
+    """How many machines of which type and kind to hire, just in time.
+
+    Tasks are laid on the machines in their order, as these come free. One that would start too late,
+    and that a new machine would start sooner, calls for that machine; those behind it may share it."""
     out: dict[tuple[str, bool], int] = {}
-    for at, item in enumerate(left):
-        need = item.job.spec.need
-        host = next(
-            (r for r in fresh if r.fits(need) and allowed(item.job, r.rig, r.zone, r.spot)),
-            None,
-        )
-        if host is None:
-            alike = sum(1 for other in left[at:] if other.job.spec.need == need)
+    lines = list(lines)
+    for at, timing in enumerate(queue):
+        item, need = timing.item, timing.item.job.spec.need
+        start, line = forecast.earliest(item.job, lines)
+        if start > timing.slack:
+            alike = sum(1 for other in queue[at:] if other.item.job.spec.need == need)
             option = cheapest(item, choices, part, alike)
-            if option is None:
-                continue
-            host = empty_room(f"new-{len(fresh)}", option, part)
-            fresh.append(host)
-            key = (option.rig.name, option.spot)
-            out[key] = out.get(key, 0) + 1
-        host.take(need)
+            if option is not None:
+                room = empty_room(f"new-{len(lines)}", option, part)
+                room.ready_in *= boot_factor
+                if room.ready_in < start - 1.0:
+                    line = Line(room)
+                    lines.append(line)
+                    start = room.ready_in
+                    key = (option.rig.name, option.spot)
+                    out[key] = out.get(key, 0) + 1
+        if line is not None:
+            line.put(need, start, timing.length)
     return out
 
 
-def to_return(idle: list[tuple[str, str, bool, datetime]], now: datetime, after: timedelta, keep: int) -> list[str]:
-    """Empty machines (id, rig, spot, empty since) that have been empty for long enough. `keep` of the
-    ordinary ones stay, the youngest idle first to go."""
-    ordinary = [row for row in idle if not row[2]]
-    kept = {row[0] for row in sorted(ordinary, key=lambda row: row[3])[:keep]}
-    return [row[0] for row in idle if row[0] not in kept and now - row[3] >= after]
+def warm_places(arrivals: float, boot: timedelta, window: timedelta, parts: int, most: int) -> int:
+    """Places to keep for services that must start sooner than a machine boots: what arrives on
+    average while one boots, and one deviation more, over the parts. Zero when none arrive."""
+    if arrivals <= 0:
+        return 0
+    mean = arrivals * (boot / window)
+    return min(most, math.ceil((mean + math.sqrt(mean)) / max(1, parts)))
+
+
+def to_return(idle: list[tuple[str, datetime, int]], now: datetime, after: timedelta, surplus: int) -> list[str]:
+    """Empty machines (id, empty since, warm places on it) that have been empty for long enough, the
+    longest idle first, as far as the warm room is not cut into."""
+    out = []
+    for name, since, places in sorted(idle, key=lambda row: row[1]):
+        if now - since < after or places > max(0, surplus):
+            continue
+        surplus -= places
+        out.append(name)
+    return out
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -1,6 +1,6 @@
 """Hiring for a part's queue, returning what is empty, deleting what never came up, adopting strays."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 
 from roadbend import clock
@@ -8,12 +8,14 @@
 from roadbend.http.client import NoAnswer
 from roadbend.http.server import Malformed
 from roadbend.log import Log
+from roadbend.placement import forecast
 from roadbend.placement import policy as placing
 from roadbend.placement.runtime import PartRuntime, Shared
 from roadbend.rental import policy
 from roadbend.rental.cloud import Busy, Cloud, Listed, NoCapacity, read_rigs
 from roadbend.store import records
 from roadbend.store.client import Conflict, NoLease, Unavailable, commit, put
+from roadbend.store.records import Job
 
 log = Log("rental")
 
@@ -154,16 +156,23 @@
         boots = self._boots.setdefault(part, {})
         for name in [n for n in boots if n in runtime.machines]:
             del boots[name]
-        rooms = runtime.rooms()
         fresh = self.boot_rooms(runtime, now)
         runtime.booting = fresh
-        _, left = placing.place(runtime.pending(), rooms + fresh)
-        left = self._within_limits(runtime, left)
+        queue = self._timed(self._within_limits(runtime, runtime.pending()))
         choices = policy.options(self._shared.rigs.values(), part, self.closed(part, now))
-        want = policy.wanted(left, choices, part)
+        # The forecast writes on the rooms that it is given.
+        lines = runtime.lines([replace(room) for room in fresh])
+        want = policy.wanted(queue, lines, choices, part, op.boot_factor)
+        model, keep = self._warm(now)
+        have = self._warm_now(runtime, model, fresh) if model is not None else 0
+        if model is not None and have < keep:
+            option = policy.cheapest(placing.Pending(model, 0, True), choices, part, keep)
+            if option is not None and not any(rig == option.rig.name and not spot for rig, spot in want):
+                places = policy.empty_room("", option, part).count(model.spec.need)
+                want[(option.rig.name, option.spot)] = -(-(keep - have) // places)
         for (rig, spot), count in want.items():
             await self._hire(runtime, rig, spot, min(count, 20))
-        await self._give_back(runtime, now, bool(left))
+        await self._give_back(runtime, now, model, have - keep)
         late = []
         for boot in list(boots.values()):
             rig = self._shared.rigs.get(boot.rig)
@@ -177,6 +186,49 @@
                 boots.pop(name, None)
                 runtime.gone(name, "deleted")
 
+    def _warm(self, now: datetime) -> tuple[Job | None, int]:
+        """The service to keep room for, and how many places of this part: for classes whose aim is a
+        start sooner than a machine boots, as many as measured arrivals justify."""
+        op, wall = self._shared.op, clock.wall()
+        arrivals, model = 0, None
+        boot = max((rig.startup for rig in self._shared.rigs.values()), default=clock.ZERO)
+        for job in self._shared.view.jobs.values():
+            within = self._shared.settings.start_within(job.spec.lane)
+            if not job.spec.service or within is None or within > boot * op.boot_factor:
+                continue
+            if model is None or job.at > model.at:
+                model = job
+            if wall - job.at < op.spare_window:
+                arrivals += job.spec.legs
+        if model is None:
+            return None, 0
+        parts = len(self._shared.ownership.parts())
+        return model, policy.warm_places(arrivals, boot * op.boot_factor, op.spare_window, parts, op.spare_most)
+
+    def _warm_now(self, runtime: PartRuntime, model: Job, fresh: list[placing.Room]) -> int:
+        """Places that are free, or that work which may be stopped for it holds."""
+        index, have = runtime.by_machine(), 0
+        for room in runtime.rooms() + [replace(room) for room in fresh]:
+            if not placing.allowed(model, room.rig, room.zone, room.spot):
+                continue
+            for key, (piece, _) in index.get(room.id, {}).items():
+                job = self._shared.view.jobs.get(key[0])
+                if job is None or job.spec.priority < model.spec.priority:
+                    room.give(piece.need)
+            have += room.count(model.spec.need)
+        return have - sum(1 for item in runtime.pending() if item.job.spec.service)
+
+    def _timed(self, queue: list[placing.Pending]) -> list[policy.Timing]:
+        out, wall, op = [], clock.wall(), self._shared.op
+        pulls = [rig.pull for rig in self._shared.rigs.values()]
+        for item in queue:
+            run = forecast.task_seconds(item.job, self._shared.factor(item.job.spec.lane), min(pulls))
+            waited = (wall - item.job.at).total_seconds()
+            # Estimates are often wrong: the time kept for the run is longer than the likely one.
+            kept = 0.0 if item.job.spec.service else run * op.caution
+            out.append(policy.Timing(item, run, forecast.slack(item, waited, kept)))
+        return out
+
     def _within_limits(self, runtime: PartRuntime, left: list[placing.Pending]) -> list[placing.Pending]:
         """Nothing is hired for tasks that their team's limit keeps waiting anyway."""
         room: dict[str, list[float]] = {}
@@ -232,7 +284,7 @@
         self.refused[key] = Refusal(now + pause, pause)
         log.info("refused", part=key[0], rig=key[1], spot=key[2], pause=pause.total_seconds())
 
-    async def _give_back(self, runtime: PartRuntime, now: datetime, short: bool) -> None:
+    async def _give_back(self, runtime: PartRuntime, now: datetime, model: Job | None, surplus: int) -> None:
         op = self._shared.op
         index = runtime.by_machine()
         idle, sick = [], []
@@ -246,8 +298,14 @@
             if machine.draining is not None:
                 sick.append(machine.id)
             elif machine.ours and machine.empty_since is not None and machine.recall_at is None:
-                idle.append((machine.id, machine.rig, machine.spot, machine.empty_since))
-        back = policy.to_return(idle, now, op.idle_return, round(op.spare_slots / 2))
+                places = 0
+                rig = self._shared.rigs.get(machine.rig)
+                if model is not None and rig is not None:
+                    if placing.allowed(model, machine.rig, machine.zone, machine.spot):
+                        option = policy.Option(rig, machine.spot, 0.0)
+                        places = policy.empty_room("", option, runtime.part).count(model.spec.need)
+                idle.append((machine.id, machine.empty_since, places))
+        back = policy.to_return(idle, now, op.idle_return, surplus)
         names = sick + back
         if not names:
             return
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -29,6 +29,16 @@
     gpus_max: float
 
 
+@dataclass(frozen=True)
+class Objective:
+    """An aim as the platform restates it; kinds that we don't know are ignored."""
+
+    kind: str
+    lane: str | None
+    share: float
+    within: timedelta | None
+
+
 @dataclass(frozen=True)
 class Settings:
     name: str
@@ -51,6 +61,13 @@
     cloud_rps: float
     list_lag: timedelta
     sockets: int
+    objectives: tuple[Objective, ...] = ()
+
+    def start_within(self, lane: str) -> timedelta | None:
+        """How soon a task of this class should start, where an aim says so."""
+        return min(
+            (o.within for o in self.objectives if o.kind == "wait" and o.lane == lane and o.within), default=None
+        )
 
     @property
     def controllers(self) -> int:
@@ -115,6 +132,12 @@
             _get(row, "gpus_max", float, 0.0),
         )
         teams[team.name] = team
+    objectives = []
+    for row in _get(table, "deployment.objectives", list, []):
+        within = _get(row, "within_s", float, -1.0)
+        lane = _get(row, "class", str, "")
+        kind, share = _get(row, "kind", str, ""), _get(row, "share", float, 0.0)
+        objectives.append(Objective(kind, lane or None, share, timedelta(seconds=within) if within > 0 else None))
     zones = _get(table, "deployment.zones", list, [])
     if not all(isinstance(zone, str) for zone in zones):
         raise SettingsError("bad value for deployment.zones: expected names")
@@ -139,6 +162,7 @@
         cloud_rps=_positive(table, "deployment.cloud.rps"),
         list_lag=timedelta(seconds=_positive(table, "deployment.cloud.list_lag_s", 5.0)),
         sockets=int(_positive(table, "deployment.machine_limits.sockets", 1000.0)),
+        objectives=tuple(objectives),
     )
 
 
@@ -174,11 +198,14 @@
     fence_share: float = _n(0.5, 0.05, 1.0, "part of the machines silent at once that makes us doubt our own net")
     dear: float = _n(1.3, 1.0, 100, "times the cheapest price a task above which a part does not bid to hire")
     dear_wait: timedelta = _s(3.0, 0, 600, "a job that has waited for this long is bid for at any price")
+    caution: float = _n(1.3, 1.0, 10, "times the predicted run time that is kept free before a deadline")
+    boot_factor: float = _n(1.1, 0.5, 10, "times the nominal boot time that a new machine is expected to take")
     idle_return: timedelta = _s(8.0, 0, 3600, "an empty machine is returned after this time")
     boot_patience: float = _n(2.5, 1.1, 20, "times the nominal boot time after which a machine counts as dead")
     refusal_pause: timedelta = _s(6.0, 0.5, 600, "pause after the cloud refused a type, zone and kind")
     refusal_pause_max: timedelta = _s(30.0, 0.5, 3600, "the longest such pause, reached by doubling")
-    spare_slots: float = _n(1.0, 0, 100, "spare places an owner keeps for production arrivals")
+    spare_window: timedelta = _s(300, 10, 86400, "span over which arrivals are counted for the warm room")
+    spare_most: int = _n(4, 0, 1000, "most places that an owner keeps warm for services that must start at once")
     error_limit: int = _n(3, 1, 100, "failures of different jobs after which a machine is replaced")
     state_margin: timedelta = _s(2.0, 0.2, 30, "safety margin in the arguments about leases")
     users_at_once: int = _n(64, 4, 1024, "most requests of users in progress; the adaptive limit's ceiling")
