Keep room made by preemption for its task; meet silent machines and stale lists sooner

(2) Machines that had been returned still stood in the lagging list and were taken for strays that boot: counted as room and deleted again. (3) A dead machine was fenced 11 s after it died.

--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -124,14 +124,14 @@
             if last is None:
                 overdue = now - since > op.find_owner
             else:
-                overdue = now - last > op.silent_after
+                overdue = now - last > settings.report_every * op.silent_reports
             listed = self.listed.get(name)
             if listed is not None and listed.status == "failed":
                 overdue = True
             recalled = machine is not None and machine.recall_at is not None and now > machine.recall_at
             if overdue or recalled and last is not None and now - last > settings.report_every * 2:
                 silent.append(name)
-        doubt = len(known) >= 4 and len(silent) > op.fence_share * len(known)
+        doubt = len(known) >= 2 and len(silent) > op.fence_share * len(known)
         for name in silent:
             if (runtime.part, name) not in self._probing:
                 self._probing.add((runtime.part, name))
@@ -155,7 +155,7 @@
             client = Client(self._net, address, most=1, keep=0)
             for _ in range(2):
                 try:
-                    status, _ = await client.request("GET", "/inspect", within=timedelta(seconds=1.2))
+                    status, _ = await client.request("GET", "/inspect", within=timedelta(seconds=1))
                 except NoAnswer:
                     continue
                 if status == 200 and clock.now() - (before or runtime.tenure.since) < settings.lease * 1.5:
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -29,7 +29,8 @@
 
 log = Log("placement")
 MOST_PENDING = 96
-MOST_FACTS = 4096
+# How long room that is being made is kept for the task that it is made for.
+PLEDGE = timedelta(seconds=15)
 
 
 @dataclass
@@ -47,6 +48,8 @@
     cancelled: OrderedDict[str, datetime] = field(default_factory=OrderedDict)
     # Who is within its team's guarantee, by the view's version.
     guarantee: tuple[int, set[str]] = (-1, set())
+    # Machines that we deleted lately; the cloud's list goes on showing them for a while.
+    deleted: OrderedDict[str, datetime] = field(default_factory=OrderedDict)
     # By lane, how long tasks ran over how long their owner said, learnt as they end.
     factors: dict[str, float] = field(default_factory=dict)
 
@@ -165,10 +168,16 @@
         self.left: list[Pending] = []
         self._seq = 0
         self._index: tuple[int, dict[str, dict[Key, tuple[Slice, Attempt]]]] = (-1, {})
+        # Machines on which room is being made, and for whom: (job, task) -> (machine, until).
+        self.pledges: dict[Key, tuple[str, datetime]] = {}
         self.first_start: dict[Key, datetime] = {}
         # Machines named in the transaction whose answer is out; they must not be returned meanwhile.
         self.in_flight: set[str] = set()
 
+    @property
+    def _pledged(self) -> set[str]:
+        return {machine for machine, _ in self.pledges.values()}
+
     # Looking at the records.
 
     def by_machine(self) -> dict[str, dict[Key, tuple[Slice, Attempt]]]:
@@ -382,6 +391,9 @@
             del self.stops[key]
         for pair in [p for p, until in self.avoid.items() if until <= now]:
             del self.avoid[pair]
+        waiting = {(item.job.id, item.leg) for item in self.left} if self.pledges else set()
+        for key in [k for k, (_, until) in self.pledges.items() if until <= now or k not in waiting]:
+            del self.pledges[key]
         if len(self.first_start) > 4096:
             self.first_start.clear()
         for job in [j for j, (_, until) in self.backoff.items() if until + timedelta(minutes=5) < now]:
@@ -511,11 +523,18 @@
         return more
 
     def _place(self, queue: list[Pending], rooms: list[Room]):
-        if not self.avoid:
+        if not self.avoid and not self.pledges:
             return policy.place(queue, rooms)
-        placed, left = [], []
+        placed, left, pledged = [], [], self._pledged
         for item in queue:
-            open_rooms = [room for room in rooms if (item.job.id, room.id) not in self.avoid]
+            mine = self.pledges.get((item.job.id, item.leg))
+            open_rooms = [
+                room
+                for room in rooms
+                if (item.job.id, room.id) not in self.avoid
+                # Room that is being made for one task is not filled by others while its victims go.
+                and (mine is not None and mine[0] == room.id or room.id not in pledged)
+            ]
             room = policy.best_room(item.job, open_rooms)
             if room is None:
                 left.append(item)
@@ -525,11 +544,6 @@
         return placed, left
 
     def _preempt(self, rooms: list[Room], now: datetime) -> None:
-        if any(stop.why == "preempted" for stop in self.stops.values()):
-            # One round at a time: its room must be seen free before more is taken.
-            fresh = [s for s in self.stops.values() if s.why == "preempted" and now - s.since < timedelta(seconds=15)]
-            if len(fresh) >= 8:
-                return
         over = self._beyond()
         running = []
         for machine, rows in self.by_machine().items():
@@ -547,10 +561,10 @@
                         (key, attempt, job),
                     )
                 )
-        pledged = sum(1 for s in self.stops.values() if s.why == "preempted")
-        for item in self.left[: 8 + pledged]:
-            if pledged > 0:
-                pledged -= 1
+        pledged = self._pledged
+        rooms = [room for room in rooms if room.id not in pledged]
+        for item in self.left[:8]:
+            if (item.job.id, item.leg) in self.pledges:
                 continue
             rows = [row for row in running if not (row[3] and row[5][2].spec.team == item.job.spec.team)]
             found = policy.victims(item, rooms, rows)
@@ -562,7 +576,8 @@
                 self.stops[key] = Stop(attempt.number, grace, "preempted", now)
                 running = [row for row in running if row[5][0] != key]
                 log.info("preempt", part=self.part, task=f"{key[0]}/{key[1]}", machine=room.id, by=item.job.id)
-            room.cpus = room.gpus = room.memory = -1.0
+            self.pledges[(item.job.id, item.leg)] = (room.id, now + PLEDGE)
+            rooms = [other for other in rooms if other.id != room.id]
 
     def _beyond(self) -> dict[str, bool]:
         out = {}
@@ -593,4 +608,7 @@
                 self.facts.setdefault(key, Fact(attempt.number, machine, False, cause))
             if cause == "deleted":
                 self.machines.pop(machine, None)
+                self.shared.deleted[machine] = clock.now()
+                while len(self.shared.deleted) > 1024:
+                    self.shared.deleted.popitem(last=False)
         self.kick.set()
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -28,6 +28,8 @@
     rig: str
     spot: bool
     since: datetime
+    # First seen in the list, as running: it may as well be gone, or report elsewhere. No room yet.
+    stray: bool = False
 
 
 @dataclass
@@ -113,8 +115,11 @@
                 continue
             self._first_listed.setdefault(row.id, now)
             boots = self._boots.setdefault(row.zone, {})
+            if row.id in self._shared.deleted:
+                # The list lags: what we deleted still appears in it, and is no stray.
+                continue
             if row.status in ("booting", "running") and row.id not in boots:
-                boots[row.id] = Boot(row.id, row.rig, row.spot, now - row.age)
+                boots[row.id] = Boot(row.id, row.rig, row.spot, now - row.age, row.status == "running")
 
     # A part's loop.
 
@@ -140,7 +145,7 @@
         out = []
         for boot in self._boots.get(runtime.part, {}).values():
             rig = self._shared.rigs.get(boot.rig)
-            if rig is None or boot.id in runtime.machines:
+            if rig is None or boot.stray or boot.id in runtime.machines:
                 continue
             if now - boot.since > rig.startup * 1.8:
                 # It may still come, but others are hired in its place.
@@ -177,7 +182,10 @@
         for boot in list(boots.values()):
             rig = self._shared.rigs.get(boot.rig)
             limit = op.boot_patience * rig.startup if rig else timedelta(seconds=120)
-            if now - boot.since > limit and boot.id not in runtime.machines:
+            if boot.stray:
+                limit = min(limit, op.find_owner)
+            since = max(boot.since, runtime.tenure.since) if boot.stray else boot.since
+            if now - since > limit and boot.id not in runtime.machines:
                 late.append(boot.id)
         if late:
             log.info("never-up", part=part, machines=",".join(late[:5]), count=len(late))
@@ -271,7 +279,7 @@
         now = clock.now()
         for machine in got:
             self._boots.setdefault(part, {})[machine] = Boot(machine, rig, spot, now)
-        log.info("hired", part=part, rig=rig, spot=spot, wanted=count, got=len(got))
+        log.info("hired", part=part, rig=rig, spot=spot, wanted=count, got=len(got), machines=",".join(got))
         if len(got) < count:
             self._refuse(key)
         else:
@@ -318,6 +326,6 @@
         if not names:
             return
         await self._cloud.delete(names)
-        log.info("returned", part=runtime.part, count=len(names))
+        log.info("returned", part=runtime.part, count=len(names), machines=",".join(names))
         for name in names[:100]:
             runtime.gone(name, "deleted")
