Keep services off machines that are dear for them; bid the wait that is forecast

Parts with nothing free and nothing to hire still bid one place with no wait, and arrays waited there for minutes.

--- a/roadbend/bidding/offers.py
+++ b/roadbend/bidding/offers.py
@@ -1,11 +1,13 @@
 """A part's answer to a request: the paper's times, and real fit on machines instead of totals."""
 
+from dataclasses import replace
 from datetime import datetime, timedelta
 
 from roadbend import clock
 from roadbend.bidding import casa
 from roadbend.bidding.casa import Bid, Promises
 from roadbend.bidding.messages import Ask
+from roadbend.placement import forecast
 from roadbend.placement import policy as placing
 from roadbend.placement.policy import Room
 from roadbend.placement.runtime import PartRuntime
@@ -41,38 +43,35 @@
             return None
         rigs = runtime.shared.rigs
         job = Job(ask.job, spec, clock.wall())
+        dear = self._dear(job, ask)
         queue = [item for item in runtime.pending() if item.job.id != ask.job]
-        rooms = runtime.rooms()
-        ready, booting = rooms, [room for room in runtime.booting if room.id not in runtime.machines]
-        cores = max(1.0, sum(room.total.cpus for room in ready) + sum(room.total.cpus for room in booting))
+        booting = [replace(room) for room in runtime.booting if room.id not in runtime.machines]
+        lines = [line for line in runtime.lines(booting) if line.room.rig not in dear]
+        cores = max(1.0, sum(line.room.total.cpus for line in lines))
         # What queues here comes first: what is left after it can start the asked job now.
-        ahead = [item for item in queue if item.job.spec.priority >= spec.priority]
-        placing.place(ahead, ready + booting)
+        for item in queue:
+            if item.job.spec.priority >= spec.priority:
+                start, line = forecast.earliest(item.job, lines)
+                if line is not None:
+                    line.put(item.job.spec.need, start, runtime.task_seconds(item.job))
+        ready = [line.room for line in lines if line.room.ready_in <= 0]
         now_count = self._fit(job, ready)
-        fit_booting = self._fit(job, booting)
-        could_hire = self._hire(job, ask)
-        room = now_count + fit_booting
-        wait = clock.ZERO
-        if now_count == 0:
-            waits = []
-            if fit_booting:
-                waits.append(min(r.ready_in for r in booting if self._fit(job, [r])))
-            if could_hire is not None:
-                waits.append(could_hire[0])
-            hosts = [r for r in rooms if self._could_host(job, r, rigs)]
-            if not waits and not hosts:
-                return None
-            if waits:
-                wait = timedelta(seconds=min(waits))
+        room = now_count + self._fit(job, [line.room for line in lines if line.room.ready_in > 0])
+        wait, line = (0.0, None) if now_count else forecast.earliest(job, lines)
+        could_hire = self._hire(job, ask, dear)
         if could_hire is not None:
             room += could_hire[1]
-        host = self._fastest(job, ready if now_count else booting)
+            if could_hire[0] < wait:
+                wait, line = could_hire[0], None
+        if wait == forecast.NEVER:
+            return None
+        host = rigs.get(line.room.rig) if line is not None else self._fastest(job, ready)
         fetch = clock.ZERO if now_count and self._cached(job, ready) else fetch_time(spec, host)
         load = sum(job_load(item.job.spec, 1) for item in queue)
         bid = Bid(
             runtime.part,
             self._node,
-            spec.expected + fetch + wait,
+            spec.expected + fetch + timedelta(seconds=wait),
             casa.load_time(load, cores),
             casa.load_time(self._shadow.load(now), cores),
             now_count,
@@ -81,6 +80,17 @@
         self._shadow.add(ask.job, job_load(spec, min(ask.free, max(1, room))), ask.requests, now)
         return bid
 
+    def _dear(self, job: Job, ask: Ask) -> set[str]:
+        """Machine types that a service should not settle on, for as long as it can wait: it would hold
+        a machine that costs much more a task than another type does."""
+        if not job.spec.service:
+            return set()
+        shared = self._runtime.shared
+        boot = max((rig.startup for rig in shared.rigs.values()), default=clock.ZERO)
+        if ask.waited >= shared.patience(job.spec, boot):
+            return set()
+        return renting.dear_rigs(job, shared.rigs.values(), shared.op.dear)
+
     def _fit(self, job: Job, rooms: list[Room]) -> int:
         return sum(
             room.count(job.spec.need)
@@ -91,24 +101,14 @@
     def _cached(self, job: Job, rooms: list[Room]) -> bool:
         return any(job.spec.image in room.images and self._fit(job, [room]) for room in rooms)
 
-    def _could_host(self, job: Job, room: Room, rigs: dict[str, Rig]) -> bool:
-        rig = rigs.get(room.rig)
-        return (
-            rig is not None
-            and placing.allowed(job, room.rig, room.zone, room.spot)
-            and Room("", room.rig, room.zone, room.spot, rig.room.cpus, rig.room.gpus, rig.room.memory).fits(
-                job.spec.need
-            )
-        )
-
-    def _hire(self, job: Job, ask: Ask) -> tuple[float, int] | None:
+    def _hire(self, job: Job, ask: Ask, dear: set[str]) -> tuple[float, int] | None:
         """Boot time and places of the cheapest machine that we believe we can hire.
 
         A part that could only hire dearly leaves a job to those who can do it cheaply, for as long as
         the job can wait: the paper's acceptance takes the responder's own preferences into account."""
         runtime, op = self._runtime, self._runtime.shared.op
         rigs = runtime.shared.rigs.values()
-        choices = renting.options(rigs, runtime.part, self._closed())
+        choices = [o for o in renting.options(rigs, runtime.part, self._closed()) if o.rig.name not in dear]
         item = placing.Pending(job, 0, False)
         option = renting.cheapest(item, choices, runtime.part, ask.free)
         if option is None:
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -20,11 +20,12 @@
 from roadbend.placement import forecast, policy
 from roadbend.placement.forecast import Line
 from roadbend.placement.policy import Pending, Room
+from roadbend.rental import policy as renting
 from roadbend.rental.cloud import Rig
 from roadbend.settings import Operator, Settings
 from roadbend.store import ranges, records
 from roadbend.store.client import Conflict, StateClient, Unavailable, commit, delete, put
-from roadbend.store.records import Attempt, Job, Need, Slice, Use
+from roadbend.store.records import Attempt, Job, Need, Slice, Spec, Use
 from roadbend.store.view import Reader, View
 
 log = Log("placement")
@@ -56,6 +57,21 @@
     def factor(self, lane: str) -> float:
         return self.factors.get(lane, 1.0)
 
+    def start_within(self, spec: Spec) -> timedelta | None:
+        """How soon a task should start, where an aim says so, of its class or of work in a guarantee."""
+        rows = [
+            o.within
+            for o in self.settings.objectives
+            if o.within is not None and (o.kind == "wait" and o.lane == spec.lane or o.kind == "guarantee")
+        ]
+        return min(rows, default=None) if spec.service else None
+
+    def patience(self, spec: Spec, boot: timedelta) -> timedelta:
+        """How long a service may be held back from machines on which it is dear."""
+        within = self.start_within(spec)
+        spare = (within - boot * 1.1) / 2 if within is not None else clock.ZERO
+        return max(self.op.dear_wait, spare)
+
     def learn(self, job: Job, ran: timedelta) -> None:
         if job.spec.expected > timedelta(seconds=1):
             x = min(4.0, max(0.25, ran / job.spec.expected))
@@ -170,6 +186,8 @@
         self._index: tuple[int, dict[str, dict[Key, tuple[Slice, Attempt]]]] = (-1, {})
         # Machines on which room is being made, and for whom: (job, task) -> (machine, until).
         self.pledges: dict[Key, tuple[str, datetime]] = {}
+        # Types that waiting services are kept from for now.
+        self.held_back: dict[str, frozenset[str]] = {}
         self.first_start: dict[Key, datetime] = {}
         # Machines named in the transaction whose answer is out; they must not be returned meanwhile.
         self.in_flight: set[str] = set()
@@ -241,6 +259,10 @@
             and len(machine.failures) < self.shared.op.error_limit
         )
 
+    def task_seconds(self, job: Job) -> float:
+        pull = min((rig.pull for rig in self.shared.rigs.values()), default=1.0)
+        return forecast.task_seconds(job, self.shared.factor(job.spec.lane), pull)
+
     def lines(self, more: list[Room]) -> list[Line]:
         """The machines with what runs on them and when that is thought to end."""
         now, index = clock.now(), self.by_machine()
@@ -479,6 +501,7 @@
         """Write-ahead of starts. The order goes out only with a report's response, after the answer."""
         queue = self.pending()
         rooms = self.rooms()
+        self._hold_back(queue)
         headroom = {}
         allowed: list[Pending] = []
         for item in queue:
@@ -522,8 +545,24 @@
             self._preempt(rooms, now)
         return more
 
+    def _hold_back(self, queue: list[Pending]) -> None:
+        """Which types a waiting service is kept from, as when bidding."""
+        rigs, wall = self.shared.rigs.values(), clock.wall()
+        boot = max((rig.startup for rig in rigs), default=clock.ZERO)
+        self.held_back = {}
+        for item in queue:
+            job = item.job
+            if (
+                job.spec.service
+                and job.id not in self.held_back
+                and wall - job.at < self.shared.patience(job.spec, boot)
+            ):
+                dear = renting.dear_rigs(job, rigs, self.shared.op.dear)
+                if dear:
+                    self.held_back[job.id] = frozenset(dear)
+
     def _place(self, queue: list[Pending], rooms: list[Room]):
-        if not self.avoid and not self.pledges:
+        if not self.avoid and not self.pledges and not self.held_back:
             return policy.place(queue, rooms)
         placed, left, pledged = [], [], self._pledged
         for item in queue:
@@ -532,6 +571,7 @@
                 room
                 for room in rooms
                 if (item.job.id, room.id) not in self.avoid
+                and room.rig not in self.held_back.get(item.job.id, ())
                 # Room that is being made for one task is not filled by others while its victims go.
                 and (mine is not None and mine[0] == room.id or room.id not in pledged)
             ]
@@ -567,7 +607,8 @@
             if (item.job.id, item.leg) in self.pledges:
                 continue
             rows = [row for row in running if not (row[3] and row[5][2].spec.team == item.job.spec.team)]
-            found = policy.victims(item, rooms, rows)
+            kept_from = self.held_back.get(item.job.id, ())
+            found = policy.victims(item, [room for room in rooms if room.rig not in kept_from], rows)
             if found is None:
                 continue
             room, chosen = found
--- a/roadbend/rental/policy.py
+++ b/roadbend/rental/policy.py
@@ -9,6 +9,7 @@
 from roadbend.placement.forecast import Line
 from roadbend.placement.policy import Pending, Room, allowed
 from roadbend.rental.cloud import Rig
+from roadbend.store.records import Job
 
 
 @dataclass(frozen=True)
@@ -69,6 +70,18 @@
     return min(prices, default=None)
 
 
+def dear_rigs(job: Job, rigs: Iterable[Rig], dear: float) -> set[str]:
+    """Types on which a task of this job costs over `dear` times the least, when machines are full."""
+    prices: dict[str, float] = {}
+    for rig in rigs:
+        for option in options([rig], rig.zones[0], set()) if rig.zones else ():
+            price = cost(Pending(job, 0, False), option, rig.zones[0], 1_000_000)
+            if price is not None:
+                prices[rig.name] = min(price, prices.get(rig.name, price))
+    least = min(prices.values(), default=0.0)
+    return {name for name, price in prices.items() if price > least * dear}
+
+
 @dataclass(frozen=True)
 class Timing:
     """What the hiring needs to know of a queued task: seconds."""
@@ -76,6 +89,12 @@
     item: Pending
     length: float
     slack: float
+    image_gb: float = 0.0
+    avoid: frozenset[str] = frozenset()
+
+
+def ready_after(option: Option, image_gb: float, boot_factor: float) -> float:
+    return option.rig.startup.total_seconds() * boot_factor + image_gb / option.rig.pull
 
 
 def wanted(
@@ -89,10 +108,13 @@
     lines = list(lines)
     for at, timing in enumerate(queue):
         item, need = timing.item, timing.item.job.spec.need
-        start, line = forecast.earliest(item.job, lines)
+        start, line = forecast.earliest(item.job, [one for one in lines if one.room.rig not in timing.avoid])
         if start > timing.slack:
             alike = sum(1 for other in queue[at:] if other.item.job.spec.need == need)
-            option = cheapest(item, choices, part, alike)
+            usable = [o for o in choices if o.rig.name not in timing.avoid]
+            # Those that would be in time, if any; a slow boot or fetch may cost more than it saves.
+            soon = [o for o in usable if ready_after(o, timing.image_gb, boot_factor) <= timing.slack]
+            option = cheapest(item, soon or usable, part, alike)
             if option is not None:
                 room = empty_room(f"new-{len(lines)}", option, part)
                 room.ready_in *= boot_factor
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -163,15 +163,17 @@
             del boots[name]
         fresh = self.boot_rooms(runtime, now)
         runtime.booting = fresh
-        queue = self._timed(self._within_limits(runtime, runtime.pending()))
+        queue = self._timed(runtime, self._within_limits(runtime, runtime.pending()))
         choices = policy.options(self._shared.rigs.values(), part, self.closed(part, now))
         # The forecast writes on the rooms that it is given.
         lines = runtime.lines([replace(room) for room in fresh])
         want = policy.wanted(queue, lines, choices, part, op.boot_factor)
-        model, keep = self._warm(now)
+        model, keep = self._warm(part)
         have = self._warm_now(runtime, model, fresh) if model is not None else 0
         if model is not None and have < keep:
-            option = policy.cheapest(placing.Pending(model, 0, True), choices, part, keep)
+            dear = policy.dear_rigs(model, self._shared.rigs.values(), op.dear)
+            fit = [o for o in choices if o.rig.name not in dear]
+            option = policy.cheapest(placing.Pending(model, 0, True), fit, part, keep)
             if option is not None and not any(rig == option.rig.name and not spot for rig, spot in want):
                 places = policy.empty_room("", option, part).count(model.spec.need)
                 want[(option.rig.name, option.spot)] = -(-(keep - have) // places)
@@ -194,15 +196,16 @@
                 boots.pop(name, None)
                 runtime.gone(name, "deleted")
 
-    def _warm(self, now: datetime) -> tuple[Job | None, int]:
+    def _warm(self, part: str) -> tuple[Job | None, int]:
         """The service to keep room for, and how many places of this part: for classes whose aim is a
         start sooner than a machine boots, as many as measured arrivals justify."""
         op, wall = self._shared.op, clock.wall()
         arrivals, model = 0, None
         boot = max((rig.startup for rig in self._shared.rigs.values()), default=clock.ZERO)
         for job in self._shared.view.jobs.values():
-            within = self._shared.settings.start_within(job.spec.lane)
-            if not job.spec.service or within is None or within > boot * op.boot_factor:
+            within = self._shared.start_within(job.spec)
+            # Boots take up to half as long again as they nominally do.
+            if within is None or within > boot * 1.5:
                 continue
             if model is None or job.at > model.at:
                 model = job
@@ -210,14 +213,21 @@
                 arrivals += job.spec.legs
         if model is None:
             return None, 0
-        parts = len(self._shared.ownership.parts())
+        # Only parts that can host it cheaply keep room for it.
+        rigs = self._shared.rigs
+        good = {name for name in rigs if name not in policy.dear_rigs(model, rigs.values(), op.dear)}
+        hosts = {zone for name in good for zone in rigs[name].zones}
+        if part not in hosts:
+            return None, 0
+        parts = len(hosts)
         return model, policy.warm_places(arrivals, boot * op.boot_factor, op.spare_window, parts, op.spare_most)
 
     def _warm_now(self, runtime: PartRuntime, model: Job, fresh: list[placing.Room]) -> int:
         """Places that are free, or that work which may be stopped for it holds."""
         index, have = runtime.by_machine(), 0
+        dear = policy.dear_rigs(model, self._shared.rigs.values(), self._shared.op.dear)
         for room in runtime.rooms() + [replace(room) for room in fresh]:
-            if not placing.allowed(model, room.rig, room.zone, room.spot):
+            if not placing.allowed(model, room.rig, room.zone, room.spot) or room.rig in dear:
                 continue
             for key, (piece, _) in index.get(room.id, {}).items():
                 job = self._shared.view.jobs.get(key[0])
@@ -226,15 +236,17 @@
             have += room.count(model.spec.need)
         return have - sum(1 for item in runtime.pending() if item.job.spec.service)
 
-    def _timed(self, queue: list[placing.Pending]) -> list[policy.Timing]:
+    def _timed(self, runtime: PartRuntime, queue: list[placing.Pending]) -> list[policy.Timing]:
         out, wall, op = [], clock.wall(), self._shared.op
-        pulls = [rig.pull for rig in self._shared.rigs.values()]
         for item in queue:
-            run = forecast.task_seconds(item.job, self._shared.factor(item.job.spec.lane), min(pulls))
+            spec = item.job.spec
+            run = runtime.task_seconds(item.job)
+            alone = forecast.task_seconds(item.job, self._shared.factor(spec.lane), None)
             waited = (wall - item.job.at).total_seconds()
             # Estimates are often wrong: the time kept for the run is longer than the likely one.
-            kept = 0.0 if item.job.spec.service else run * op.caution
-            out.append(policy.Timing(item, run, forecast.slack(item, waited, kept)))
+            kept = 0.0 if spec.service else alone * op.caution
+            avoid = runtime.held_back.get(item.job.id, frozenset())
+            out.append(policy.Timing(item, run, forecast.slack(item, waited, kept), spec.image_gb, avoid))
         return out
 
     def _within_limits(self, runtime: PartRuntime, left: list[placing.Pending]) -> list[placing.Pending]:
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -63,12 +63,6 @@
     sockets: int
     objectives: tuple[Objective, ...] = ()
 
-    def start_within(self, lane: str) -> timedelta | None:
-        """How soon a task of this class should start, where an aim says so."""
-        return min(
-            (o.within for o in self.objectives if o.kind == "wait" and o.lane == lane and o.within), default=None
-        )
-
     @property
     def controllers(self) -> int:
         return len(self.peers) + 1
