--- /dev/null
+++ b/roadbend/conftest.py
@@ -0,0 +1,39 @@
+"""Stories run on trio's mock clock: no wall-clock luck, and waiting costs nothing."""
+
+import inspect
+from datetime import UTC, datetime, timedelta
+
+import pytest
+import trio
+import trio.testing
+
+from roadbend import clock
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_pyfunc_call(pyfuncitem):
+    if not inspect.iscoroutinefunction(pyfuncitem.obj):
+        return None
+    names = inspect.signature(pyfuncitem.obj).parameters
+    arguments = {name: pyfuncitem.funcargs[name] for name in names}
+
+    async def run():
+        with trio.fail_after(3600):
+            await pyfuncitem.obj(**arguments)
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    return True
+
+
+@pytest.fixture(autouse=True)
+def time_of_day(monkeypatch):
+    """The time of day goes with the steady clock."""
+    base = datetime(2026, 1, 1, tzinfo=UTC)
+
+    def wall():
+        try:
+            return base + timedelta(seconds=trio.current_time())
+        except RuntimeError:
+            return base
+
+    monkeypatch.setattr(clock, "wall", wall)
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -66,7 +66,8 @@
                 self._shared.rigs = rigs
                 self._down = False
                 await self._keep_catalog(rigs)
-                await clock.pause(timedelta(seconds=20))
+                # Until it is in the records, a controller that starts in a cloud outage would not know it.
+                await clock.pause(timedelta(seconds=20 if self._shared.view.catalog is not None else 1))
             except (NoAnswer, Busy, NoCapacity) as error:
                 log.info("no-catalog", error=str(error)[:60])
                 await clock.pause(timedelta(seconds=1 if not self._shared.rigs else 4))
--- /dev/null
+++ b/roadbend/standins/cloud.py
@@ -0,0 +1,103 @@
+"""The cloud's stand-in: a catalog, capacity, machines that boot and whose workers then report."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qs
+
+import trio
+
+from roadbend.http.server import Request, Response, decode
+
+
+@dataclass
+class Rented:
+    id: str
+    rig: str
+    zone: str
+    spot: bool
+    since: float
+    status: str = "booting"
+    worker: Any = None
+    scope: trio.CancelScope | None = None
+
+
+class CloudStandIn:
+    def __init__(self, nursery: trio.Nursery, rigs: list[dict], capacity: int, make: Callable[..., Any]):
+        """`make(machine id, rig, zone, spot)` gives a worker with a `run` method and an `address`."""
+        self._nursery, self._rigs, self._capacity, self._make = nursery, rigs, capacity, make
+        self.machines: dict[str, Rented] = {}
+        self._hires: dict[str, list[str]] = {}
+        self._count = 0
+        self.down = False
+        self.refuse_deletion = False
+        self.names: list[str] = []
+
+    def _boot_s(self, rig: str) -> float:
+        return next(row["startupS"] for row in self._rigs if row["name"] == rig)
+
+    async def _boot(self, machine: Rented) -> None:
+        with trio.CancelScope() as machine.scope:
+            await trio.sleep(self._boot_s(machine.rig))
+            machine.status = "running"
+            machine.worker = self._make(machine.id, machine.rig, machine.zone, machine.spot)
+            await machine.worker.run()
+
+    def kill(self, name: str) -> None:
+        """The machine dies with all that is on it."""
+        machine = self.machines[name]
+        machine.status = "failed"
+        machine.scope.cancel()
+
+    async def handle(self, request: Request, host: str = "") -> Response:
+        await trio.sleep(0.05)
+        if self.down:
+            return Response(503, {"error": "trouble"})
+        if request.path == "/catalog":
+            return Response(200, {"rigs": self._rigs})
+        if request.path == "/machines" and request.method == "POST":
+            return self._hire(decode(request.body))
+        if request.path == "/machines/delete":
+            if self.refuse_deletion:
+                return Response(503, {"error": "trouble"})
+            for name in decode(request.body)["hitches"]:
+                machine = self.machines.pop(name, None)
+                if machine is not None and machine.scope is not None:
+                    machine.scope.cancel()
+            return Response(200, {})
+        if request.path == "/machines":
+            query = {k: v[0] for k, v in parse_qs(request.query).items()}
+            rows = [m for name, m in sorted(self.machines.items()) if name > query.get("after", "")]
+            now = trio.current_time()
+            listed = [
+                {
+                    "id": m.id, "address": m.worker.address if m.worker else "", "rig": m.rig, "yard": m.zone,
+                    "loaners": m.spot, "status": m.status, "ageS": now - m.since,
+                }
+                for m in rows[:500]
+            ]  # fmt: skip
+            return Response(200, {"hitches": listed, "more": len(rows) > 500})
+        return Response(404, {"error": "no such path"})
+
+    def _hire(self, body: dict) -> Response:
+        name = body["hire"]
+        if name in self._hires:
+            return Response(200, {"hitches": self._hires[name]})
+        alike = sum(
+            1
+            for m in self.machines.values()
+            if (m.rig, m.zone, m.spot) == (body["rig"], body["yard"], body["loaners"]) and m.status != "failed"
+        )
+        free = self._capacity - alike
+        if free <= 0:
+            return Response(503, {"error": "no capacity"})
+        got = []
+        for _ in range(min(free, body["howMany"])):
+            machine = Rented(f"m-{self._count:06d}", body["rig"], body["yard"], body["loaners"], trio.current_time())
+            self._count += 1
+            self.machines[machine.id] = machine
+            self._nursery.start_soon(self._boot, machine)
+            got.append(machine.id)
+        self._hires[name] = got
+        self.names.append(name)
+        return Response(200, {"hitches": got})
--- /dev/null
+++ b/roadbend/standins/network.py
@@ -0,0 +1,83 @@
+"""A network in memory, with cuts. Each host sees it through its own Port."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+
+Accept = Callable[[trio.abc.Stream, str], Awaitable[None]]
+
+
+class Network:
+    def __init__(self, nursery: trio.Nursery):
+        self._nursery = nursery
+        self._listeners: dict[str, tuple[str, Accept]] = {}
+        self._streams: list[tuple[str, str, trio.abc.Stream, trio.abc.Stream]] = []
+        self._cuts: set[frozenset[str]] = set()
+
+    def port(self, host: str) -> "Port":
+        return Port(self, host)
+
+    def register(self, address: str, host: str, accept: Accept) -> None:
+        self._listeners[address] = (host, accept)
+
+    def unregister(self, host: str) -> None:
+        """The host is gone: its listeners vanish and its connections break."""
+        self._listeners = {a: row for a, row in self._listeners.items() if row[0] != host}
+        self._break(lambda a, b: host in (a, b))
+
+    def cut(self, a: str, b: str) -> None:
+        self._cuts.add(frozenset((a, b)))
+        self._break(lambda x, y: frozenset((x, y)) == frozenset((a, b)))
+
+    def heal(self, a: str, b: str) -> None:
+        self._cuts.discard(frozenset((a, b)))
+
+    def _break(self, match: Callable[[str, str], bool]) -> None:
+        keep = []
+        for a, b, one, other in self._streams:
+            if match(a, b):
+                for end in (one, other):
+                    end.send_stream.close()
+                    end.receive_stream.close()
+            else:
+                keep.append((a, b, one, other))
+        self._streams = keep
+
+    async def connect(self, host: str, address: str) -> trio.abc.Stream:
+        await trio.sleep(0.001)
+        target = self._listeners.get(address)
+        if target is None:
+            raise ConnectionRefusedError(address)
+        if frozenset((host, target[0])) in self._cuts:
+            # Behind a cut nothing answers.
+            await trio.sleep(3600)
+            raise ConnectionRefusedError(address)
+        one, other = trio.testing.memory_stream_pair()
+        self._streams.append((host, target[0], one, other))
+        self._nursery.start_soon(self._accept, target[1], other, host)
+        return one
+
+    async def _accept(self, accept: Accept, stream: trio.abc.Stream, host: str) -> None:
+        try:
+            await accept(stream, host)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+
+
+class Port:
+    """What a program on one host sees: the same face as roadbend.http.net.Net."""
+
+    def __init__(self, network: Network, host: str):
+        self._network, self.host = network, host
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        return await self._network.connect(self.host, address)
+
+    async def listen(self, address: str, handler, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        async def accept(stream, _host):
+            await handler(stream)
+
+        self._network.register(address, self.host, accept)
+        task_status.started()
+        await trio.sleep_forever()
--- /dev/null
+++ b/roadbend/standins/state.py
@@ -0,0 +1,124 @@
+"""The state service's stand-in: keys, transactions, leases, the log."""
+
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+import trio
+
+from roadbend.http.server import Malformed, Request, Response, decode
+
+
+class StateStandIn:
+    def __init__(self, clock=trio.current_time, value_bytes: int = 32 * 1024, txn_ops: int = 16):
+        self._now = clock
+        self._most = (value_bytes, txn_ops)
+        self.keys: dict[str, tuple[Any, int, int | None]] = {}
+        self.ledger = 0
+        self.log: list[tuple[str, dict]] = []
+        self.leases: dict[int, tuple[float, float]] = {}
+        self._next_lease = 0
+        self.down = False
+        # Hosts that get 503 while others are served, and hosts whose answers to writes get lost.
+        self.refused: set[str] = set()
+        self.deaf: set[str] = set()
+        self.held: list[tuple[str, Any]] = []
+        self.requests = 0
+
+    def _expire(self) -> None:
+        for permit in [p for p, (_, end) in self.leases.items() if end <= self._now()]:
+            self._end(permit)
+
+    def _end(self, permit: int) -> None:
+        del self.leases[permit]
+        gone = [key for key, row in self.keys.items() if row[2] == permit]
+        if gone:
+            self.ledger += 1
+            for key in gone:
+                del self.keys[key]
+                self.log.append((key, {"delete": key, "stamp": self.ledger}))
+
+    def restore(self) -> None:
+        """After an outage every lease has its full time again."""
+        self.down = False
+        self.leases = {p: (ttl, self._now() + ttl) for p, (ttl, _) in self.leases.items()}
+
+    async def handle(self, request: Request, host: str = "") -> Response:
+        self.requests += 1
+        await trio.sleep(0.003)
+        if self.down or host in self.refused:
+            return Response(503, {"error": "trouble"})
+        self._expire()
+        try:
+            response = self._answer(request)
+        except (Malformed, KeyError, TypeError, ValueError) as error:
+            return Response(400, {"error": repr(error)})
+        if host in self.deaf and request.path == "/multi":
+            # Carried out, but nobody hears of it.
+            await trio.sleep(3600)
+        return response
+
+    def _answer(self, request: Request) -> Response:
+        query = {k: v[0] for k, v in parse_qs(request.query, keep_blank_values=True).items()}
+        path, method = request.path, request.method
+        if path == "/keys":
+            rows = sorted(k for k in self.keys if k.startswith(query["starts"]) and k > query.get("after", ""))
+            most = min(1000, int(query.get("most", 1000)))
+            page = [{"path": k, "value": self.keys[k][0], "stamp": self.keys[k][1]} for k in rows[:most]]
+            return Response(200, {"entries": page, "more": len(rows) > most, "ledger": self.ledger})
+        if path.startswith("/keys/"):
+            key = unquote(path[len("/keys/") :])
+            if key not in self.keys:
+                return Response(404, {"ledger": self.ledger})
+            value, stamp, permit = self.keys[key]
+            return Response(200, {"path": key, "value": value, "stamp": stamp, "permit": permit})
+        if path == "/multi":
+            return self.multi(decode(request.body))
+        if path == "/leases":
+            self._next_lease += 1
+            ttl = decode(request.body)["ttlMs"] / 1000
+            self.leases[self._next_lease] = (ttl, self._now() + ttl)
+            return Response(200, {"permit": self._next_lease})
+        if path.startswith("/leases/"):
+            permit = int(path.split("/")[2])
+            if permit not in self.leases:
+                return Response(404, {"error": "no such lease"})
+            if method == "DELETE":
+                self._end(permit)
+            else:
+                ttl = self.leases[permit][0]
+                self.leases[permit] = (ttl, self._now() + ttl)
+            return Response(200, {})
+        if path == "/follow":
+            after = int(query["after"])
+            rows = [e for k, e in self.log if e["stamp"] > after and k.startswith(query["starts"])]
+            return Response(200, {"ledger": self.ledger, "log": rows})
+        return Response(404, {"error": "no such path"})
+
+    def multi(self, body: dict) -> Response:
+        """Also called by tests that deliver a transaction late."""
+        apply = body.get("apply") or []
+        if len(apply) > self._most[1]:
+            raise ValueError("too many changes")
+        for row in apply:
+            if row.get("permit") is not None and row["permit"] not in self.leases:
+                return Response(400, {"error": "no such lease"})
+        failed = [w["path"] for w in body.get("when") or [] if self.keys.get(w["path"], (0, 0))[1] != w["stamp"]]
+        if failed:
+            return Response(409, {"failed": failed, "ledger": self.ledger})
+        if apply:
+            self.ledger += 1
+        for row in apply:
+            if "write" in row:
+                key = row["write"]
+                self.keys[key] = (row["value"], self.ledger, row.get("permit"))
+                self.log.append((key, {"write": key, "value": row["value"], "stamp": self.ledger}))
+            elif row["delete"] in self.keys:
+                del self.keys[row["delete"]]
+                self.log.append((row["delete"], {"delete": row["delete"], "stamp": self.ledger}))
+        return Response(200, {"ledger": self.ledger})
+
+    def value(self, key: str) -> Any:
+        return self.keys[key][0] if key in self.keys else None
+
+    def starting(self, prefix: str) -> dict[str, Any]:
+        return {key: row[0] for key, row in self.keys.items() if key.startswith(prefix)}
--- /dev/null
+++ b/roadbend/test_stories.py
@@ -0,0 +1,242 @@
+"""Whole days in small: three controllers against the stand-ins. The board watches the rules."""
+
+import trio
+
+from roadbend.standins.world import job, world
+from roadbend.store import records
+
+
+async def test_an_array_runs_to_its_end_and_every_node_says_so():
+    async with world() as w:
+        assert await w.submit(0, job(1, legs=5)) == 201
+        assert await w.submit(1, job(1, legs=5)) == 200
+        assert await w.until(lambda: w.status(2, "run-000001"), 3)
+        assert await w.until(lambda: is_(w, 2, 1, "done"), 120)
+        for at in range(3):
+            assert await w.status(at, "run-000001") == "done"
+        assert await w.submit(0, job(1, legs=5)) == 200
+        assert len({task for _, task, _ in w.board.starts}) == 5
+        # Its usage is given back, and nothing of it is left among the live records.
+        assert w.state.value(records.team_key("red")) == {}
+        assert w.state.starting("r/job/") == {} and w.state.starting("r/slice/") == {}
+
+
+async def is_(w, at, number, status):
+    return await w.status(at, f"run-{number:06d}") == status
+
+
+async def test_a_service_runs_until_it_is_withdrawn_and_stays_cancelled():
+    async with world() as w:
+        assert await w.submit(0, job(2, shape="daemon", legs=3, apart=True, expectedS=0.0, dueS=None), None) == 201
+        assert await w.until(lambda: len(w.board.running("run-000002")) == 3, 60)
+        zones = [w.cloud.machines[next(iter(w.board.where[t]))].zone for t in w.board.running("run-000002")]
+        assert max(zones.count(z) for z in zones) <= 2
+        status, answer = await w.call(1, "POST", "/v1/jobs/run-000002/withdraw", {})
+        assert (status, answer["status"]) == (200, "aborted")
+        # Any node, at once: never an older answer.
+        for at in range(3):
+            assert await w.status(at, "run-000002") == "aborted"
+        assert await w.until(lambda: not w.board.running("run-000002"), 5)
+        assert await w.until(lambda: w.state.value(records.team_key("red")) == {}, 20)
+
+
+async def test_a_job_outlives_the_node_that_accepted_it():
+    async with world() as w:
+        assert await w.submit(0, job(3, legs=2)) == 201
+        w.crash(0)
+        assert await w.until(lambda: is_(w, 1, 3, "done"), 120)
+
+
+async def test_all_controllers_restart_at_once_and_nothing_runs_twice():
+    async with world() as w:
+        assert await w.submit(0, job(4, legs=4, dueS=40), 30) == 201
+        assert await w.submit(1, job(5, shape="daemon", dueS=None, crew="blue"), None) == 201
+        assert await w.until(lambda: len(w.board.running("run-000004")) == 4 and w.board.running("run-000005"), 60)
+        terms = {part: row["n"] for part, row in w.state.starting("r/term/").items()}
+        for at in range(3):
+            w.crash(at)
+        await trio.sleep(5)
+        for at in range(3):
+            w.start(at)
+        assert await w.settled()
+        assert await w.until(lambda: is_(w, 2, 4, "done"), 90)
+        assert w.board.running("run-000005") == ["run-000005/0"]
+        # Nothing was started anew, and every part is under a new term.
+        assert len(w.board.starts) == 5
+        assert all(row["n"] > terms[part] for part, row in w.state.starting("r/term/").items())
+
+
+async def test_a_dead_owners_part_is_taken_over_and_handed_back():
+    async with world() as w:
+        assert w.owner("east") == "node-0"
+        assert await w.submit(1, job(6, shape="daemon", yard="east", dueS=None), None) == 201
+        assert await w.until(lambda: w.board.running("run-000006"), 60)
+        w.crash(0)
+        assert await w.until(lambda: w.owner("east") in ("node-1", "node-2"), 20)
+        await trio.sleep(30)
+        assert w.board.running("run-000006") and len(w.board.starts) == 1
+        w.start(0)
+        assert await w.until(lambda: w.owner("east") == "node-0", 60)
+        await trio.sleep(20)
+        assert w.board.running("run-000006") and len(w.board.starts) == 1
+
+
+async def test_a_dead_machine_is_deleted_before_its_task_starts_elsewhere():
+    async with world() as w:
+        assert await w.submit(0, job(7, shape="daemon", dueS=None), None) == 201
+        assert await w.until(lambda: w.board.running("run-000007"), 60)
+        machine = next(iter(w.board.where["run-000007/0"]))
+        w.cloud.kill(machine)
+        assert await w.until(lambda: not w.board.running("run-000007"), 1)
+        assert await w.until(lambda: w.board.running("run-000007"), 60)
+        assert machine not in w.cloud.machines
+
+
+async def test_without_deletion_only_the_workers_lease_proves_a_task_gone():
+    async with world() as w:
+        assert await w.submit(0, job(8, shape="daemon", dueS=None), None) == 201
+        assert await w.until(lambda: w.board.running("run-000008"), 60)
+        machine = next(iter(w.board.where["run-000008/0"]))
+        w.cloud.refuse_deletion = True
+        # The machine is cut off but runs on until its lease ends; the board would see a second start.
+        for host in ("node-0", "node-1", "node-2"):
+            w.network.cut(host, machine)
+        cut = trio.current_time()
+        assert await w.until(lambda: w.board.running("run-000008") and w.board.starts[-1][0] > cut, 90)
+        assert w.board.starts[-1][0] - cut > 18
+
+
+async def test_an_outage_of_the_state_service_kills_nothing():
+    async with world() as w:
+        assert await w.submit(0, job(9, shape="daemon", dueS=None), None) == 201
+        assert await w.until(lambda: w.board.running("run-000009"), 60)
+        w.state.down = True
+        await trio.sleep(60)
+        # Longer than cancel_s: every controller hears all the others, so no cancellation is unknown.
+        assert w.board.running("run-000009") and len(w.board.starts) == 1
+        for at in range(3):
+            assert (await w.call(at, "GET", "/up"))[0] == 200
+            began = trio.current_time()
+            assert (await w.call(at, "GET", "/v1/jobs/run-000009"))[0] == 503
+            assert trio.current_time() - began < 0.5
+        w.state.restore()
+        assert await w.until(lambda: is_(w, 0, 9, "running"), 20)
+        assert len(w.board.starts) == 1
+
+
+async def test_a_node_refused_alone_steps_aside():
+    async with world() as w:
+        assert await w.submit(1, job(10, shape="daemon", yard="east", dueS=None), None) == 201
+        assert await w.until(lambda: w.board.running("run-000010"), 60)
+        w.state.refused.add("node-0")
+        assert await w.until(lambda: down(w, 0), 10)
+        assert await w.until(lambda: w.owner("east") in ("node-1", "node-2"), 30)
+        await trio.sleep(30)
+        assert w.board.running("run-000010") and len(w.board.starts) == 1
+        assert (await w.call(1, "POST", "/v1/jobs/run-000010/withdraw", {}))[0] == 200
+        assert await w.until(lambda: not w.board.running("run-000010"), 38)
+
+
+async def down(w, at):
+    return (await w.call(at, "GET", "/up"))[0] == 503
+
+
+async def test_a_node_cut_off_from_everyone_stops_renewing_in_time():
+    """Its workers reach it, but a cancellation accepted elsewhere can't: cancel_s is kept all the same."""
+    async with world() as w:
+        assert await w.submit(1, job(11, shape="daemon", yard="east", dueS=None), None) == 201
+        assert await w.until(lambda: w.board.running("run-000011"), 60)
+        machine = next(iter(w.board.where["run-000011/0"]))
+        for other in ("state", "cloud", "node-1", "node-2"):
+            w.network.cut("node-0", other)
+        for other in ("node-1", "node-2"):
+            w.network.cut(machine, other)
+            w.network.cut(other, machine)
+        await trio.sleep(1)
+        w.cloud.refuse_deletion = True
+        assert (await w.call(1, "POST", "/v1/jobs/run-000011/withdraw", {}))[0] == 200
+        assert await w.until(lambda: not w.board.running("run-000011"), 38)
+
+
+async def test_a_withdrawal_whose_answer_got_lost_is_answered_when_repeated():
+    async with world() as w:
+        assert await w.submit(0, job(12, shape="daemon", dueS=None), None) == 201
+        w.state.deaf.add("node-1")
+        status, _ = await w.call(1, "POST", "/v1/jobs/run-000012/withdraw", {})
+        assert status in (0, 503)
+        w.state.deaf.clear()
+        status, answer = await w.call(2, "POST", "/v1/jobs/run-000012/withdraw", {})
+        assert (status, answer["status"]) == (200, "aborted")
+        status, answer = await w.call(1, "POST", "/v1/jobs/run-000012/withdraw", {})
+        assert (status, answer["status"]) == (200, "aborted")
+
+
+async def test_a_teams_limit_holds_across_parts():
+    async with world() as w:
+        for n in range(20, 24):
+            assert await w.submit(n % 3, job(n, legs=4, dueS=None), 15) == 201
+        most = 0
+        end = trio.current_time() + 150
+        while trio.current_time() < end:
+            most = max(most, sum(len(w.board.running(f"run-{n:06d}")) for n in range(20, 24)))
+            await trio.sleep(0.2)
+        assert most == 6
+        assert await w.until(lambda: is_(w, 0, 23, "done"), 60)
+
+
+async def test_urgent_work_displaces_lesser_work():
+    async with world(capacity=1) as w:
+        for n in range(30, 36):
+            zone = ("east", "north", "west")[n % 3]
+            assert await w.submit(0, job(n, legs=2, rank="best_effort", yard=zone, crew="blue"), 600) == 201
+        assert await w.until(lambda: sum(len(w.board.running(f"run-{n:06d}")) for n in range(30, 36)) >= 6, 90)
+        assert await w.submit(1, job(40, shape="daemon", rank="production", loaners=False, dueS=None), None) == 201
+        assert await w.until(lambda: w.board.running("run-000040"), 15)
+
+
+async def test_a_machine_that_fails_every_task_is_replaced():
+    async with world() as w:
+        w.broken_machines.add("m-000000")
+        for n in range(50, 54):
+            assert await w.submit(0, job(n, yard="east"), 10) == 201
+        for n in range(50, 54):
+            assert await w.until(lambda n=n: is_(w, 1, n, "done"), 150), n
+        assert await w.until(lambda: "m-000000" not in w.cloud.machines, 60)
+
+
+async def test_empty_machines_are_given_back():
+    async with world() as w:
+        assert await w.submit(0, job(60, legs=4), 10) == 201
+        assert await w.until(lambda: is_(w, 0, 60, "done"), 90)
+        assert await w.until(lambda: not w.cloud.machines, 60)
+
+
+async def test_a_hire_whose_answer_is_lost_rents_no_second_machine():
+    async with world(count=1) as w:
+        real, lost = w.cloud.handle, []
+
+        async def handle(request, host=""):
+            response = await real(request, host)
+            if request.path == "/machines" and request.method == "POST" and not lost:
+                lost.append(1)
+                await trio.sleep(3600)
+            return response
+
+        w.cloud.handle = handle
+        assert await w.submit(0, job(61), 10) == 201
+        assert await w.until(lambda: is_(w, 0, 61, "done"), 90)
+        assert lost and len(w.cloud.names) == 1
+
+
+async def test_controllers_start_while_the_cloud_is_out():
+    async with world() as w:
+        assert await w.until(lambda: w.state.value(records.CATALOG_KEY) is not None, 10)
+        w.cloud.down = True
+        for at in range(3):
+            w.crash(at)
+        for at in range(3):
+            w.start(at)
+        assert await w.settled()
+        assert await w.submit(0, job(62)) == 201
+        w.cloud.down = False
+        assert await w.until(lambda: is_(w, 0, 62, "done"), 120)
