--- /dev/null
+++ b/roadbend/bidding/test_casa.py
@@ -0,0 +1,102 @@
+"""The paper's functions, and where the design asks for more."""
+
+import random
+from collections import Counter
+from datetime import timedelta
+
+from roadbend import clock
+from roadbend.bidding import casa, messages
+from roadbend.bidding.casa import Bid, Promises
+from roadbend.intake.messages import read_submission
+from roadbend.standins.world import job
+from roadbend.store import ranges
+from roadbend.store.records import Job
+
+S = timedelta(seconds=1)
+
+
+def bid(part, seconds, now=0, room=10, queue=0.0, shadow=0.0):
+    return Bid(part, f"node-{part}", seconds * S, queue * S, shadow * S, now, room)
+
+
+def made(**changes) -> Job:
+    name, spec = read_submission(job(1, **changes))
+    return Job(name, spec, clock.wall())
+
+
+def test_the_draw_goes_by_inverse_response_time():
+    rng, bids = random.Random(1), [bid("a", 10), bid("b", 20, queue=10), bid("c", 50, shadow=10)]
+    count = Counter(casa.draw(bids, 1.0, rng).part for _ in range(6000))
+    # Weights 1/10, 1/30, 1/60.
+    assert abs(count["a"] / 6000 - 6 / 9) < 0.02 and abs(count["b"] / 6000 - 2 / 9) < 0.02
+    assert casa.response(bids[2], 0.0) == 50 * S and casa.response(bids[2], 0.5) == 55 * S
+    assert casa.draw([], 1.0, rng) is None
+
+
+def test_a_part_that_can_start_now_wins_over_a_faster_promise():
+    for seed in range(50):
+        shares = casa.allot(made(legs=1), [bid("a", 1), bid("b", 500, now=1)], 1.0, random.Random(seed))
+        assert shares == {"b": ((0, 1),)}
+
+
+def test_arrays_go_out_in_slices_that_fit_the_free_room():
+    shares = casa.allot(made(legs=6), [bid("a", 10, now=2), bid("b", 10, now=3)], 1.0, random.Random(3))
+    assert sum(ranges.size(r) for r in shares.values()) == 6
+    assert ranges.size(shares["a"]) >= 2 and ranges.size(shares["b"]) >= 3
+
+
+def test_no_zone_ever_gets_more_than_half_of_a_job_that_is_to_be_apart():
+    for seed in range(50):
+        for legs in (1, 2, 3, 9):
+            bids = [bid("a", 1, now=9), bid("b", 100), bid("c", 100)]
+            shares = casa.allot(made(legs=legs, apart=True), bids, 1.0, random.Random(seed))
+            assert all(ranges.size(r) <= (legs + 1) // 2 for r in shares.values())
+    # With one zone bidding the other half waits.
+    shares = casa.allot(made(legs=9, apart=True), [bid("a", 1, now=9)], 1.0, random.Random(1))
+    assert ranges.size(shares["a"]) == 5
+
+
+def test_a_job_that_is_to_be_together_goes_whole_or_not_at_all():
+    rng = random.Random(2)
+    assert casa.allot(made(legs=4, together=True), [bid("a", 1, now=3, room=3)], 1.0, rng) == {}
+    shares = casa.allot(made(legs=4, together=True), [bid("a", 1, now=3, room=3), bid("b", 9, room=4)], 1.0, rng)
+    assert shares == {"b": ((0, 4),)}
+
+
+def test_promises_count_by_requests_sent_and_expire_by_themselves():
+    shadow, now = Promises(timedelta(seconds=2), most=3), clock.ORIGIN
+    shadow.add("x", 90.0, 3, now)
+    shadow.add("y", 60.0, 3, now)
+    assert shadow.load(now) == 50.0
+    shadow.revoke("y")
+    assert shadow.load(now) == 30.0
+    assert shadow.load(now + 3 * S) == 0.0
+    for n in range(9):
+        shadow.add(str(n), 3.0, 3, now)
+    assert shadow.load(now) == 3.0
+
+
+def test_both_tests_of_reoffering():
+    assert casa.accepts_reoffer(5 * S, 6 * S, 1 * S, 2 * S, 1.0)
+    assert not casa.accepts_reoffer(6 * S, 6 * S, 1 * S, 2 * S, 1.0)
+    assert not casa.accepts_reoffer(5 * S, 6 * S, 2 * S, 2 * S, 1.0)
+    assert not casa.accepts_reoffer(5 * S, 6 * S, 1 * S, 2 * S, 2.0)
+
+
+def test_average_queuing_takes_waiters_first_then_the_executed():
+    assert casa.average_queuing([2 * S, 4 * S], [90 * S]) == 3 * S
+    assert casa.average_queuing([], [90 * S]) == 90 * S
+    assert casa.average_queuing([], []) == 0 * S
+    assert casa.relative_delay(6 * S, 3 * S) == 2.0 and casa.relative_delay(6 * S, 0 * S) == 0.0
+
+
+def test_frames_of_the_bidding_come_back_as_they_went():
+    _, spec = read_submission(job(1, rigs=["g2", "ümlaut"], yard="east", due=None))
+    for ask in (
+        messages.Ask("run-1", 3, 7, spec),
+        messages.Ask("run-1", 3, 7, spec, "east", 5 * S, 2 * S, 9 * S),
+    ):
+        assert messages.Ask.unpack(ask.pack()) == ask
+    bids = [bid("a", 1.5, now=2), bid("b", 0)]
+    assert messages.unpack_bids(messages.pack_bids(bids)) == bids
+    assert messages.unpack_assign(messages.pack_assign("run-1", b"xyz", 9)) == ("run-1", b"xyz", 9)
--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -11,14 +11,17 @@
 from roadbend.http.net import Net
 from roadbend.http.server import Malformed, Request, Response, decode
 from roadbend.log import Log
+from roadbend.peers.links import Peers
 from roadbend.placement.runtime import PartRuntime, Shared
 from roadbend.rental.cloud import Busy, Cloud, Listed, NoCapacity
 
 log = Log("fleet")
+MOST_HEARD = 64
 
 
 class Fleet:
-    def __init__(self, shared: Shared, net: Net, cloud: Cloud, runtimes: dict[str, PartRuntime]):
+    def __init__(self, shared: Shared, net: Net, cloud: Cloud, peers: Peers, runtimes: dict[str, PartRuntime]):
+        self._peers = peers
         self._shared, self._net, self._cloud, self._runtimes = shared, net, cloud, runtimes
         # Reports of parts that we don't own, lately: (part) -> instants.
         self._strangers: dict[str, OrderedDict[str, datetime]] = {}
@@ -53,14 +56,20 @@
             return Response(503, {"error": "no owner yet"})
         return Response(421, {"dispatcher": owner})
 
-    def heard(self, now: datetime) -> dict[str, int]:
+    def heard(self, now: datetime) -> dict[str, tuple[str, ...]]:
         out = {}
         for part, rows in self._strangers.items():
-            count = sum(1 for at in rows.values() if now - at < timedelta(seconds=6))
-            if count and part not in self._runtimes:
-                out[part] = count
+            names = [name for name, at in rows.items() if now - at < timedelta(seconds=6)]
+            if names and part not in self._runtimes:
+                out[part] = tuple(names[-MOST_HEARD:])
         return out
 
+    def _heard_elsewhere(self, part: str, machine: str, now: datetime) -> bool:
+        return any(
+            link.alive(now) and link.known.pulse is not None and machine in link.known.pulse.heard.get(part, ())
+            for link in self._peers.links.values()
+        )
+
     # Direct commands: only kills; a run that arrives late would be a start that nobody expects.
 
     async def command(self, runtime: PartRuntime, machine: str, orders: list[dict]) -> None:
@@ -167,7 +176,10 @@
             return
         if self._shared.ownership.tenure(runtime.part) != runtime.tenure:
             return
-        if doubt and not failed:
+        # A machine that reports to our peers is not dead: it is we who can't be reached.
+        last = before or runtime.tenure.since
+        elsewhere = self._heard_elsewhere(runtime.part, name, clock.now()) and clock.now() - last < settings.lease * 1.5
+        if (doubt or elsewhere) and not failed:
             # Most of the part at once: rather our own network than all those machines.
             log.info("doubt", part=runtime.part, machine=name)
             await clock.pause(timedelta(seconds=2))
--- /dev/null
+++ b/roadbend/fleet/test_machines.py
@@ -0,0 +1,125 @@
+"""What a report proves, and what it doesn't."""
+
+from dataclasses import replace
+from datetime import timedelta
+
+import pytest
+
+from roadbend import clock
+from roadbend.fleet import machines, messages
+from roadbend.fleet.machines import Machine, Stop
+from roadbend.http.server import Malformed
+from roadbend.intake.messages import read_submission
+from roadbend.standins.world import job
+from roadbend.store.records import Attempt, Job, Need, Slice
+
+TERM = 7
+NOW = clock.ORIGIN + timedelta(seconds=100)
+KEY = ("run-000001", 0)
+
+
+def report(token=TERM, seq=5, session=1, tasks=(), **more):
+    rows = [
+        {"leg": leg, "try": attempt, "status": state, "cause": cause, "colour": "ignored"}
+        for leg, attempt, state, cause in tasks
+    ]
+    body = {
+        "hitch": "m-1", "address": "m-1:1", "rig": "g2", "yard": "east", "loaners": False,
+        "stint": session, "tick": seq, "baton": token, "recallS": None, "legs": rows, **more,
+    }  # fmt: skip
+    return messages.read_report(body)
+
+
+class Desk:
+    """One machine with one recorded attempt at run-000001/0."""
+
+    def __init__(self):
+        name, spec = read_submission(job(1))
+        self.job = Job(name, spec, clock.wall(), {"east": ((0, 1),)})
+        self.recorded = {KEY: (Slice(name, "east", "red", Need(8, 1, 40)), Attempt(70, "m-1"))}
+        self.machine = Machine("m-1", "m-1:1", "g2", "east", False, NOW)
+        self.stops, self.facts = {}, {}
+        self.jobs = {name: self.job}
+        self.may_start = True
+
+    def take(self, *args, **kwargs):
+        return machines.read(
+            self.machine, report(*args, **kwargs), TERM, self.recorded, self.jobs, "east", self.stops, self.facts,
+            self.may_start, NOW,
+        )  # fmt: skip
+
+
+def verbs(orders):
+    return [(o["verb"], o["leg"], o["try"]) for o in orders]
+
+
+def test_a_recorded_attempt_is_ordered_again_until_it_shows():
+    desk = Desk()
+    assert verbs(desk.take()) == [("run", "run-000001/0", 70)]
+    assert verbs(desk.take(seq=6, tasks=[("run-000001/0", 70, "fetching", None)])) == []
+    assert desk.facts == {}
+
+
+def test_nothing_is_started_without_the_records():
+    desk = Desk()
+    desk.may_start = False
+    assert desk.take() == [] and desk.facts == {}
+
+
+def test_an_old_token_proves_presence_but_never_absence():
+    desk = Desk()
+    desk.jobs = {}
+    assert desk.take(token=TERM - 1) == [] and desk.facts == {}
+    # The same report under our own token does: no order of anyone is still on its way.
+    desk.take(seq=6)
+    assert desk.facts[KEY].cause == "absent" and not desk.facts[KEY].done
+
+
+def test_an_end_under_an_old_token_counts_only_when_it_is_done():
+    desk = Desk()
+    desk.take(token=TERM - 1, tasks=[("run-000001/0", 70, "ended", "stopped")])
+    assert desk.facts == {}
+    desk.take(token=TERM - 1, seq=6, tasks=[("run-000001/0", 70, "ended", "done")])
+    assert desk.facts[KEY].done
+
+
+def test_an_end_is_forgotten_only_once_it_is_recorded():
+    desk = Desk()
+    ended = [("run-000001/0", 70, "ended", "done")]
+    assert desk.take(tasks=ended) == []
+    desk.recorded = {}
+    assert verbs(desk.take(seq=6, tasks=ended)) == [("forget", "run-000001/0", 70)]
+
+
+def test_a_task_that_the_records_do_not_know_is_killed():
+    desk = Desk()
+    orders = desk.take(tasks=[("run-000001/0", 69, "running", None)])
+    assert ("kill", "run-000001/0", 69) in verbs(orders)
+    assert desk.machine.foreign == 1
+
+
+def test_a_saving_task_is_ended_by_a_kill_without_grace_when_it_takes_too_long():
+    desk = Desk()
+    desk.stops[KEY] = Stop(70, timedelta(seconds=3), "preempted", NOW)
+    first = desk.take(tasks=[("run-000001/0", 70, "flushing", None)])
+    assert first[0]["windDownS"] == 3.0
+    desk.machine.tasks[KEY].since -= timedelta(seconds=10)
+    again = desk.take(seq=6, tasks=[("run-000001/0", 70, "flushing", None)])
+    assert again[0]["windDownS"] == 0.0
+
+
+def test_a_task_moved_elsewhere_is_not_ordered_again():
+    desk = Desk()
+    desk.jobs = {"run-000001": replace(desk.job, alloc={})}
+    assert desk.take() == []
+    assert KEY in desk.facts
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"stint": -1}, {"tick": "x"}, {"baton": None}, {"legs": {}}, {"legs": [{"leg": "x"}]}, {"yard": 3},
+     {"loaners": "yes"}, {"recallS": float("nan")}, {"hitch": ""}],
+)  # fmt: skip
+def test_malformed_reports_are_refused(change):
+    with pytest.raises(Malformed):
+        report(**change)
--- a/roadbend/node.py
+++ b/roadbend/node.py
@@ -46,7 +46,7 @@
         self.ownership = Ownership(settings, op, self.boot, self.state, self.view, self.reader, self.peers)
         self.shared = Shared(settings, op, self.state, self.view, self.reader, self.ownership)
         self.runtimes: dict[str, PartRuntime] = {}
-        self.fleet = Fleet(self.shared, net, self.cloud, self.runtimes)
+        self.fleet = Fleet(self.shared, net, self.cloud, self.peers, self.runtimes)
         self.rental = Rental(self.shared, self.cloud, self.fleet, self.runtimes)
         self.exchange = Exchange(self.shared, self.peers, self.runtimes, self.rental.closed, rng)
         self.users = Users(self.shared, self.exchange.submit, self._tell, Limit(ceiling=op.users_at_once))
@@ -168,7 +168,7 @@
             for part, runtime in list(self.runtimes.items()):
                 last = max((m.reported for m in runtime.machines.values() if m.reported), default=runtime.tenure.since)
                 heard = any(
-                    link.alive(now) and link.known.pulse and link.known.pulse.heard.get(part, 0)
+                    link.alive(now) and link.known.pulse and link.known.pulse.heard.get(part)
                     for link in self.peers.links.values()
                 )
                 quiet = now - max(last, runtime.tenure.since) > self.settings.report_every * 2.5
--- /dev/null
+++ b/roadbend/parts/test_parts.py
@@ -0,0 +1,102 @@
+"""Owning: how long an owner may renew, who is preferred, and that terms fence former owners."""
+
+from datetime import timedelta
+
+import trio
+
+from roadbend import clock
+from roadbend.parts import policy
+from roadbend.peers.pulse import Known
+from roadbend.standins.world import job, world
+from roadbend.store import records
+
+S = timedelta(seconds=1)
+T = clock.ORIGIN + 1000 * S
+
+
+def until(contact, *covered):
+    peers = [Known(covered=at) for at in covered]
+    return policy.renew_until(contact, peers, 38 * S, 18 * S, 2 * S)
+
+
+def test_a_refused_node_renews_only_as_long_as_a_cancellation_leaves_time():
+    end = until(T, T, T)
+    # The last answer plus a full worker's lease stays within cancel_s of any unknown cancellation.
+    assert T + 17 * S < end < T + 18 * S
+    assert end + 18 * S < T + 38 * S
+
+
+def test_hearing_every_peer_lifts_the_limit_and_missing_one_does_not():
+    assert until(T, T + 60 * S, T + 60 * S) > T + 70 * S
+    assert until(T, T + 60 * S, None) == until(T, T, T)
+
+
+def test_a_node_without_contact_since_its_start_renews_nothing():
+    assert until(None, T, T) is None
+
+
+def test_a_controller_of_the_zone_is_preferred_and_else_everyone_names_the_same():
+    zones = {"n1": "east", "n2": "west", "n3": "north"}
+    assert policy.preferred("west", zones, ["n1", "n2", "n3"]) == "n2"
+    first = policy.preferred("west", zones, ["n1", "n3"])
+    assert first == policy.preferred("west", zones, ["n3", "n1"]) in ("n1", "n3")
+    assert policy.preferred("west", zones, []) is None
+
+
+async def test_a_former_owners_late_transaction_fails():
+    async with world() as w:
+        node = w.nodes["node-0"]
+        stamp = node.ownership.tenure("east").stamp
+        late = {
+            "when": [{"path": records.term_key("east"), "stamp": stamp}],
+            "apply": [{"write": "r/slice/east/run-9", "value": {}}],
+        }
+        w.crash(0)
+        assert await w.until(lambda: w.owner("east") is not None, 20)
+        assert w.state.multi(late).status == 409
+
+
+async def test_two_who_race_for_a_part_never_both_get_it():
+    async with world() as w:
+        w.crash(0)
+        seen = set()
+        for _ in range(200):
+            await trio.sleep(0.1)
+            owners = [name for name, node in w.nodes.items() if node.ownership.tenure("east")]
+            assert len(owners) <= 1
+            seen.update(owners)
+        assert len(seen) == 1
+
+
+async def test_whoever_hears_of_a_higher_term_steps_down_at_once():
+    async with world() as w:
+        node = w.nodes["node-0"]
+        mine = node.ownership.tenure("east")
+        node.ownership.superseded("east", mine.term)
+        assert node.ownership.tenure("east") == mine
+        node.ownership.superseded("east", mine.term + 1)
+        assert node.ownership.tenure("east") is None and "east" not in node.runtimes
+
+
+async def test_an_owner_that_its_workers_cannot_reach_hands_the_part_over():
+    async with world() as w:
+        assert await w.submit(1, job(1, shape="daemon", yard="east", dueS=None), None) == 201
+        assert await w.until(lambda: w.board.running("run-000001"), 60)
+        machine = next(iter(w.board.where["run-000001/0"]))
+        w.network.cut(machine, "node-0")
+        assert await w.until(lambda: w.owner("east") in ("node-1", "node-2"), 18)
+        await trio.sleep(20)
+        assert w.board.running("run-000001") and len(w.board.starts) == 1
+
+
+async def test_a_non_owner_names_the_owner_and_a_report_for_nobody_is_refused():
+    async with world() as w:
+        body = {
+            "hitch": "m-9", "address": "m-9:1", "rig": "g2", "yard": "east", "loaners": False,
+            "stint": 1, "tick": 1, "baton": 0, "recallS": None, "legs": [],
+        }  # fmt: skip
+        assert await w.call(1, "POST", "/hello", body) == (421, {"dispatcher": "node-0"})
+        assert (await w.call(0, "POST", "/hello", body))[0] == 200
+        assert (await w.call(0, "POST", "/hello", body))[0] == 503, "an old report is not answered twice"
+        assert (await w.call(0, "POST", "/hello", {**body, "yard": "moon"}))[0] == 503
+        assert (await w.call(0, "POST", "/hello", {**body, "tick": -1}))[0] == 400
--- a/roadbend/peers/pulse.py
+++ b/roadbend/peers/pulse.py
@@ -16,12 +16,11 @@
     contact_age: timedelta | None
     used: tuple[float, float]
     owned: dict[str, int] = field(default_factory=dict)
-    # Reports heard lately by part, for parts that the sender does not own.
-    heard: dict[str, int] = field(default_factory=dict)
+    # Machines heard lately by part, for parts that the sender does not own.
+    heard: dict[str, tuple[str, ...]] = field(default_factory=dict)
     # Cancellations that the sender told users of, complete for the last `span`.
     span: timedelta = timedelta()
     told: tuple[str, ...] = ()
-    machines: int = 0
 
     def pack(self) -> bytes:
         out = Writer().text(self.boot).put("Q", _ms(self.uptime))
@@ -31,8 +30,10 @@
         for part, term in self.owned.items():
             out.text(part).put("Q", term)
         out.put("H", len(self.heard))
-        for part, count in self.heard.items():
-            out.text(part).put("I", count)
+        for part, names in self.heard.items():
+            out.text(part).put("H", len(names))
+            for name in names:
+                out.text(name)
         out.put("H", len(self.told))
         for job in self.told:
             out.text(job)
@@ -50,7 +51,7 @@
         heard = {}
         for _ in range(scan.one("H")):
             part = scan.text()
-            heard[part] = scan.one("I")
+            heard[part] = tuple(scan.text() for _ in range(scan.one("H")))
         told = tuple(scan.text() for _ in range(scan.one("H")))
         scan.end()
         age = None if contact == _NEVER else timedelta(milliseconds=contact)
--- /dev/null
+++ b/roadbend/peers/test_peers.py
@@ -0,0 +1,69 @@
+"""Frames and pulses between controllers."""
+
+from datetime import timedelta
+
+import pytest
+import trio
+import trio.testing
+
+from roadbend import clock
+from roadbend.peers import frames
+from roadbend.peers.frames import BadFrame, Splitter
+from roadbend.peers.links import Peers
+from roadbend.peers.pulse import Known, Pulse
+from roadbend.settings import Peer
+
+S = timedelta(seconds=1)
+
+
+def test_frames_survive_any_cutting():
+    data = b"".join(frames.pack(kind, kind * 7, bytes(kind)) for kind in range(1, 6))
+    for step in (1, 3, 7, len(data)):
+        splitter, out = Splitter(), []
+        for at in range(0, len(data), step):
+            out += list(splitter.feed(data[at : at + step]))
+        assert out == [(kind, kind * 7, bytes(kind)) for kind in range(1, 6)]
+
+
+@pytest.mark.parametrize("data", [b"\xff" * 16, b"\0\0\0\x01\x01\x01\0\0\0\0", b"\0\0\0\x06\x02\x01\0\0\0\0"])
+def test_malformed_frames_are_refused(data):
+    with pytest.raises(BadFrame):
+        list(Splitter().feed(data))
+
+
+async def test_a_stranger_or_garbage_loses_its_connection():
+    peers = Peers(None, "a", (Peer("b", "z", "b:1"),))
+    for data in (b"GET / HTTP/1.1\r\n\r\n", frames.pack(frames.HELLO, 0, b"nobody"), frames.pack(frames.PING, 1, b"")):
+        mine, theirs = trio.testing.memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(peers.serve, theirs)
+            await mine.send_all(data)
+            with pytest.raises(trio.BrokenResourceError):
+                while await mine.receive_some(100):
+                    pass
+                raise trio.BrokenResourceError
+
+
+def test_a_pulse_comes_back_as_it_went():
+    pulse = Pulse("b1", 9 * S, None, (1.5, 0.25), {"east": 7}, {"west": ("m-1", "m-2")}, 60 * S, ("run-1", "run-2"))
+    assert Pulse.unpack(pulse.pack()) == pulse
+
+
+def known(pulse, asked, contact):
+    row = Known()
+    row.take(pulse, asked, asked, contact)
+    return row
+
+
+def test_a_peers_list_of_cancellations_covers_only_an_unbroken_life():
+    t = clock.ORIGIN + 1000 * S
+    alive = Pulse("b1", 500 * S, 20 * S, (0, 0), span=100 * S)
+    assert known(alive, t, t - 20 * S).reach(t - 20 * S) == t
+    # It restarted after our last contact: what its former process told users is unknown.
+    newborn = Pulse("b2", 5 * S, None, (0, 0), span=100 * S)
+    assert known(newborn, t, t - 20 * S).reach(t - 20 * S) == t - 20 * S
+    # Its list does not go back far enough.
+    short = Pulse("b1", 500 * S, 20 * S, (0, 0), span=10 * S)
+    assert known(short, t, t - 20 * S).reach(t - 20 * S) == t - 20 * S
+    # Without any contact of our own there is nothing to build on.
+    assert known(alive, t, None).reach(None) is None
