Bids keep to the team's limit and count the job's own queue, so huge arrays stay small

Cause: a test with 100,000 tasks showed the job's record growing by a slice a second: a bid left the job's own queue out and offered places beyond its team's limit.

--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -159,6 +159,9 @@
             fresh = job
             for part, piece in shares.items():
                 fresh = fresh.with_part(part, ranges.union(fresh.alloc.get(part, ()), piece))
+            if fresh.weight > self._shared.settings.value_bytes * 0.8:
+                # Too many ranges for one value: what is held ends first.
+                return
             if await self.move(job, fresh, bids, set(shares)):
                 return
 
--- a/roadbend/bidding/offers.py
+++ b/roadbend/bidding/offers.py
@@ -44,7 +44,8 @@
         rigs = runtime.shared.rigs
         job = Job(ask.job, spec, clock.wall())
         dear = self._dear(job, ask)
-        queue = [item for item in runtime.pending() if item.job.id != ask.job]
+        queue = runtime.pending()
+        own = sum(1 for item in queue if item.job.id == ask.job)
         booting = [replace(room) for room in runtime.booting if room.id not in runtime.machines]
         lines = [line for line in runtime.lines(booting) if line.room.rig not in dear]
         cores = max(1.0, sum(line.room.total.cpus for line in lines))
@@ -65,6 +66,12 @@
                 wait, line = could_hire[0], None
         if wait == forecast.NEVER:
             return None
+        # Slices fit the free room: what the team's limit or our own queue keeps waiting is not asked for,
+        # or a huge array would pile up here range by range.
+        left = self._team_left(job) - own
+        now_count, room = min(now_count, left), min(max(room, 0 if own else 1), left)
+        if room <= 0:
+            return None
         host = rigs.get(line.room.rig) if line is not None else self._fastest(job, ready)
         fetch = clock.ZERO if now_count and self._cached(job, ready) else fetch_time(spec, host)
         load = sum(job_load(item.job.spec, 1) for item in queue)
@@ -75,11 +82,23 @@
             casa.load_time(load, cores),
             casa.load_time(self._shadow.load(now), cores),
             now_count,
-            max(room, 1),
+            room,
         )
         self._shadow.add(ask.job, job_load(spec, min(ask.free, max(1, room))), ask.requests, now)
         return bid
 
+    def _team_left(self, job: Job) -> int:
+        shared, need = self._runtime.shared, job.spec.need
+        team, use = shared.settings.teams.get(job.spec.team), shared.view.teams.get(job.spec.team)
+        left = 1_000_000
+        if team is not None:
+            used = (use.cpus, use.gpus) if use else (0.0, 0.0)
+            for most, spent, want in ((team.cpus_max, used[0], need.cpus), (team.gpus_max, used[1], need.gpus)):
+                if most > 0 and want > 0:
+                    left = min(left, int((most - spent + placing.EPS) / want))
+        # A full team's jobs queue all the same, a few tasks at a time.
+        return max(left, 2)
+
     def _dear(self, job: Job, ask: Ask) -> set[str]:
         """Machine types that a service should not settle on, for as long as it can wait: it would hold
         a machine that costs much more a task than another type does."""
--- a/roadbend/store/records.py
+++ b/roadbend/store/records.py
@@ -153,6 +153,14 @@
             stamp,
         )
 
+    @property
+    def weight(self) -> int:
+        """A safe upper bound on the value's size in the form in which limits are measured."""
+        count = len(self.done) + sum(len(rs) + 8 for rs in self.alloc.values())
+        spec = self.spec
+        names = [spec.team, spec.lane, spec.image, spec.zone or "", *(spec.rigs or ())]
+        return 300 + 6 * sum(len(name) + 2 for name in names) + 18 * count
+
     def with_part(self, part: str, held: Ranges) -> "Job":
         alloc = {p: rs for p, rs in self.alloc.items() if p != part}
         if held:
