A report that brings news waits up to 0.4 s for the orders that it calls for

Cause: after a task's end its place stood empty until the machine's next report, 2.5 to 3 s later, because the start that follows is only recorded after the report was answered. Changed: the response waits (0.4 s at most; workers wait 4 s) until the end is recorded and the next start written ahead. A new machine's first report likewise.

--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -42,7 +42,7 @@
         if runtime is not None and ownership.tenure(report.zone) == runtime.tenure:
             if not ownership.may_renew(now):
                 return Response(503, {"error": "no state"})
-            orders = runtime.report(report)
+            orders = await runtime.report(report)
             if orders is None:
                 return Response(503, {"error": "old report"})
             return Response(200, {"baton": runtime.tenure.term, "orders": orders})
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -32,6 +32,8 @@
 MOST_PENDING = 96
 # How long room that is being made is kept for the task that it is made for.
 PLEDGE = timedelta(seconds=15)
+# How long a report that brought news may wait for what it calls for; workers wait 4 s.
+ANSWER_WAIT = timedelta(milliseconds=400)
 
 
 @dataclass
@@ -175,6 +177,9 @@
         self.stops: dict[Key, Stop] = {}
         self.waits: deque[timedelta] = deque(maxlen=64)
         self.kick = trio.Event()
+        # Set whenever the loop has done all that there was to do.
+        self.rested = trio.Event()
+        self.stepping = False
         # Pairs that just failed: a task is not put on the same machine again at once.
         self.avoid: dict[tuple[str, str], datetime] = {}
         self.backoff: dict[str, tuple[int, datetime]] = {}
@@ -292,11 +297,15 @@
 
     # Reports.
 
-    def report(self, report: Report) -> list[dict] | None:
-        """The orders for the response; None for a report that is older than one we had."""
+    async def report(self, report: Report) -> list[dict] | None:
+        """The orders for the response; None for a report that is older than one we had.
+
+        What a report brings may call for orders: room came free, a machine came up. Its response waits
+        the little while that recording takes, so that the next task starts now and not a report later."""
         now = clock.now()
         with self.lock:
             machine = self.machines.get(report.machine)
+            fresh = machine is None
             if machine is None:
                 machine = Machine(report.machine, report.address, report.rig, report.zone, report.spot, now)
                 self.machines[machine.id] = machine
@@ -306,23 +315,42 @@
                 return None
             had_notice, was_ours = machine.recall_at is not None, machine.ours
             before = len(self.facts)
-            recorded = self.by_machine().get(machine.id, {})
-            self._stop_dead(recorded, now)
-            may_start = self.shared.ownership.may_start(now) and not machine.fencing
-            jobs = {key[0]: job for key in recorded if (job := self.live(key[0])) is not None}
-            orders = fleet.read(
-                machine, report, self.tenure.term, recorded, jobs, self.part, self.stops, self.facts, may_start, now
-            )
-            machine.answered = now
-            self._learn(machine, recorded, now)
-            if len(self.facts) != before or machine.ours != was_ours:
-                self.kick.set()
+            orders = self._orders(machine, report, now)
+            news = fresh or len(self.facts) != before or machine.ours != was_ours
             if machine.recall_at is not None and not had_notice:
                 log.info("notice", part=self.part, machine=machine.id, seconds=report.notice)
-                self._evacuate(machine, recorded, now)
-                self.kick.set()
+                self._evacuate(machine, self.by_machine().get(machine.id, {}), now)
+                news = True
+            if not news:
+                machine.answered = now
+                return orders
+            self.kick.set()
+        with trio.move_on_after(ANSWER_WAIT.total_seconds()):
+            await self._settled(machine.id)
+        if self.shared.ownership.tenure(self.part) != self.tenure:
+            return None
+        now = clock.now()
+        with self.lock:
+            machine.answered = now
+            return self._orders(machine, report, now)
+
+    def _orders(self, machine: Machine, report: Report, now: datetime) -> list[dict]:
+        recorded = self.by_machine().get(machine.id, {})
+        self._stop_dead(recorded, now)
+        may_start = self.shared.ownership.may_start(now) and not machine.fencing
+        jobs = {key[0]: job for key in recorded if (job := self.live(key[0])) is not None}
+        orders = fleet.read(
+            machine, report, self.tenure.term, recorded, jobs, self.part, self.stops, self.facts, may_start, now
+        )
+        self._learn(machine, recorded, now)
         return orders
 
+    async def _settled(self, machine: str) -> None:
+        """Until what this machine's report brought is recorded and nothing more is to be done."""
+        await trio.lowlevel.checkpoint()
+        while self.kick.is_set() or self.stepping or any(f.machine == machine for f in self.facts.values()):
+            await self.rested.wait()
+
     def _stop_dead(self, recorded, now: datetime) -> None:
         """Tasks whose job is over or cancelled are stopped without grace: their work is useless."""
         for key, (_, attempt) in recorded.items():
@@ -364,6 +392,7 @@
             with trio.move_on_after(0.5):
                 await self.kick.wait()
             self.kick = trio.Event()
+            self.stepping = True
             try:
                 again = True
                 while again and self.shared.ownership.tenure(self.part) == self.tenure:
@@ -374,6 +403,10 @@
             except Exception:
                 log.crash("step-failed", part=self.part)
                 await clock.pause(timedelta(seconds=1))
+            finally:
+                self.stepping = False
+                rested, self.rested = self.rested, trio.Event()
+                rested.set()
 
     async def step(self) -> bool:
         now = clock.now()
@@ -384,7 +417,7 @@
                 self._stop_dead(recorded, now)
             self._tidy(now)
             batch = Batch(self.shared.view, self.part, self.tenure, self.shared.settings.txn_ops)
-            more = self._record_ends(batch, now)
+            more = self._record_ends(batch, now) or bool(batch.rows)
             if not batch.rows:
                 more = self._start(batch, now)
         if not batch.rows:
