Offer long waiters again, as the paper does, moving only tasks that are not placed

Cause: arrays drawn onto a part whose capacity then ran out waited there while others had room; the design's reoffering was still missing. Changed: every 5 s a part looks at what waited at least 8 s and at least μ times its average queuing time, informs all others with its own estimate and average, and moves the loose tasks by the usual draw among those who pass both tests. The move is made on the stamps of job, slice and term, so a task can't both start here and go.

--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -24,6 +24,7 @@
 
 log = Log("bidding")
 MOST_QUEUED = 2048
+MOST_REOFFERED = 4
 
 
 class Exchange:
@@ -42,6 +43,7 @@
         peers.handlers[frames.REQUEST] = self._on_request
         peers.handlers[frames.ASSIGN] = self._on_assign
         peers.handlers[frames.REVOKE] = self._on_revoke
+        peers.handlers[frames.INFORM] = self._on_inform
 
     # Bidding.
 
@@ -66,6 +68,23 @@
     def _on_request(self, sender: str, payload: bytes) -> bytes:
         return messages.pack_bids(self.bids(Ask.unpack(payload)))
 
+    def _on_inform(self, sender: str, payload: bytes) -> bytes:
+        return messages.pack_bids(self.better(Ask.unpack(payload)))
+
+    def better(self, ask: Ask) -> list[Bid]:
+        """Bids for a job that waits elsewhere: only under both tests of algorithm 5."""
+        op, now, out = self._shared.op, clock.now(), []
+        for bid in self.bids(ask):
+            average = self._bidder(bid.part).average_queuing(now)
+            estimate = casa.response(bid, op.omega)
+            if ask.theirs is not None and casa.accepts_reoffer(
+                estimate, ask.theirs, average, ask.their_average, op.varpi
+            ):
+                out.append(bid)
+            else:
+                self._shadows[bid.part].revoke(ask.job)
+        return out
+
     def _on_assign(self, sender: str, payload: bytes) -> bytes:
         """The record decides; the message brings it sooner."""
         job, value, stamp = messages.unpack_assign(payload)
@@ -123,20 +142,21 @@
                 if mine or now - waiting[name] > self._shared.op.rebid_every * 4:
                     self.submit(name)
 
-    async def _ask(self, link: Link, payload: bytes, out: list[Bid]) -> None:
+    async def _ask(self, link: Link, kind: int, payload: bytes, out: list[Bid]) -> None:
         try:
-            out += messages.unpack_bids(await link.call(frames.REQUEST, payload, self._shared.op.bid_wait))
+            out += messages.unpack_bids(await link.call(kind, payload, self._shared.op.bid_wait))
         except NoReply:
             pass
         except BadFrame as error:
             log.error("bad-bid", peer=link.peer.name, error=str(error))
 
     async def gather(self, ask: Ask) -> list[Bid]:
-        bids = self.bids(ask)
-        payload = ask.pack()
+        again = ask.theirs is not None
+        bids = self.better(ask) if again else self.bids(ask)
+        kind, payload = frames.INFORM if again else frames.REQUEST, ask.pack()
         async with trio.open_nursery() as nursery:
             for link in self._peers.links.values():
-                nursery.start_soon(self._ask, link, payload, bids)
+                nursery.start_soon(self._ask, link, kind, payload, bids)
         # One bid a part: while ownership moves, two may answer for it.
         return list({bid.part: bid for bid in bids}.values())
 
@@ -162,16 +182,85 @@
             if fresh.weight > self._shared.settings.value_bytes * 0.8:
                 # Too many ranges for one value: what is held ends first.
                 return
-            if await self.move(job, fresh, bids, set(shares)):
+            if await self.move(job, fresh, bids, set(shares), {}):
                 return
 
-    async def move(self, job: Job, fresh: Job, bids: list[Bid], chosen: set[str]) -> bool:
-        """Records who holds what; that is the assignment."""
+    # Offering again (sections 4.4 and 4.5).
+
+    async def run_reoffer(self) -> None:
+        while True:
+            await clock.pause(self._shared.op.reoffer_every)
+            for runtime in list(self._runtimes.values()):
+                try:
+                    await self._reoffer(runtime)
+                except (Unavailable, NoLease):
+                    pass
+                except Exception:
+                    log.crash("reoffer-failed", part=runtime.part)
+
+    async def _reoffer(self, runtime: PartRuntime) -> None:
+        op, now, part = self._shared.op, clock.now(), runtime.part
+        if not self._shared.ownership.may_start(now) or part not in self._runtimes:
+            return
+        bidder = self._bidder(part)
+        average = bidder.average_queuing(now)
+        waits: dict[str, timedelta] = {}
+        for item in runtime.pending():
+            since = runtime.queued.get(item.job.id)
+            # A job that has just come cools down first, whatever the average; so it can't go to and fro.
+            if since is not None and now - since >= op.cool_down:
+                waits[item.job.id] = now - since
+        due = [name for name, wait in waits.items() if casa.relative_delay(wait, average) >= op.mu]
+        due.sort(key=lambda name: waits[name], reverse=True)
+        for name in due[:MOST_REOFFERED]:
+            job = self._shared.view.jobs.get(name)
+            if job is None or job.spec.zone is not None or self._runtimes.get(part) is not runtime:
+                continue
+            await self._offer_again(runtime, bidder, job, average)
+
+    async def _offer_again(self, runtime: PartRuntime, bidder: Bidder, job: Job, average: timedelta) -> None:
+        op, part, now = self._shared.op, runtime.part, clock.now()
+        loose = runtime.loose(job)
+        if not loose or (job.spec.together and loose != job.alloc.get(part)):
+            return
+        waited = max(clock.ZERO, clock.wall() - job.at)
+        theirs = bidder.estimate(job, now)
+        ask = Ask(job.id, len(self._peers.links) + 1, ranges.size(loose), job.spec, part, theirs, average, waited)
+        bids = await self.gather(ask)
+        if not bids:
+            return
+        # Only tasks not yet placed move. An in-flight start of ours would change the slice's stamp, and
+        # the move is made on that stamp too: a task can't both start here and go.
+        job = self._shared.view.jobs.get(job.id)
+        if job is None or self._runtimes.get(part) is not runtime:
+            return
+        piece_key = records.slice_key(part, job.id)
+        loose, stamp = runtime.loose(job), self._shared.view.stamp(piece_key)
+        if not loose:
+            return
+        without = job.with_part(part, ranges.minus(job.alloc.get(part, ()), loose))
+        shares = casa.allot(without, bids, op.omega, self._rng)
+        shares.pop(part, None)
+        if not shares:
+            return
+        gone = ranges.normal(pair for rs in shares.values() for pair in rs)
+        fresh = job.with_part(part, ranges.minus(job.alloc.get(part, ()), gone))
+        for other, piece in shares.items():
+            fresh = fresh.with_part(other, ranges.union(fresh.alloc.get(other, ()), piece))
+        if fresh.weight > self._shared.settings.value_bytes * 0.8:
+            return
+        also = {piece_key: stamp, records.term_key(part): runtime.tenure.stamp}
+        if await self.move(job, fresh, bids, set(shares), also):
+            log.info("moved", job=job.id, tasks=ranges.size(gone), source=part, to=",".join(sorted(shares)))
+
+    async def move(self, job: Job, fresh: Job, bids: list[Bid], chosen: set[str], also: dict[str, int]) -> bool:
+        """Records who holds what; that is the assignment. `also`: further stamps that must hold."""
         view, key = self._shared.view, records.job_key(job.id)
         value = fresh.to_value()
         rows = [put(key, value)]
+        when = {key: job.stamp, **also}
         try:
-            ledger = await commit(self._shared.state, {key: job.stamp}, rows, within=timedelta(seconds=3))
+            ledger = await commit(self._shared.state, when, rows, within=timedelta(seconds=3))
         except Conflict:
             with trio.move_on_after(1):
                 await self._shared.reader.sync()
--- a/roadbend/bidding/offers.py
+++ b/roadbend/bidding/offers.py
@@ -87,6 +87,29 @@
         self._shadow.add(ask.job, job_load(spec, min(ask.free, max(1, room))), ask.requests, now)
         return bid
 
+    def average_queuing(self, now: datetime) -> timedelta:
+        """Definition 4 for this part: of those that wait, else of those that were started."""
+        runtime = self._runtime
+        waiting = [now - runtime.queued.get(item.job.id, now) for item in runtime.pending()]
+        return casa.average_queuing(waiting, list(runtime.waits))
+
+    def estimate(self, job: Job, now: datetime) -> timedelta:
+        """What this part itself expects for a job that waits here: its run, and when it can start."""
+        runtime = self._runtime
+        booting = [replace(room) for room in runtime.booting if room.id not in runtime.machines]
+        lines, start = runtime.lines(booting), forecast.NEVER
+        for item in runtime.pending():
+            at, line = forecast.earliest(item.job, lines)
+            if item.job.id == job.id:
+                start = min(start, at)
+            if line is not None:
+                line.put(item.job.spec.need, at, runtime.task_seconds(item.job))
+        choices = renting.options(runtime.shared.rigs.values(), runtime.part, self._closed())
+        option = renting.cheapest(placing.Pending(job, 0, False), choices, runtime.part, job.spec.legs)
+        if option is not None:
+            start = min(start, option.rig.startup.total_seconds())
+        return job.spec.expected + timedelta(seconds=min(start, 3600.0))
+
     def _team_left(self, job: Job) -> int:
         shared, need = self._runtime.shared, job.spec.need
         team, use = shared.settings.teams.get(job.spec.team), shared.view.teams.get(job.spec.team)
--- a/roadbend/node.py
+++ b/roadbend/node.py
@@ -212,6 +212,7 @@
             nursery.start_soon(self._listen_for_deafness)
             nursery.start_soon(self._share_budget)
             nursery.start_soon(self.exchange.run_rebid)
+            nursery.start_soon(self.exchange.run_reoffer)
             for _ in range(4):
                 nursery.start_soon(self.exchange.run_worker)
             task_status.started()
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -25,6 +25,7 @@
 from roadbend.settings import Operator, Settings
 from roadbend.store import ranges, records
 from roadbend.store.client import Conflict, StateClient, Unavailable, commit, delete, put
+from roadbend.store.ranges import Ranges
 from roadbend.store.records import Attempt, Job, Need, Slice, Spec, Use
 from roadbend.store.view import Reader, View
 
@@ -175,7 +176,9 @@
         self.machines: dict[str, Machine] = {}
         self.facts: dict[Key, Fact] = {}
         self.stops: dict[Key, Stop] = {}
+        # How long what was started had queued here, and since when what waits does.
         self.waits: deque[timedelta] = deque(maxlen=64)
+        self.queued: dict[str, datetime] = {}
         self.kick = trio.Event()
         # Set whenever the loop has done all that there was to do.
         self.rested = trio.Event()
@@ -218,7 +221,6 @@
 
     def pending(self) -> list[Pending]:
         view, sure = self.shared.view, self.shared.guaranteed()
-        mine = view.slices.get(self.part, {})
         now = clock.now()
         out = []
         for job in view.jobs.values():
@@ -227,14 +229,18 @@
                 continue
             if job.id in self.backoff and self.backoff[job.id][1] > now:
                 continue
-            piece = mine.get(job.id)
-            if piece is not None:
-                held = ranges.minus(held, ranges.union(piece.done, ((n, n + 1) for n in piece.run)))
-            for leg in ranges.numbers(ranges.first(held, MOST_PENDING)):
+            for leg in ranges.numbers(ranges.first(self.loose(job), MOST_PENDING)):
                 out.append(Pending(job, leg, job.id in sure))
         out.sort(key=policy.rank)
         return out
 
+    def loose(self, job: Job) -> Ranges:
+        """Tasks of a job that this part holds and has not placed."""
+        held, piece = job.alloc.get(self.part, ()), self.shared.view.slices.get(self.part, {}).get(job.id)
+        if piece is None:
+            return held
+        return ranges.minus(held, ranges.union(piece.done, ((n, n + 1) for n in piece.run)))
+
     def rooms(self) -> list[Room]:
         """Machines that may be given work, with what the records leave free on them."""
         now, index = clock.now(), self.by_machine()
@@ -535,6 +541,7 @@
         queue = self.pending()
         rooms = self.rooms()
         self._hold_back(queue)
+        self.queued = {item.job.id: self.queued.get(item.job.id, now) for item in queue}
         headroom = {}
         allowed: list[Pending] = []
         for item in queue:
@@ -569,7 +576,7 @@
             batch.set_slice(replace(piece, run={**piece.run, item.leg: attempt}))
             batch.set_team(charge(batch.team(job.spec.team), self.part, need, +1))
             wait = clock.wall() - job.at
-            self.waits.append(max(clock.ZERO, wait))
+            self.waits.append(now - self.queued.get(job.id, now))
             log.debug(
                 "start", part=self.part, task=f"{job.id}/{item.leg}", machine=room.id,
                 wait=f"{wait.total_seconds():.1f}", cached=job.spec.image in room.images,
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -182,6 +182,7 @@
     promise_life: timedelta = _s(2.0, 0.1, 60, "when a promise that nobody revoked expires")
     rebid_every: timedelta = _s(1.0, 0.1, 60, "how often jobs that no part holds are offered again")
     reoffer_every: timedelta = _s(5.0, 0.5, 600, "period of offering long waiters again")
+    cool_down: timedelta = _s(8.0, 0, 600, "a job is not offered again before it has waited here for this long")
     own_lease: timedelta = _s(8.0, 1, 60, "lease on owning parts; a dead controller's parts wait this long")
     takeover_grace: timedelta = _s(1.5, 0, 60, "wait before taking a part whose own controller seems alive")
     hand_back_after: timedelta = _s(5.0, 0, 600, "a returned controller gets its part back after this time")
--- a/roadbend/test_stories.py
+++ b/roadbend/test_stories.py
@@ -1,7 +1,10 @@
 """Whole days in small: three controllers against the stand-ins. The board watches the rules."""
 
+from datetime import timedelta
+
 import trio
 
+from roadbend.settings import Operator
 from roadbend.standins.world import job, world
 from roadbend.store import records
 
@@ -240,3 +243,25 @@
         assert await w.submit(0, job(62)) == 201
         w.cloud.down = False
         assert await w.until(lambda: is_(w, 0, 62, "done"), 120)
+
+
+async def test_a_job_that_waits_too_long_moves_to_a_part_with_room():
+    """Capacity for one machine a zone: what queues behind long work is offered again and leaves."""
+    op = Operator(reoffer_every=timedelta(seconds=2), dear=100.0)
+    async with world(capacity=1, op=op) as w:
+        for n in (70, 71):
+            assert await w.submit(0, job(n, legs=2, yard="east", loaners=n == 70, crew="blue", dueS=30), 200) == 201
+        assert await w.until(lambda: all(len(w.board.running(f"run-{n:06d}")) == 2 for n in (70, 71)), 60)
+        # Recorded as held by the full part, as if drawn before the others were up.
+        assert await w.submit(0, job(72, legs=2, dueS=60, crew="red"), 10) == 201
+        for node in w.nodes.values():
+            node.exchange.submit = lambda name: None
+        key = records.job_key("run-000072")
+        value = {**w.state.value(key), "a": {"east": [[0, 2]]}}
+        w.state.multi({"apply": [{"write": key, "value": value}]})
+        assert await w.until(lambda: is_(w, 1, 72, "done"), 100)
+        assert {w_zone(w, m) for _, task, m in w.board.starts if task.startswith("run-000072")} <= {"north", "west"}
+
+
+def w_zone(w, machine):
+    return w.cloud.machines[machine].zone if machine in w.cloud.machines else "north"
