--- a/roadbend/rental/policy.py
+++ b/roadbend/rental/policy.py
@@ -11,6 +11,11 @@
 from roadbend.rental.cloud import Rig
 from roadbend.store.records import Job
 
+# Rounds of an array's tasks over which a machine's boot and first fetch are written off.
+ROUNDS = 2.0
+# How much more a place may cost, times the least, when a task would be late on anything.
+HASTE = 1.6
+
 
 @dataclass(frozen=True)
 class Option:
@@ -41,14 +46,19 @@
 
 
 def cost(item: Pending, option: Option, part: str, alike: int) -> float | None:
-    """Price a task. An array fills a machine only as far as it has tasks; a service stays, and what
-    comes later fills the rest."""
+    """Price a task. An array fills a machine only as far as it has tasks, and pays for boot and fetch
+    over a few rounds of its run; a service stays, and what comes later fills the rest."""
     if not allowed(item.job, option.rig.name, part, option.spot):
         return None
     count = empty_room("", option, part).count(item.job.spec.need)
     if count < 1:
         return None
-    return option.price / (count if item.job.spec.service else min(count, max(1, alike)))
+    spec = item.job.spec
+    if spec.service:
+        return option.price / count
+    run = max(5.0, spec.expected.total_seconds())
+    overhead = ready_after(option, spec.image_gb, 1.0) / (run * ROUNDS)
+    return option.price / min(count, max(1, alike)) * (1.0 + overhead)
 
 
 def cheapest(item: Pending, choices: list[Option], part: str, alike: int) -> Option | None:
@@ -114,6 +124,11 @@
             usable = [o for o in choices if o.rig.name not in timing.avoid]
             # Those that would be in time, if any; a slow boot or fetch may cost more than it saves.
             soon = [o for o in usable if ready_after(o, timing.image_gb, boot_factor) <= timing.slack]
+            if not soon and usable:
+                # Late anyway: the sooner the better, within reason.
+                least = min((c for o in usable if (c := cost(item, o, part, alike)) is not None), default=0.0)
+                fair = [o for o in usable if (cost(item, o, part, alike) or 1e18) <= least * HASTE]
+                soon = sorted(fair, key=lambda o: ready_after(o, timing.image_gb, boot_factor))[:1]
             option = cheapest(item, soon or usable, part, alike)
             if option is not None:
                 room = empty_room(f"new-{len(lines)}", option, part)
