--- a/roadbend/bidding/offers.py
+++ b/roadbend/bidding/offers.py
@@ -72,7 +72,12 @@
         now_count, room = min(now_count, left), min(max(room, 0 if own else 1), left)
         if room <= 0:
             return None
-        host = rigs.get(line.room.rig) if line is not None else self._fastest(job, ready)
+        if line is not None:
+            host = rigs.get(line.room.rig)
+        elif could_hire is not None and not now_count:
+            host = could_hire[2]
+        else:
+            host = self._fastest(job, ready)
         fetch = clock.ZERO if now_count and self._cached(job, ready) else fetch_time(spec, host)
         load = sum(job_load(item.job.spec, 1) for item in queue)
         bid = Bid(
@@ -143,8 +148,8 @@
     def _cached(self, job: Job, rooms: list[Room]) -> bool:
         return any(job.spec.image in room.images and self._fit(job, [room]) for room in rooms)
 
-    def _hire(self, job: Job, ask: Ask, dear: set[str]) -> tuple[float, int] | None:
-        """Boot time and places of the cheapest machine that we believe we can hire.
+    def _hire(self, job: Job, ask: Ask, dear: set[str]) -> tuple[float, int, Rig] | None:
+        """Boot time, places and type of the cheapest machine that we believe we can hire.
 
         A part that could only hire dearly leaves a job to those who can do it cheaply, for as long as
         the job can wait: the paper's acceptance takes the responder's own preferences into account."""
@@ -160,7 +165,7 @@
         if price > least * op.dear and ask.waited < op.dear_wait:
             return None
         places = renting.empty_room("", option, runtime.part).count(job.spec.need)
-        return option.rig.startup.total_seconds(), places * 4
+        return option.rig.startup.total_seconds(), places * 4, option.rig
 
     def _fastest(self, job: Job, rooms: list[Room]) -> Rig | None:
         rigs = self._runtime.shared.rigs
--- a/roadbend/rental/policy.py
+++ b/roadbend/rental/policy.py
@@ -12,7 +12,7 @@
 from roadbend.store.records import Job
 
 # Rounds of an array's tasks over which a machine's boot and first fetch are written off.
-ROUNDS = 2.0
+ROUNDS = 1.5
 # How much more a place may cost, times the least, when a task would be late on anything.
 HASTE = 1.6
 
@@ -57,7 +57,8 @@
     if spec.service:
         return option.price / count
     run = max(5.0, spec.expected.total_seconds())
-    overhead = ready_after(option, spec.image_gb, 1.0) / (run * ROUNDS)
+    # A machine that stays meets a second image before long.
+    overhead = ready_after(option, 2 * spec.image_gb, 1.0) / (run * ROUNDS)
     return option.price / min(count, max(1, alike)) * (1.0 + overhead)
 
 
