--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -19,6 +19,15 @@
 MOST_HEARD = 64
 
 
+class _Wave:
+    """Deletions that go out in one call."""
+
+    def __init__(self):
+        self.names: list[str] = []
+        self.done = trio.Event()
+        self.error: Exception | None = None
+
+
 class Fleet:
     def __init__(self, shared: Shared, net: Net, cloud: Cloud, peers: Peers, runtimes: dict[str, PartRuntime]):
         self._peers = peers
@@ -26,9 +35,17 @@
         # Reports of parts that we don't own, lately: (part) -> instants.
         self._strangers: dict[str, OrderedDict[str, datetime]] = {}
         self.listed: dict[str, Listed] = {}
+        self._was_listed: set[str] = set()
+        self._wave: _Wave | None = None
         self._probing: set[str] = set()
         self._direct = trio.CapacityLimiter(16)
 
+    def take_list(self, rows: list[Listed]) -> None:
+        self.listed = {row.id: row for row in rows}
+        self._was_listed |= set(self.listed)
+        if len(self._was_listed) > 4096:
+            self._was_listed = set(self.listed)
+
     # Workers.
 
     async def hello(self, request: Request) -> Response:
@@ -140,21 +157,40 @@
             recalled = machine is not None and machine.recall_at is not None and now > machine.recall_at
             if overdue or recalled and last is not None and now - last > settings.report_every * 2:
                 silent.append(name)
-        doubt = len(known) >= 2 and len(silent) > op.fence_share * len(known)
         for name in silent:
             if (runtime.part, name) not in self._probing:
                 self._probing.add((runtime.part, name))
-                nursery.start_soon(self._probe, runtime, name, doubt)
+                nursery.start_soon(self._probe, runtime, name)
+
+    def _common_cause(self, runtime: PartRuntime, name: str, now: datetime) -> bool:
+        """Whether this silence is rather the network's than the machine's: several fell silent together.
+
+        Deleting machines that are only cut off costs more than waiting. Told apart are waves in which the
+        cloud takes spot machines back: only spot machines are silent, or they have left the list."""
+        op, s = self._shared.op, self._shared.settings
+        machines = [m for m in runtime.machines.values() if m.reported is not None]
+        quiet = [m for m in machines if now - m.reported > s.report_every * 1.6]
+        if len(quiet) >= 2 and len(quiet) > op.fence_share * len(machines):
+            return True
+        mine = runtime.machines.get(name)
+        if mine is None or mine.reported is None or now - mine.reported > s.lease * 1.3:
+            # Its lease has ended long since: its tasks are gone anyway.
+            return False
+        if name in self._was_listed and name not in self.listed:
+            return False
+        if len(quiet) < 3 or len(quiet) < op.common_share * len(machines):
+            return False
+        return not all(m.spot for m in quiet) or all(m.spot for m in machines)
 
-    async def _probe(self, runtime: PartRuntime, name: str, doubt: bool) -> None:
+    async def _probe(self, runtime: PartRuntime, name: str) -> None:
         try:
-            await self._probe_once(runtime, name, doubt)
+            await self._probe_once(runtime, name)
         except Exception:
             log.crash("probe-failed", machine=name)
         finally:
             self._probing.discard((runtime.part, name))
 
-    async def _probe_once(self, runtime: PartRuntime, name: str, doubt: bool) -> None:
+    async def _probe_once(self, runtime: PartRuntime, name: str) -> None:
         settings = self._shared.settings
         machine, listed = runtime.machines.get(name), self.listed.get(name)
         address = machine.address if machine else (listed.address if listed else "")
@@ -179,8 +215,9 @@
         # A machine that reports to our peers is not dead: it is we who can't be reached.
         last = before or runtime.tenure.since
         elsewhere = self._heard_elsewhere(runtime.part, name, clock.now()) and clock.now() - last < settings.lease * 1.5
-        if (doubt or elsewhere) and not failed:
-            # Most of the part at once: rather our own network than all those machines.
+        recalled = machine is not None and machine.recall_at is not None and clock.now() > machine.recall_at
+        doubt = self._common_cause(runtime, name, clock.now())
+        if (doubt or elsewhere) and not failed and not recalled:
             log.info("doubt", part=runtime.part, machine=name)
             await clock.pause(timedelta(seconds=2))
         else:
@@ -188,11 +225,16 @@
                 # From here on no order goes to it, so the deletion can't overtake one.
                 machine.fencing = True
             try:
-                await self._cloud.delete([name], urgent=True)
+                await self._delete(name)
                 log.info("fenced", part=runtime.part, machine=name)
                 runtime.gone(name, "deleted")
                 return
-            except (NoAnswer, Busy, NoCapacity) as error:
+            except Busy as error:
+                # Not carried out.
+                log.info("fence-refused", part=runtime.part, machine=name, error=str(error)[:60])
+                if machine is not None:
+                    machine.fencing = False
+            except (NoAnswer, NoCapacity) as error:
                 log.info("fence-failed", part=runtime.part, machine=name, error=str(error)[:60])
                 if machine is not None:
                     # The deletion may still be carried out: should it report again, it gets nothing new.
@@ -200,6 +242,27 @@
         self._expire(runtime, name)
         await clock.pause(timedelta(seconds=2))
 
+    async def _delete(self, name: str) -> None:
+        """Machines fall silent together; they go in one call, for the cloud's calls are few."""
+        wave = self._wave
+        if wave is None:
+            wave = self._wave = _Wave()
+            wave.names.append(name)
+            await clock.pause(timedelta(milliseconds=300))
+            self._wave = None
+            try:
+                await self._cloud.delete(wave.names, urgent=True)
+            except (NoAnswer, Busy, NoCapacity) as error:
+                wave.error = error
+                raise
+            finally:
+                wave.done.set()
+            return
+        wave.names.append(name)
+        await wave.done.wait()
+        if wave.error is not None:
+            raise wave.error
+
     def _expire(self, runtime: PartRuntime, name: str) -> None:
         """No deletion to be had: the worker's own lease is the proof, where it is one."""
         now, s, margin = clock.now(), self._shared.settings, self._shared.op.state_margin
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -309,6 +309,9 @@
         What a report brings may call for orders: room came free, a machine came up. Its response waits
         the little while that recording takes, so that the next task starts now and not a report later."""
         now = clock.now()
+        if report.machine in self.shared.deleted:
+            # A report that was held back on its way: the machine is gone, and must not come to life here.
+            return None
         with self.lock:
             machine = self.machines.get(report.machine)
             fresh = machine is None
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -95,7 +95,7 @@
             try:
                 if self._runtimes:
                     rows = await self._cloud.machines()
-                    self._fleet.listed = {row.id: row for row in rows}
+                    self._fleet.take_list(rows)
                     self._down = False
                     self._sort_listed(rows)
             except (NoAnswer, Busy, NoCapacity) as error:
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -195,6 +195,7 @@
     dear_wait: timedelta = _s(3.0, 0, 600, "a job that has waited for this long is bid for at any price")
     caution: float = _n(1.3, 1.0, 10, "times the predicted run time that is kept free before a deadline")
     boot_factor: float = _n(1.1, 0.5, 10, "times the nominal boot time that a new machine is expected to take")
+    common_share: float = _n(0.25, 0.05, 1.0, "part of the machines silent at once that points to the network")
     idle_return: timedelta = _s(8.0, 0, 3600, "an empty machine is returned after this time")
     boot_patience: float = _n(2.5, 1.1, 20, "times the nominal boot time after which a machine counts as dead")
     refusal_pause: timedelta = _s(6.0, 0.5, 600, "pause after the cloud refused a type, zone and kind")
--- a/roadbend/test_stories.py
+++ b/roadbend/test_stories.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from roadbend.settings import Operator
+from roadbend.settings import Operator, Team
 from roadbend.standins.world import job, world
 from roadbend.store import records
 
@@ -265,3 +265,38 @@
 
 def w_zone(w, machine):
     return w.cloud.machines[machine].zone if machine in w.cloud.machines else "north"
+
+
+async def test_machines_that_fall_silent_together_are_not_deleted():
+    """An incident of the visa desk: a cut between machines and controllers, 12 s long, cost eight of them."""
+    async with world(teams={"red": Team("red", 0, 0, 4, 40)}) as w:
+        assert await w.submit(0, job(80, legs=8, yard="east", dueS=20), 200) == 201
+        assert await w.until(lambda: len(w.board.running("run-000080")) == 8, 60)
+        homes = sorted({next(iter(w.board.where[t])) for t in w.board.running("run-000080")})
+        assert len(homes) == 4
+        # Beside them others go on reporting, so that it isn't most of the part that is silent.
+        assert await w.submit(0, job(81, legs=8, yard="east", dueS=20, loaners=False), 200) == 201
+        assert await w.until(lambda: len(w.board.running("run-000081")) == 8, 60)
+        others = sorted({next(iter(w.board.where[t])) for t in w.board.running("run-000081")})
+        for machine in [*homes[:1], *others[:2]]:
+            for n in range(3):
+                w.network.cut(f"node-{n}", machine)
+        await trio.sleep(12)
+        for machine in [*homes[:1], *others[:2]]:
+            for n in range(3):
+                w.network.heal(f"node-{n}", machine)
+        await trio.sleep(15)
+        assert set(homes + others) <= set(w.cloud.machines)
+        assert len(w.board.starts) == 16
+
+
+async def test_a_late_report_of_a_deleted_machine_does_not_bring_it_back():
+    async with world(count=1) as w:
+        node = w.nodes["node-0"]
+        node.shared.deleted["m-7"] = node.began
+        body = {
+            "hitch": "m-7", "address": "m-7:1", "rig": "g2", "yard": "east", "loaners": False,
+            "stint": 1, "tick": 9, "baton": 0, "recallS": None, "legs": [],
+        }  # fmt: skip
+        assert (await w.call(0, "POST", "/hello", body))[0] == 503
+        assert "m-7" not in node.runtimes["east"].machines
