--- a/roadbend/bidding/offers.py
+++ b/roadbend/bidding/offers.py
@@ -41,7 +41,6 @@
         runtime, spec = self._runtime, ask.spec
         if spec.zone is not None and spec.zone != runtime.part:
             return None
-        rigs = runtime.shared.rigs
         job = Job(ask.job, spec, clock.wall())
         dear = self._dear(job, ask)
         queue = runtime.pending()
@@ -54,7 +53,7 @@
             if item.job.spec.priority >= spec.priority:
                 start, line = forecast.earliest(item.job, lines)
                 if line is not None:
-                    line.put(item.job.spec.need, start, runtime.task_seconds(item.job))
+                    line.put(item.job, start, runtime.run_seconds(item.job))
         ready = [line.room for line in lines if line.room.ready_in <= 0]
         now_count = self._fit(job, ready)
         room = now_count + self._fit(job, [line.room for line in lines if line.room.ready_in > 0])
@@ -73,12 +72,11 @@
         if room <= 0:
             return None
         if line is not None:
-            host = rigs.get(line.room.rig)
+            fetch = timedelta(seconds=line.room.fetch(spec.image, spec.image_gb))
         elif could_hire is not None and not now_count:
-            host = could_hire[2]
+            fetch = fetch_time(spec, could_hire[2])
         else:
-            host = self._fastest(job, ready)
-        fetch = clock.ZERO if now_count and self._cached(job, ready) else fetch_time(spec, host)
+            fetch = clock.ZERO if self._cached(job, ready) else fetch_time(spec, self._fastest(job, ready))
         load = sum(job_load(item.job.spec, 1) for item in queue)
         bid = Bid(
             runtime.part,
@@ -108,7 +106,7 @@
             if item.job.id == job.id:
                 start = min(start, at)
             if line is not None:
-                line.put(item.job.spec.need, at, runtime.task_seconds(item.job))
+                line.put(item.job, at, runtime.run_seconds(item.job))
         choices = renting.options(runtime.shared.rigs.values(), runtime.part, self._closed())
         option = renting.cheapest(placing.Pending(job, 0, False), choices, runtime.part, job.spec.legs)
         if option is not None:
--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -169,7 +169,7 @@
         cloud takes spot machines back: only spot machines are silent, or they have left the list."""
         op, s = self._shared.op, self._shared.settings
         machines = [m for m in runtime.machines.values() if m.reported is not None]
-        quiet = [m for m in machines if now - m.reported > s.report_every * 1.6]
+        quiet = [m for m in machines if now - m.reported > s.report_every * 1.3]
         if len(quiet) >= 2 and len(quiet) > op.fence_share * len(machines):
             return True
         mine = runtime.machines.get(name)
@@ -200,7 +200,7 @@
             client = Client(self._net, address, most=1, keep=0)
             for _ in range(2):
                 try:
-                    status, _ = await client.request("GET", "/inspect", within=timedelta(seconds=1))
+                    status, _ = await client.request("GET", "/inspect", within=timedelta(seconds=0.7))
                 except NoAnswer:
                     continue
                 if status == 200 and clock.now() - (before or runtime.tenure.since) < settings.lease * 1.5:
@@ -248,7 +248,7 @@
         if wave is None:
             wave = self._wave = _Wave()
             wave.names.append(name)
-            await clock.pause(timedelta(milliseconds=300))
+            await clock.pause(timedelta(milliseconds=150))
             self._wave = None
             try:
                 await self._cloud.delete(wave.names, urgent=True)
--- a/roadbend/placement/forecast.py
+++ b/roadbend/placement/forecast.py
@@ -29,37 +29,43 @@
                 return max(at, self.room.ready_in)
         return NEVER
 
-    def put(self, need: Need, start: float, length: float) -> None:
+    def put(self, job: Job, start: float, run: float) -> None:
+        """A task is laid on this machine from `start`; its image is there afterwards."""
+        need = job.spec.need
         while self.releases and self.releases[0][0] <= start and not self.room.fits(need):
             at, freed = self.releases.pop(0)
             self.room.give(freed)
             self.free_from = max(self.free_from, at)
         self.room.take(need)
-        if length < NEVER:
-            self.releases.append((start + length, need))
+        if run < NEVER:
+            end = start + self.room.fetch(job.spec.image, job.spec.image_gb) + run
+            self.releases.append((end, need))
             self.releases.sort(key=lambda row: row[0])
+        self.room.images = self.room.images | {job.spec.image}
 
 
 def earliest(job: Job, lines: list[Line]) -> tuple[float, Line | None]:
-    best, where = NEVER, None
+    """Where a task would begin to run first, its fetch counted, and from when it would be there."""
+    best, where, when = NEVER, None, NEVER
+    spec = job.spec
     for line in lines:
         room = line.room
         if not allowed(job, room.rig, room.zone, room.spot):
             continue
-        at = line.earliest(job.spec.need)
-        better = at < best - 1e-6
-        level = where is not None and abs(at - best) <= 1e-6 and job.spec.spot and room.spot and not where.room.spot
+        at = line.earliest(spec.need)
+        runs = at + room.fetch(spec.image, spec.image_gb)
+        better = runs < best - 1e-6
+        level = where is not None and abs(runs - best) <= 1e-6 and spec.spot and room.spot and not where.room.spot
         if better or level:
-            best, where = at, line
-    return best, where
+            best, where, when = runs, line, at
+    return when, where
 
 
-def task_seconds(job: Job, factor: float, pull: float | None) -> float:
-    """Predicted time on the machine, with its fetch; a service never comes free."""
+def run_seconds(job: Job, factor: float) -> float:
+    """Predicted run time, without the fetch; a service never comes free."""
     if job.spec.service:
         return NEVER
-    run = max(timedelta(seconds=5), job.spec.expected).total_seconds() * factor
-    return run + (job.spec.image_gb / pull if pull else 0.0)
+    return max(timedelta(seconds=5), job.spec.expected).total_seconds() * factor
 
 
 def slack(item: Pending, waited: float, run: float) -> float:
--- a/roadbend/placement/policy.py
+++ b/roadbend/placement/policy.py
@@ -25,6 +25,12 @@
     total: Need = field(default_factory=lambda: Need(0, 0, 0))
     ready_in: float = 0.0
     price: float = 0.0
+    # How fast it fetches images, GB a second; 0: not known.
+    pull: float = 0.0
+
+    def fetch(self, image: str, gb: float) -> float:
+        """Seconds until an image is there."""
+        return 0.0 if image in self.images or self.pull <= 0 else gb / self.pull
 
     def fits(self, need: Need) -> bool:
         return need.cpus <= self.cpus + EPS and need.gpus <= self.gpus + EPS and need.memory <= self.memory + EPS
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -252,7 +252,7 @@
             room = Room(
                 machine.id, machine.rig, machine.zone, machine.spot,
                 rig.room.cpus, rig.room.gpus, rig.room.memory,
-                frozenset(machine.images), rig.room, 0.0, rig.spot_price if machine.spot else rig.price,
+                frozenset(machine.images), rig.room, 0.0, rig.spot_price if machine.spot else rig.price, rig.pull,
             )  # fmt: skip
             for piece, _ in index.get(machine.id, {}).values():
                 room.take(piece.need)
@@ -270,9 +270,8 @@
             and len(machine.failures) < self.shared.op.error_limit
         )
 
-    def task_seconds(self, job: Job) -> float:
-        pull = min((rig.pull for rig in self.shared.rigs.values()), default=1.0)
-        return forecast.task_seconds(job, self.shared.factor(job.spec.lane), pull)
+    def run_seconds(self, job: Job) -> float:
+        return forecast.run_seconds(job, self.shared.factor(job.spec.lane))
 
     def lines(self, more: list[Room]) -> list[Line]:
         """The machines with what runs on them and when that is thought to end."""
@@ -289,13 +288,13 @@
                 if job is None or job.spec.service:
                     continue
                 seen = machine.tasks.get(key)
-                run = forecast.task_seconds(job, self.shared.factor(job.spec.lane), None)
+                run = self.run_seconds(job)
                 if seen is not None and seen.attempt == attempt.number and seen.running_since is not None:
                     spent = (now - seen.running_since).total_seconds()
                     # An estimate that has been passed says little: the longer it ran, the longer it may.
                     left = max(run - spent, 0.25 * spent, 1.0)
                 else:
-                    left = run + job.spec.image_gb / max(1e-6, self.shared.rigs[room.rig].pull)
+                    left = run + room.fetch(job.spec.image, job.spec.image_gb)
                 releases.append((left, piece.need))
             releases.sort(key=lambda row: row[0])
             out.append(Line(room, releases))
--- a/roadbend/placement/test_placement.py
+++ b/roadbend/placement/test_placement.py
@@ -80,7 +80,7 @@
     assert line.earliest(Need(4, 1, 20)) == 5.0
     assert line.earliest(Need(8, 1, 40)) == 9.0
     assert line.earliest(Need(20, 1, 40)) == forecast.NEVER
-    line.put(Need(8, 1, 40), 9.0, 30.0)
+    line.put(pending().job, 9.0, 30.0)
     assert line.earliest(Need(4, 1, 20)) == 9.0 and line.earliest(Need(8, 1, 40)) == 39.0
 
 
@@ -88,3 +88,12 @@
     settings = settings_for(0, 3)
     jobs = [pending(n, legs=2, age=100 - n).job for n in range(1, 4)]
     assert within_guarantee(jobs, settings) == {"run-000001", "run-000002"}
+
+
+def test_the_forecast_counts_a_fetch_only_where_the_image_is_missing():
+    item = pending(imageGb=40.0)
+    cold, warm = Line(room("cold", pull=0.5)), Line(room("warm", pull=0.5, images=["img-1"], ready_in=20.0))
+    assert forecast.earliest(item.job, [cold, warm]) == (20.0, warm)
+    cold.put(item.job, 0.0, 10.0)
+    # The image is on its way; the next task of this job begins there at once.
+    assert cold.releases[0][0] == 90.0 and forecast.earliest(item.job, [cold, warm])[1] is cold
--- a/roadbend/rental/policy.py
+++ b/roadbend/rental/policy.py
@@ -41,7 +41,7 @@
     room = option.rig.room
     return Room(
         name, option.rig.name, part, option.spot, room.cpus, room.gpus, room.memory,
-        total=room, ready_in=option.rig.startup.total_seconds(), price=option.price,
+        total=room, ready_in=option.rig.startup.total_seconds(), price=option.price, pull=option.rig.pull,
     )  # fmt: skip
 
 
@@ -98,7 +98,7 @@
     """What the hiring needs to know of a queued task: seconds."""
 
     item: Pending
-    length: float
+    run: float
     slack: float
     image_gb: float = 0.0
     avoid: frozenset[str] = frozenset()
@@ -120,7 +120,8 @@
     for at, timing in enumerate(queue):
         item, need = timing.item, timing.item.job.spec.need
         start, line = forecast.earliest(item.job, [one for one in lines if one.room.rig not in timing.avoid])
-        if start > timing.slack:
+        begin = start if line is None else start + line.room.fetch(item.job.spec.image, timing.image_gb)
+        if begin > timing.slack:
             alike = sum(1 for other in queue[at:] if other.item.job.spec.need == need)
             usable = [o for o in choices if o.rig.name not in timing.avoid]
             # Those that would be in time, if any; a slow boot or fetch may cost more than it saves.
@@ -134,14 +135,14 @@
             if option is not None:
                 room = empty_room(f"new-{len(lines)}", option, part)
                 room.ready_in *= boot_factor
-                if room.ready_in < start - 1.0:
+                if room.ready_in + room.fetch(item.job.spec.image, timing.image_gb) < begin - 1.0:
                     line = Line(room)
                     lines.append(line)
                     start = room.ready_in
                     key = (option.rig.name, option.spot)
                     out[key] = out.get(key, 0) + 1
         if line is not None:
-            line.put(need, start, timing.length)
+            line.put(item.job, start, timing.run)
     return out
 
 
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -241,11 +241,10 @@
         out, wall, op = [], clock.wall(), self._shared.op
         for item in queue:
             spec = item.job.spec
-            run = runtime.task_seconds(item.job)
-            alone = forecast.task_seconds(item.job, self._shared.factor(spec.lane), None)
+            run = runtime.run_seconds(item.job)
             waited = (wall - item.job.at).total_seconds()
             # Estimates are often wrong: the time kept for the run is longer than the likely one.
-            kept = 0.0 if spec.service else alone * op.caution
+            kept = 0.0 if spec.service else run * op.caution
             avoid = runtime.held_back.get(item.job.id, frozenset())
             out.append(policy.Timing(item, run, forecast.slack(item, waited, kept), spec.image_gb, avoid))
         return out
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -188,7 +188,7 @@
     hand_back_after: timedelta = _s(5.0, 0, 600, "a returned controller gets its part back after this time")
     sync_every: timedelta = _s(0.3, 0.02, 5, "how often the records are read when nobody asks")
     sync_gap: timedelta = _s(0.12, 0.0, 5, "least time between two reads of the records")
-    silent_reports: float = _n(2.3, 1.5, 50, "times the report interval after which a silent machine is looked into")
+    silent_reports: float = _n(1.7, 1.3, 50, "times the report interval after which a silent machine is looked into")
     find_owner: timedelta = _s(14.0, 2, 120, "time a new owner gives machines to report before doubting them")
     fence_share: float = _n(0.5, 0.05, 1.0, "part of the machines silent at once that makes us doubt our own net")
     dear: float = _n(1.3, 1.0, 100, "times the cheapest price a task above which a part does not bid to hire")
