--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -193,7 +193,7 @@
     fence_share: float = _n(0.5, 0.05, 1.0, "part of the machines silent at once that makes us doubt our own net")
     dear: float = _n(1.3, 1.0, 100, "times the cheapest price a task above which a part does not bid to hire")
     dear_wait: timedelta = _s(3.0, 0, 600, "a job that has waited for this long is bid for at any price")
-    caution: float = _n(1.3, 1.0, 10, "times the predicted run time that is kept free before a deadline")
+    caution: float = _n(1.0, 1.0, 10, "times the predicted run time that is kept free before a deadline")
     boot_factor: float = _n(1.1, 0.5, 10, "times the nominal boot time that a new machine is expected to take")
     common_share: float = _n(0.25, 0.05, 1.0, "part of the machines silent at once that points to the network")
     idle_return: timedelta = _s(8.0, 0, 3600, "an empty machine is returned after this time")
