A node without contact refuses at once, and sends users elsewhere when it is refused alone

Now: refused at once when the last read is over 1.6 s old; the connection is closed when peers still have contact; /up turns after 2 s instead of 3.

--- a/roadbend/intake/users.py
+++ b/roadbend/intake/users.py
@@ -27,6 +27,8 @@
 log = Log("intake")
 MOST_ENDS = 20_000
 SUBMIT_SHARE, POLL_SHARE = 0.7, 1.0
+# Reads of the records come several times a second; so long without one is trouble.
+STALE = timedelta(seconds=1.6)
 
 
 class Ends:
@@ -49,13 +51,16 @@
     return (("retry-after", str(seconds)),)
 
 
-def later(why: str, seconds: int = 1) -> Response:
-    return Response(503, {"error": why}, wait_header(seconds))
-
-
 class Users:
-    def __init__(self, shared: Shared, submit: Callable[[str], None], told: Callable[[str], None], limit: Limit):
-        self._shared, self._submit, self._told = shared, submit, told
+    def __init__(
+        self,
+        shared: Shared,
+        submit: Callable[[str], None],
+        told: Callable[[str], None],
+        aside: Callable[[datetime], bool],
+        limit: Limit,
+    ):
+        self._shared, self._submit, self._told, self._aside = shared, submit, told, aside
         self.limit = limit
         self.ends = Ends()
 
@@ -87,7 +92,7 @@
                 took = clock.now() - began
             return response
         except (Refused, NoAnswer, Unavailable):
-            return later("no state")
+            return self._later("no state")
         finally:
             self.limit.leave(took)
 
@@ -116,10 +121,12 @@
             with trio.move_on_after(2):
                 await shared.reader.sync()
                 return await self._state(name, 200)
-            return later("no state")
-        if not shared.view.loaded or not shared.rigs:
+            return self._later("no state")
+        if not self._fresh(clock.now()):
+            return self._later("no state")
+        if not shared.rigs:
             # Not decided yet: the machine types are not known.
-            return later("starting")
+            return self._later("starting")
         try:
             messages.can_run(spec, shared.settings.teams, shared.rigs)
         except NeverRuns as error:
@@ -139,7 +146,7 @@
                 if name in shared.view.jobs:
                     self._submit(name)
                 return await self._state(name, 200)
-            return later("no state")
+            return self._later("no state")
         shared.view.applied(rows, ledger)
         log.info("accepted", job=name, team=spec.team, tasks=spec.legs, service=spec.service)
         self._submit(name)
@@ -187,16 +194,21 @@
         if end is not None:
             return self._ended(name, end, 200)
         if not self._fresh(clock.now()):
-            return later("no state")
+            return self._later("no state")
         with trio.move_on_after(1.6):
             await self._shared.reader.sync()
             return await self._state(name, 200)
-        return later("no state")
+        return self._later("no state")
 
     def _fresh(self, now: datetime) -> bool:
-        """During an outage nobody waits for a read that can't come: refused at once."""
-        reader = self._shared.reader
-        return self._shared.view.loaded and reader.refusals < 4
+        """Without contact nobody waits for a read or a write that can't come: refused at once."""
+        contact = self._shared.reader.contact
+        return self._shared.view.loaded and contact is not None and now - contact < STALE
+
+    def _later(self, why: str) -> Response:
+        """Where the state service refuses us alone, the connection is closed too: the next try reaches a
+        controller that it serves, instead of this one again."""
+        return Response(503, {"error": why}, wait_header(1), close=self._aside(clock.now()))
 
     async def _withdraw(self, name: str) -> Response:
         if not messages.valid_id(name):
@@ -206,7 +218,7 @@
         if end is not None:
             return self._ended(name, end, 200)
         if not self._fresh(clock.now()):
-            return later("no state")
+            return self._later("no state")
         with trio.move_on_after(4):
             for _ in range(8):
                 job = shared.view.jobs.get(name)
@@ -232,4 +244,4 @@
                 self.ends.put(name, STATUS_ABORTED, done)
                 log.info("cancelled", job=name)
                 return self._ended(name, (STATUS_ABORTED, done), 200)
-        return later("no state")
+        return self._later("no state")
--- a/roadbend/node.py
+++ b/roadbend/node.py
@@ -49,7 +49,7 @@
         self.fleet = Fleet(self.shared, net, self.cloud, self.peers, self.runtimes)
         self.rental = Rental(self.shared, self.cloud, self.fleet, self.runtimes)
         self.exchange = Exchange(self.shared, self.peers, self.runtimes, self.rental.closed, rng)
-        self.users = Users(self.shared, self.exchange.submit, self._tell, Limit(ceiling=op.users_at_once))
+        self.users = Users(self.shared, self.exchange.submit, self._tell, self.aside, Limit(ceiling=op.users_at_once))
         self.told: OrderedDict[str, datetime] = OrderedDict()
         self.server = Server(self.handle, most=max(64, settings.sockets - 300))
         self.peers.handlers[frames.PING] = self._on_ping
@@ -77,18 +77,22 @@
     def up(self, now: datetime) -> bool:
         """Not up while the state service refuses us and serves a peer; in a common outage all stay up
         and answer 503 quickly."""
+        if self.reader.contact is None or not self.shared.rigs:
+            return False
+        return not self.aside(now)
+
+    def aside(self, now: datetime) -> bool:
+        """Whether the state service does without us alone."""
         contact = self.reader.contact
-        if contact is None or not self.shared.rigs:
+        if contact is not None and now - contact < timedelta(seconds=2):
             return False
-        if now - contact < timedelta(seconds=3):
-            return True
         for link in self.peers.links.values():
             pulse, at = link.known.pulse, link.known.heard_at
             if pulse is None or at is None or now - at > timedelta(seconds=3):
                 continue
-            if pulse.contact_age is not None and pulse.contact_age < timedelta(seconds=2):
-                return False
-        return True
+            if pulse.contact_age is not None and pulse.contact_age < timedelta(seconds=1.5):
+                return True
+        return False
 
     # Pulses.
 
--- a/roadbend/test_stories.py
+++ b/roadbend/test_stories.py
@@ -140,6 +140,21 @@
         assert await w.until(lambda: not w.board.running("run-000010"), 38)
 
 
+async def test_a_refused_node_sends_its_users_elsewhere_at_once():
+    async with world() as w:
+        w.state.refused.add("node-0")
+        await trio.sleep(2.5)
+        stream = await w.network.port("user").connect("node-0:80")
+        began = trio.current_time()
+        await stream.send_all(b"GET /v1/jobs/run-1 HTTP/1.1\r\nhost: x\r\n\r\n")
+        answer = await stream.receive_some(1000)
+        assert answer.startswith(b"HTTP/1.1 503") and b"connection: close" in answer.lower()
+        assert trio.current_time() - began < 0.1
+        assert await w.submit(0, job(13)) == 503
+        assert trio.current_time() - began < 0.2
+        assert await w.submit(1, job(13)) == 201
+
+
 async def down(w, at):
     return (await w.call(at, "GET", "/up"))[0] == 503
 
