--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -130,16 +130,19 @@
 
     async def run_rebid(self) -> None:
         """Any live controller offers a recorded job that nobody holds; the hash says who tries first."""
-        waiting: dict[str, datetime] = {}
+        op = self._shared.op
+        waiting: dict[str, tuple[datetime, datetime]] = {}
         while True:
-            await clock.pause(self._shared.op.rebid_every)
+            await clock.pause(op.rebid_every)
             now = clock.now()
             names = [self._shared.settings.name, *self._peers.alive(now)]
-            free = {job.id: job for job in self._shared.view.jobs.values() if job.free}
-            waiting = {name: waiting.get(name, now) for name in free}
-            for name in free:
+            free = [job.id for job in self._shared.view.jobs.values() if job.free]
+            waiting = {name: waiting.get(name, (now, now)) for name in free}
+            for name, (since, due) in waiting.items():
                 mine = rendezvous(name, names) == self._shared.settings.name
-                if mine or now - waiting[name] > self._shared.op.rebid_every * 4:
+                if now >= due and (mine or now - since > op.rebid_every * 4):
+                    # The longer it has found nobody, the less often it asks: a burst must not be all bids.
+                    waiting[name] = (since, now + min((now - since) * 0.3, op.rebid_every * 4))
                     self.submit(name)
 
     async def _ask(self, link: Link, kind: int, payload: bytes, out: list[Bid]) -> None:
--- a/roadbend/bidding/offers.py
+++ b/roadbend/bidding/offers.py
@@ -45,15 +45,9 @@
         dear = self._dear(job, ask)
         queue = runtime.pending()
         own = sum(1 for item in queue if item.job.id == ask.job)
-        booting = [replace(room) for room in runtime.booting if room.id not in runtime.machines]
-        lines = [line for line in runtime.lines(booting) if line.room.rig not in dear]
-        cores = max(1.0, sum(line.room.total.cpus for line in lines))
         # What queues here comes first: what is left after it can start the asked job now.
-        for item in queue:
-            if item.job.spec.priority >= spec.priority:
-                start, line = forecast.earliest(item.job, lines)
-                if line is not None:
-                    line.put(item.job, start, runtime.run_seconds(item.job))
+        lines = runtime.layout(spec.priority, frozenset(dear))
+        cores = max(1.0, sum(line.room.total.cpus for line in lines))
         ready = [line.room for line in lines if line.room.ready_in <= 0]
         now_count = self._fit(job, ready)
         room = now_count + self._fit(job, [line.room for line in lines if line.room.ready_in > 0])
--- a/roadbend/placement/forecast.py
+++ b/roadbend/placement/forecast.py
@@ -58,6 +58,8 @@
         level = where is not None and abs(runs - best) <= 1e-6 and spec.spot and room.spot and not where.room.spot
         if better or level:
             best, where, when = runs, line, at
+            if runs <= 0 and (room.spot or not spec.spot):
+                break
     return when, where
 
 
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -31,6 +31,8 @@
 
 log = Log("placement")
 MOST_PENDING = 96
+# For how long a queue or a layout that was worked out may serve again, while the records stand still.
+REUSE = timedelta(milliseconds=300)
 # How long room that is being made is kept for the task that it is made for.
 PLEDGE = timedelta(seconds=15)
 # How long a report that brought news may wait for what it calls for; workers wait 4 s.
@@ -191,6 +193,8 @@
         self.booting: list[Room] = []
         self.left: list[Pending] = []
         self._seq = 0
+        self._queue: tuple[tuple[int, int], datetime, list[Pending]] = ((-1, -1), clock.ORIGIN, [])
+        self._layouts: deque[tuple[tuple, datetime, list[Line]]] = deque(maxlen=4)
         self._index: tuple[int, dict[str, dict[Key, tuple[Slice, Attempt]]]] = (-1, {})
         # Machines on which room is being made, and for whom: (job, task) -> (machine, until).
         self.pledges: dict[Key, tuple[str, datetime]] = {}
@@ -220,9 +224,14 @@
         return None if job in self.shared.cancelled else self.shared.view.jobs.get(job)
 
     def pending(self) -> list[Pending]:
-        view, sure = self.shared.view, self.shared.guaranteed()
-        now = clock.now()
-        out = []
+        """The queue, in order; worked out anew only when the records have changed or a moment has passed.
+        Callers do not change it."""
+        view, now = self.shared.view, clock.now()
+        mark = (view.version, len(self.shared.cancelled))
+        if self._queue[0] == mark and now - self._queue[1] < REUSE:
+            return self._queue[2]
+        sure = self.shared.guaranteed()
+        out: list[Pending] = []
         for job in view.jobs.values():
             held = job.alloc.get(self.part)
             if not held or job.id in self.shared.cancelled:
@@ -232,8 +241,26 @@
             for leg in ranges.numbers(ranges.first(self.loose(job), MOST_PENDING)):
                 out.append(Pending(job, leg, job.id in sure))
         out.sort(key=policy.rank)
+        self._queue = (mark, now, out)
         return out
 
+    def layout(self, least: int, avoid: frozenset[str]) -> list[Line]:
+        """The machines with the queue from a priority on laid on them: what a bid looks at. One layout
+        serves all bids of a moment, for in a burst they come by the dozen. Callers do not change it."""
+        now, mark = clock.now(), (self.shared.view.version, least, avoid, len(self.booting))
+        for key, at, lines in self._layouts:
+            if key == mark and now - at < REUSE:
+                return lines
+        booting = [replace(room) for room in self.booting if room.id not in self.machines]
+        lines = [line for line in self.lines(booting) if line.room.rig not in avoid]
+        for item in self.pending():
+            if item.job.spec.priority >= least:
+                start, line = forecast.earliest(item.job, lines)
+                if line is not None:
+                    line.put(item.job, start, self.run_seconds(item.job))
+        self._layouts.append((mark, now, lines))
+        return lines
+
     def loose(self, job: Job) -> Ranges:
         """Tasks of a job that this part holds and has not placed."""
         held, piece = job.alloc.get(self.part, ()), self.shared.view.slices.get(self.part, {}).get(job.id)
