--- a/roadbend/bidding/offers.py
+++ b/roadbend/bidding/offers.py
@@ -10,7 +10,7 @@
 from roadbend.placement import forecast
 from roadbend.placement import policy as placing
 from roadbend.placement.policy import Room
-from roadbend.placement.runtime import PartRuntime
+from roadbend.placement.runtime import MOST_FORECAST, PartRuntime
 from roadbend.rental import policy as renting
 from roadbend.rental.cloud import Rig
 from roadbend.store.records import Job, Spec
@@ -95,7 +95,7 @@
         runtime = self._runtime
         booting = [replace(room) for room in runtime.booting if room.id not in runtime.machines]
         lines, start = runtime.lines(booting), forecast.NEVER
-        for item in runtime.pending():
+        for item in runtime.pending()[:MOST_FORECAST]:
             at, line = forecast.earliest(item.job, lines)
             if item.job.id == job.id:
                 start = min(start, at)
--- a/roadbend/clock.py
+++ b/roadbend/clock.py
@@ -28,9 +28,5 @@
     return datetime.fromtimestamp(value / 1000, UTC)
 
 
-def secs(value: float) -> timedelta:
-    return timedelta(seconds=value)
-
-
 async def pause(length: timedelta) -> None:
     await trio.sleep(max(0.0, length.total_seconds()))
--- a/roadbend/fleet/machines.py
+++ b/roadbend/fleet/machines.py
@@ -31,7 +31,6 @@
     rig: str
     zone: str
     spot: bool
-    first_seen: datetime
     order: tuple[int, int] = (0, -1)
     reported: datetime | None = None
     # When we last answered 200: its lease can't count from later than this.
@@ -45,9 +44,7 @@
     images: dict[str, float] = field(default_factory=dict)
     failures: dict[str, datetime] = field(default_factory=dict)
     empty_since: datetime | None = None
-    useful_since: datetime | None = None
     foreign: int = 0
-    speed: float = 1.0
 
     def fresh(self, now: datetime, silent_after: timedelta) -> bool:
         return self.reported is not None and now - self.reported < silent_after
--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -63,6 +63,8 @@
             if orders is None:
                 return Response(503, {"error": "old report"})
             return Response(200, {"baton": runtime.tenure.term, "orders": orders})
+        if report.zone not in ownership.parts():
+            return Response(503, {"error": "no such part"})
         heard = self._strangers.setdefault(report.zone, OrderedDict())
         heard[report.machine] = now
         heard.move_to_end(report.machine)
--- a/roadbend/fleet/test_machines.py
+++ b/roadbend/fleet/test_machines.py
@@ -37,7 +37,7 @@
         name, spec = read_submission(job(1))
         self.job = Job(name, spec, clock.wall(), {"east": ((0, 1),)})
         self.recorded = {KEY: (Slice(name, "east", "red", Need(8, 1, 40)), Attempt(70, "m-1"))}
-        self.machine = Machine("m-1", "m-1:1", "g2", "east", False, NOW)
+        self.machine = Machine("m-1", "m-1:1", "g2", "east", False)
         self.stops, self.facts = {}, {}
         self.jobs = {name: self.job}
         self.may_start = True
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -31,6 +31,8 @@
 
 log = Log("placement")
 MOST_PENDING = 96
+# How far down the queue a forecast looks; in a burst hundreds wait, and a round must stay cheap.
+MOST_FORECAST = 128
 # For how long a queue or a layout that was worked out may serve again, while the records stand still.
 REUSE = timedelta(milliseconds=300)
 # How long room that is being made is kept for the task that it is made for.
@@ -188,7 +190,6 @@
         # Pairs that just failed: a task is not put on the same machine again at once.
         self.avoid: dict[tuple[str, str], datetime] = {}
         self.backoff: dict[str, tuple[int, datetime]] = {}
-        self.fenced: list[str] = []
         # Rooms that boot, filled in by rental.
         self.booting: list[Room] = []
         self.left: list[Pending] = []
@@ -200,7 +201,6 @@
         self.pledges: dict[Key, tuple[str, datetime]] = {}
         # Types that waiting services are kept from for now.
         self.held_back: dict[str, frozenset[str]] = {}
-        self.first_start: dict[Key, datetime] = {}
         # Machines named in the transaction whose answer is out; they must not be returned meanwhile.
         self.in_flight: set[str] = set()
 
@@ -253,7 +253,7 @@
                 return lines
         booting = [replace(room) for room in self.booting if room.id not in self.machines]
         lines = [line for line in self.lines(booting) if line.room.rig not in avoid]
-        for item in self.pending():
+        for item in self.pending()[:MOST_FORECAST]:
             if item.job.spec.priority >= least:
                 start, line = forecast.earliest(item.job, lines)
                 if line is not None:
@@ -342,7 +342,7 @@
             machine = self.machines.get(report.machine)
             fresh = machine is None
             if machine is None:
-                machine = Machine(report.machine, report.address, report.rig, report.zone, report.spot, now)
+                machine = Machine(report.machine, report.address, report.rig, report.zone, report.spot)
                 self.machines[machine.id] = machine
                 log.info("machine-up", part=self.part, machine=machine.id, rig=machine.rig, spot=machine.spot)
                 self.kick.set()
@@ -413,8 +413,6 @@
                 continue
             if seen.state == "running":
                 machine.note_image(job.spec.image, job.spec.image_gb, rig.cache_gb)
-                if seen.running_since == now and key not in self.first_start:
-                    self.first_start[key] = now
         if recorded or machine.tasks:
             machine.empty_since = None
         elif machine.empty_since is None:
@@ -484,8 +482,6 @@
         waiting = {(item.job.id, item.leg) for item in self.left} if self.pledges else set()
         for key in [k for k, (_, until) in self.pledges.items() if until <= now or k not in waiting]:
             del self.pledges[key]
-        if len(self.first_start) > 4096:
-            self.first_start.clear()
         for job in [j for j, (_, until) in self.backoff.items() if until + timedelta(minutes=5) < now]:
             del self.backoff[job]
 
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -10,7 +10,7 @@
 from roadbend.log import Log
 from roadbend.placement import forecast
 from roadbend.placement import policy as placing
-from roadbend.placement.runtime import PartRuntime, Shared
+from roadbend.placement.runtime import MOST_FORECAST, PartRuntime, Shared
 from roadbend.rental import policy
 from roadbend.rental.cloud import Busy, Cloud, Listed, NoCapacity, read_rigs
 from roadbend.store import records
@@ -44,7 +44,6 @@
         self.refused: dict[tuple[str, str, bool], Refusal] = {}
         self._boots: dict[str, dict[str, Boot]] = {}
         self._names = 0
-        self._down = False
         self._first_listed: dict[str, datetime] = {}
 
     # The catalog and the list, once a controller.
@@ -64,7 +63,6 @@
             try:
                 rigs = await self._cloud.catalog()
                 self._shared.rigs = rigs
-                self._down = False
                 await self._keep_catalog(rigs)
                 # Until it is in the records, a controller that starts in a cloud outage would not know it.
                 await clock.pause(timedelta(seconds=20 if self._shared.view.catalog is not None else 1))
@@ -96,7 +94,6 @@
                 if self._runtimes:
                     rows = await self._cloud.machines()
                     self._fleet.take_list(rows)
-                    self._down = False
                     self._sort_listed(rows)
             except (NoAnswer, Busy, NoCapacity) as error:
                 log.debug("no-list", error=str(error)[:60])
@@ -164,7 +161,7 @@
             del boots[name]
         fresh = self.boot_rooms(runtime, now)
         runtime.booting = fresh
-        queue = self._timed(runtime, self._within_limits(runtime, runtime.pending()))
+        queue = self._timed(runtime, self._within_limits(runtime, runtime.pending())[:MOST_FORECAST])
         choices = policy.options(self._shared.rigs.values(), part, self.closed(part, now))
         # The forecast writes on the rooms that it is given.
         lines = runtime.lines([replace(room) for room in fresh])
--- a/roadbend/store/ranges.py
+++ b/roadbend/store/ranges.py
@@ -65,11 +65,3 @@
         out.append((low, low + take))
         n -= take
     return tuple(out)
-
-
-def last(a: Ranges, n: int) -> Ranges:
-    return minus(a, first(a, size(a) - n))
-
-
-def valid(a: Ranges, top: int) -> bool:
-    return all(0 <= low < high <= top for low, high in a)
