--- a/roadbend/test_stories.py
+++ b/roadbend/test_stories.py
@@ -4,9 +4,13 @@
 
 import trio
 
+from roadbend import clock
+from roadbend.intake.messages import read_submission
 from roadbend.settings import Operator, Team
 from roadbend.standins.world import job, world
 from roadbend.store import records
+from roadbend.store.client import put
+from roadbend.store.records import Attempt, Job, Slice
 
 
 async def test_an_array_runs_to_its_end_and_every_node_says_so():
@@ -315,3 +319,31 @@
         }  # fmt: skip
         assert (await w.call(0, "POST", "/hello", body))[0] == 503
         assert "m-7" not in node.runtimes["east"].machines
+
+
+async def test_a_crash_between_the_write_ahead_and_the_order_starts_the_task_once():
+    async with world(count=1) as w:
+        assert await w.submit(0, job(90, shape="daemon", dueS=None), None) == 201
+        assert await w.until(lambda: w.board.running("run-000090"), 60)
+        machine = next(iter(w.board.where["run-000090/0"]))
+        w.crash(0)
+        # What the crashed owner had written, and had not yet told the machine.
+        name, spec = read_submission(job(91))
+        made = Job(name, spec, clock.wall(), {"east": ((0, 1),)})
+        piece = Slice(name, "east", "red", spec.need, run={0: Attempt((1 << 32) | 77, machine)})
+        cpus, gpus = w.state.value(records.team_key("red"))["east"]
+        rows = [
+            put(records.job_key(name), made.to_value()),
+            put(records.slice_key("east", name), piece.to_value()),
+            put(records.team_key("red"), {"east": [cpus + 8, gpus + 1]}),
+        ]
+        assert w.state.multi({"apply": rows}).status == 200
+        w.board.lengths[name] = 5.0
+        await trio.sleep(4)
+        w.start(0)
+        assert await w.settled()
+        assert await w.until(lambda: is_(w, 0, 91, "done"), 60)
+        assert [(task, home) for _, task, home in w.board.starts if task == "run-000091/0"] == [
+            ("run-000091/0", machine)
+        ]
+        assert w.state.value(records.team_key("red")) == {"east": [cpus, gpus]}
