--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -17,7 +17,8 @@
 from roadbend.peers import frames
 from roadbend.peers.frames import BadFrame
 from roadbend.peers.links import Link, NoReply, Peers
-from roadbend.placement.runtime import PartRuntime, Shared
+from roadbend.placement.runtime import PartRuntime
+from roadbend.placement.shared import Shared
 from roadbend.store import ranges, records
 from roadbend.store.client import Conflict, NoLease, Unavailable, commit, put
 from roadbend.store.records import Job
--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -13,7 +13,8 @@
 from roadbend.http.server import Malformed, Request, Response, decode
 from roadbend.log import Log
 from roadbend.peers.links import Peers
-from roadbend.placement.runtime import PartRuntime, Shared
+from roadbend.placement.runtime import PartRuntime
+from roadbend.placement.shared import Shared
 from roadbend.rental.cloud import MOST_NAMES, Busy, Cloud, Listed, NoCapacity
 
 log = Log("fleet")
--- a/roadbend/intake/users.py
+++ b/roadbend/intake/users.py
@@ -19,7 +19,7 @@
     NeverRuns,
 )
 from roadbend.log import Log
-from roadbend.placement.runtime import Shared
+from roadbend.placement.shared import Shared
 from roadbend.store import ranges, records
 from roadbend.store.client import Conflict, Refused, Unavailable, commit, delete, put
 from roadbend.store.records import Job
--- a/roadbend/node.py
+++ b/roadbend/node.py
@@ -20,7 +20,8 @@
 from roadbend.peers import frames
 from roadbend.peers.links import Link, Peers
 from roadbend.peers.pulse import Pulse
-from roadbend.placement.runtime import PartRuntime, Shared
+from roadbend.placement.runtime import PartRuntime
+from roadbend.placement.shared import Shared
 from roadbend.rental.cloud import Cloud
 from roadbend.rental.service import Rental
 from roadbend.settings import Operator, Settings
--- /dev/null
+++ b/roadbend/placement/batch.py
@@ -0,0 +1,99 @@
+"""One transaction of an owner in the making."""
+
+from collections.abc import Callable
+from typing import Any
+
+from roadbend.fleet.machines import Key
+from roadbend.parts.ownership import Tenure
+from roadbend.settings import Settings
+from roadbend.store import records
+from roadbend.store.client import delete, put
+from roadbend.store.records import Job, Need, Slice, Use, weigh
+from roadbend.store.view import View
+
+# Bytes that a transaction's values may have in all; the protocol allows 64 KiB, conditions included.
+MOST_BODY = 56 * 1024
+
+
+class Batch:
+    """One transaction in the making: working copies of what it changes, and its conditions."""
+
+    def __init__(self, view: View, part: str, tenure: Tenure, settings: Settings):
+        self._view, self._part, self._most = view, part, settings.txn_ops
+        self._value = settings.value_bytes
+        self.when: dict[str, int] = {records.term_key(part): tenure.stamp}
+        self.rows: dict[str, dict] = {}
+        self.slices: dict[str, Slice] = {}
+        self.teams: dict[str, Use] = {}
+        # Attempts that this transaction takes out of the records, and what changes in the teams' use.
+        self.ended: set[Key] = set()
+        self.change: dict[str, tuple[float, float]] = {}
+        self._sizes: dict[str, int] = {}
+        self.after: list[Callable[[], None]] = []
+
+    @property
+    def free(self) -> int:
+        return max(0, self._most - len(self.rows))
+
+    def room_for(self, *keys: str) -> bool:
+        fresh = sum(1 for key in keys if key not in self.rows)
+        return len(self.rows) + fresh <= self._most and sum(self._sizes.values()) < MOST_BODY - self._value
+
+    def slice(self, job: str, team: str, need: Need, shard: int) -> Slice:
+        key = records.slice_key(self._part, job, shard)
+        if key in self.slices:
+            return self.slices[key]
+        work = self._view.slices.get(self._part, {}).get(job)
+        found = work.shards.get(shard) if work is not None else None
+        return found or Slice(job, self._part, team, need, shard=shard)
+
+    def team(self, name: str) -> Use:
+        return self.teams.get(name) or self._view.teams.get(name) or Use(name)
+
+    def used(self, team: str) -> tuple[float, float]:
+        """What the part uses for a team once this transaction is carried out."""
+        cpus, gpus = self._view.used.get(self._part, {}).get(team, (0.0, 0.0))
+        more = self.change.get(team, (0.0, 0.0))
+        return cpus + more[0], gpus + more[1]
+
+    def charge(self, team: str, need: Need, tasks: int) -> None:
+        cpus, gpus = self.change.get(team, (0.0, 0.0))
+        self.change[team] = (cpus + tasks * need.cpus, gpus + tasks * need.gpus)
+
+    def need_job(self, job: Job) -> None:
+        self.when[records.job_key(job.id)] = job.stamp
+
+    def _put(self, key: str, value: Any) -> None:
+        self.rows[key] = put(key, value)
+        self._sizes[key] = weigh(value) + len(key) + 60
+
+    def set_slice(self, piece: Slice) -> bool:
+        """False where the record would not fit its value; nothing is changed then."""
+        key, value = piece.key, piece.to_value()
+        if weigh(value) > self._value * 0.95:
+            return False
+        self.when.setdefault(key, self._view.stamp(key))
+        self.slices[key] = piece
+        self._put(key, value)
+        return True
+
+    def drop_slice(self, piece: Slice) -> None:
+        self.when.setdefault(piece.key, self._view.stamp(piece.key))
+        self.rows[piece.key] = delete(piece.key)
+
+    def set_team(self, use: Use) -> None:
+        key = records.team_key(use.team)
+        self.when.setdefault(key, self._view.stamp(key))
+        self.teams[use.team] = use
+        self._put(key, use.to_value())
+
+    def set_job(self, job: Job) -> None:
+        self.need_job(job)
+        self._put(records.job_key(job.id), job.to_value())
+
+    def end_job(self, job: Job, status: str, done: int) -> None:
+        self.need_job(job)
+        key, fin = records.job_key(job.id), records.fin_key(job.id)
+        self.when[fin] = 0
+        self.rows[key] = delete(key)
+        self.rows[fin] = put(fin, records.fin_value(status, done))
--- /dev/null
+++ b/roadbend/placement/ends.py
@@ -0,0 +1,129 @@
+"""Ends of attempts into the records, and slices and jobs that are over out of them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from datetime import datetime, timedelta
+from functools import partial
+from typing import TYPE_CHECKING
+
+from roadbend import clock
+from roadbend.fleet.machines import Fact
+from roadbend.log import Log
+from roadbend.placement.batch import Batch
+from roadbend.store import ranges, records
+from roadbend.store.ranges import Ranges
+from roadbend.store.records import Slice
+
+if TYPE_CHECKING:
+    from roadbend.placement.runtime import PartRuntime
+
+log = Log("placement")
+# Shards of a job that is still running leave the records when there are this many to go.
+FOLD = 4
+
+
+def record_ends(rt: PartRuntime, batch: Batch, now: datetime) -> bool:
+    """Ends into the records, and slices and jobs that are over out of them."""
+    view, part = rt.shared.view, rt.part
+    by_job: dict[str, list[tuple[int, Fact]]] = {}
+    for (job, leg), fact in rt.facts.items():
+        by_job.setdefault(job, []).append((leg, fact))
+    # Slices of cancelled jobs with nothing left, and slices all done, also end here.
+    for name, work in rt.works().items():
+        if not work.run:
+            by_job.setdefault(name, [])
+    more = False
+    for name, facts in by_job.items():
+        work = rt.works().get(name)
+        if work is None:
+            continue
+        job = view.jobs.get(name)
+        touched: dict[int, Slice] = {}
+        ended: list[tuple[int, Fact]] = []
+        for leg, fact in facts:
+            attempt = work.run.get(leg)
+            if attempt is None or attempt.number != fact.attempt:
+                continue
+            at = work.shard_of(leg, rt.width)
+            piece = touched.get(at) or batch.slice(name, work.team, work.need, at)
+            run = {n: a for n, a in piece.run.items() if n != leg}
+            done = piece.done
+            if fact.done and job is not None and not job.spec.service:
+                done = ranges.union(done, ((leg, leg + 1),))
+            touched[at] = replace(piece, run=run, done=done)
+            ended.append((leg, fact))
+        shards = {**work.shards, **touched}
+        done = ranges.normal(pair for piece in shards.values() for pair in piece.done)
+        held = job.alloc.get(part, ()) if job is not None else ()
+        idle = {n: p for n, p in shards.items() if not p.run}
+        whole = len(idle) == len(shards) and (job is None or not ranges.minus(held, done))
+        if whole or job is None:
+            over = idle
+        else:
+            # A wide array's shards leave the records a few at a time, not one by one.
+            over = {n: p for n, p in idle.items() if not ranges.minus(within(rt, held, n), p.done)}
+            over = over if len(over) >= FOLD else {}
+        keys = [records.slice_key(part, name, n) for n in touched.keys() | over.keys()]
+        if job is not None and over:
+            keys += [records.job_key(name), records.fin_key(name)]
+        if not keys:
+            continue
+        if not batch.room_for(*keys):
+            if batch.rows:
+                return True
+            # Wider than one transaction: some of it now, the rest in the next.
+            some = sorted(over.keys() | touched.keys())[: max(1, batch.free - 2)]
+            over = {n: p for n, p in over.items() if n in some}
+            touched = {n: p for n, p in touched.items() if n in some}
+            ended = [(leg, f) for leg, f in ended if work.shard_of(leg, rt.width) in some]
+            whole, more = False, True
+        for n, piece in touched.items():
+            if n not in over:
+                # Fewer attempts never make the record larger than a range each.
+                batch.set_slice(piece)
+        for piece in over.values():
+            batch.drop_slice(piece)
+        if job is not None and over:
+            all_done = ranges.normal([*job.done, *(pair for piece in over.values() for pair in piece.done)])
+            if whole and ranges.size(all_done) >= job.spec.legs:
+                batch.end_job(job, "done", job.spec.legs)
+            else:
+                batch.set_job(replace(job.with_part(part, ranges.minus(held, all_done)), done=all_done))
+        for leg, fact in ended:
+            batch.ended.add((name, leg))
+            batch.charge(work.team, work.need, -1)
+            batch.after.append(partial(note_end, rt, name, leg, fact, now))
+    return more
+
+
+def within(rt: PartRuntime, held: Ranges, shard: int) -> Ranges:
+    """The held tasks whose attempts are written into this shard."""
+    if shard < 0:
+        return held
+    low, high = shard * rt.width, (shard + 1) * rt.width
+    return tuple((max(a, low), min(b, high)) for a, b in held if a < high and b > low)
+
+
+def note_end(rt: PartRuntime, job: str, leg: int, fact: Fact, now: datetime) -> None:
+    log.debug("ended", part=rt.part, task=f"{job}/{leg}", machine=fact.machine, cause=fact.cause)
+    if fact.cause == "done":
+        machine = rt.machines.get(fact.machine)
+        if machine is not None:
+            machine.failures.clear()
+            seen, known = machine.tasks.get((job, leg)), rt.shared.view.jobs.get(job)
+            if known is not None and seen is not None and seen.running_since is not None:
+                rt.shared.learn(known, seen.since - seen.running_since)
+        rt.backoff.pop(job, None)
+    elif fact.cause in ("error", "unknown", "no_room", "busy"):
+        pause = timedelta(seconds=20 if fact.cause == "error" else 4)
+        rt.avoid.setdefault(job, {})[fact.machine] = now + pause
+        if fact.cause == "error":
+            machine = rt.machines.get(fact.machine)
+            if machine is not None:
+                machine.failures[job] = now
+            times = rt.backoff.get(job, (0, now))[0] + 1
+            # A job that fails everywhere comes back ever more slowly and waits for its user.
+            pause = timedelta(seconds=min(60.0, 0.5 * 2 ** min(times, 8))) if times > 3 else clock.ZERO
+            rt.backoff[job] = (times, now + pause)
+            log.info("task-error", part=rt.part, task=f"{job}/{leg}", machine=fact.machine, times=times)
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -4,11 +4,10 @@
 what can be lost: what machines last showed, the ends not yet recorded, stops that were decided."""
 
 import threading
-from collections import OrderedDict, deque
-from collections.abc import Callable, Container, Iterable
-from dataclasses import dataclass, field, replace
+from collections import deque
+from collections.abc import Container
+from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
-from functools import partial
 from typing import Any
 
 import trio
@@ -18,247 +17,29 @@
 from roadbend.fleet.machines import Fact, Key, Machine, Stop
 from roadbend.fleet.messages import Report
 from roadbend.log import Log
-from roadbend.parts.ownership import Ownership, Tenure
-from roadbend.placement import forecast, policy
+from roadbend.parts.ownership import Tenure
+from roadbend.placement import ends, forecast, policy, starts
+from roadbend.placement.batch import Batch
 from roadbend.placement.forecast import Line
-from roadbend.placement.policy import Pending, Room, Victim
-from roadbend.rental import policy as renting
-from roadbend.rental.cloud import Rig
-from roadbend.settings import Operator, Settings
+from roadbend.placement.policy import Pending, Room
+from roadbend.placement.shared import Shared
 from roadbend.store import ranges, records
-from roadbend.store.client import Conflict, StateClient, Unavailable, commit, delete, put
+from roadbend.store.client import Conflict, Unavailable, commit, put
 from roadbend.store.ranges import Ranges
-from roadbend.store.records import Attempt, Job, Need, Slice, Spec, Use, weigh
-from roadbend.store.view import Reader, Rows, View, Work
+from roadbend.store.records import Attempt, Job, Need
+from roadbend.store.view import Rows, Work
 
 log = Log("placement")
 # Tasks of one job that a queue shows at once; the rest of a wider one follows as these are placed.
 MOST_PENDING = 1024
 # For how long a queue or a layout that was worked out may serve again, at the least.
 REUSE = timedelta(milliseconds=300)
-# How long room that is being made is kept for the task that it is made for.
-PLEDGE = timedelta(seconds=15)
 # How long a report that brought news may wait for what it calls for; workers wait 4 s.
 ANSWER_WAIT = timedelta(milliseconds=400)
 # A transaction gathers what comes within this time.
 STEP_GAP = timedelta(milliseconds=90)
-# How often a part looks whether it has set too much aside for a team.
-RESERVE_EVERY = timedelta(seconds=1)
-# Most tasks stopped for others in one step, and machines remembered as deleted.
-MOST_PREEMPTED = 24
+# Most machines remembered as deleted.
 MOST_DELETED = 8192
-# Shards of a job that is still running leave the records when there are this many to go.
-FOLD = 4
-# Bytes that a transaction's values may have in all; the protocol allows 64 KiB, conditions included.
-MOST_BODY = 56 * 1024
-
-
-@dataclass
-class Shared:
-    """What a controller's parts have in common."""
-
-    settings: Settings
-    op: Operator
-    state: StateClient
-    view: View
-    reader: Reader
-    ownership: Ownership
-    rigs: dict[str, Rig] = field(default_factory=dict)
-    # Jobs that a peer told its user are cancelled, before the records say so here.
-    cancelled: OrderedDict[str, datetime] = field(default_factory=OrderedDict)
-    # Who is within its team's guarantee; it changes only when a job comes or goes.
-    guarantee: tuple[int, set[str]] = (-1, set())
-    # Jobs that have waited too long without beginning, by team, and when that was last looked at.
-    overdue_jobs: dict[str, dict[str, int]] = field(default_factory=dict)
-    overdue_at: datetime = clock.ORIGIN
-    # Machines that we deleted lately; the cloud's list goes on showing them for a while.
-    deleted: OrderedDict[str, datetime] = field(default_factory=OrderedDict)
-    # By lane, how long tasks ran over how long their owner said, learnt as they end.
-    factors: dict[str, float] = field(default_factory=dict)
-
-    def factor(self, lane: str) -> float:
-        return self.factors.get(lane, 1.0)
-
-    def start_within(self, spec: Spec) -> timedelta | None:
-        """How soon a task should start, where an aim says so, of its class or of work in a guarantee."""
-        rows = [
-            o.within
-            for o in self.settings.objectives
-            if o.within is not None and (o.kind == "wait" and o.lane == spec.lane or o.kind == "guarantee")
-        ]
-        return min(rows, default=None) if spec.service else None
-
-    def deadlines(self, spec: Spec) -> tuple[float, ...]:
-        """The times of its due time at which a job's aims count, the first one first."""
-        rows = {o.times for o in self.settings.objectives if o.kind == "deadline" and o.lane == spec.lane}
-        return tuple(sorted(x for x in rows if x >= 1.0)) or (1.0,)
-
-    def patience(self, spec: Spec, boot: timedelta) -> timedelta:
-        """How long a service may be held back from machines on which it is dear."""
-        within = self.start_within(spec)
-        spare = (within - boot * 1.1) / 2 if within is not None else clock.ZERO
-        return max(self.op.dear_wait, spare)
-
-    def learn(self, job: Job, ran: timedelta) -> None:
-        if job.spec.expected > timedelta(seconds=1):
-            x = min(4.0, max(0.25, ran / job.spec.expected))
-            self.factors[job.spec.lane] = 0.93 * self.factor(job.spec.lane) + 0.07 * x
-            while len(self.factors) > 256:
-                self.factors.pop(next(iter(self.factors)))
-
-    def guaranteed(self) -> set[str]:
-        if self.guarantee[0] != self.view.membership:
-            self.guarantee = (self.view.membership, within_guarantee(self.view.jobs.values(), self.settings))
-        return self.guarantee[1]
-
-    def begun(self, job: Job) -> bool:
-        rows = (works.get(job.id) for works in self.view.slices.values())
-        return bool(job.done) or any(work is not None and (work.run or work.done) for work in rows)
-
-    def overdue(self, now: datetime) -> dict[str, dict[str, int]]:
-        """Team -> jobs that have begun nothing for long, with their priority. Whatever the order of work
-        is, such a job comes next, and other parts leave its team's room to it; but not for ever, for it
-        may be one that no machine can be had for."""
-        if now - self.overdue_at >= timedelta(seconds=1):
-            self.overdue_at, wall, limit = now, clock.wall(), self.op.begin_within
-            self.overdue_jobs = {}
-            for job in self.view.jobs.values():
-                if limit <= wall - job.at < limit * 3 and job.id not in self.cancelled and not self.begun(job):
-                    self.overdue_jobs.setdefault(job.spec.team, {})[job.id] = job.spec.priority
-        return self.overdue_jobs
-
-    def limits(self, team: str) -> tuple[float, float] | None:
-        """A team's most cores and GPUs; None for a team that we don't know."""
-        row = self.settings.teams.get(team)
-        return None if row is None else (row.cpus_max or float("inf"), row.gpus_max or float("inf"))
-
-    def most_for(self, team: str, part: str) -> tuple[float, float] | None:
-        """What a part may use for a team at most: the limit less what other parts have set aside."""
-        most = self.limits(team)
-        if most is None:
-            return None
-        use = self.view.teams.get(team)
-        others = [row for name, row in use.parts.items() if name != part] if use else []
-        return most[0] - sum(c for c, _ in others), most[1] - sum(g for _, g in others)
-
-    def room_left(self, spec: Spec, part: str) -> int:
-        """How many more of a job's tasks its team's limit lets a part start."""
-        most = self.most_for(spec.team, part)
-        if most is None:
-            return 0
-        used = self.view.used.get(part, {}).get(spec.team, (0.0, 0.0))
-        return fits_in((most[0] - used[0], most[1] - used[1]), spec.need)
-
-
-def within_guarantee(jobs: Iterable[Job], settings: Settings) -> set[str]:
-    """Jobs that fit into their team's guarantee together with its earlier unfinished jobs."""
-    used: dict[str, list[float]] = {}
-    out = set()
-    for job in sorted(jobs, key=lambda j: (j.at, j.id)):
-        team = settings.teams.get(job.spec.team)
-        if team is None:
-            continue
-        sums = used.setdefault(team.name, [0.0, 0.0])
-        total = job.spec.need.times(job.spec.legs)
-        sums[0] += total.cpus
-        sums[1] += total.gpus
-        fits = (team.cpus <= 0 or sums[0] <= team.cpus) and (team.gpus <= 0 or sums[1] <= team.gpus)
-        if fits and (team.cpus > 0 or team.gpus > 0):
-            out.add(job.id)
-    return out
-
-
-def fits_in(left: tuple[float, float], need: Need) -> int:
-    """How many tasks' cores and GPUs fit into what is left of a limit."""
-    count = 1_000_000
-    for have, want in zip(left, (need.cpus, need.gpus), strict=True):
-        if want > 0 and have < float("inf"):
-            count = min(count, int((have + policy.EPS) / want))
-    return max(0, count)
-
-
-class Batch:
-    """One transaction in the making: working copies of what it changes, and its conditions."""
-
-    def __init__(self, view: View, part: str, tenure: Tenure, settings: Settings):
-        self._view, self._part, self._most = view, part, settings.txn_ops
-        self._value = settings.value_bytes
-        self.when: dict[str, int] = {records.term_key(part): tenure.stamp}
-        self.rows: dict[str, dict] = {}
-        self.slices: dict[str, Slice] = {}
-        self.teams: dict[str, Use] = {}
-        # Attempts that this transaction takes out of the records, and what changes in the teams' use.
-        self.ended: set[Key] = set()
-        self.change: dict[str, tuple[float, float]] = {}
-        self._sizes: dict[str, int] = {}
-        self.after: list[Callable[[], None]] = []
-
-    @property
-    def free(self) -> int:
-        return max(0, self._most - len(self.rows))
-
-    def room_for(self, *keys: str) -> bool:
-        fresh = sum(1 for key in keys if key not in self.rows)
-        return len(self.rows) + fresh <= self._most and sum(self._sizes.values()) < MOST_BODY - self._value
-
-    def slice(self, job: str, team: str, need: Need, shard: int) -> Slice:
-        key = records.slice_key(self._part, job, shard)
-        if key in self.slices:
-            return self.slices[key]
-        work = self._view.slices.get(self._part, {}).get(job)
-        found = work.shards.get(shard) if work is not None else None
-        return found or Slice(job, self._part, team, need, shard=shard)
-
-    def team(self, name: str) -> Use:
-        return self.teams.get(name) or self._view.teams.get(name) or Use(name)
-
-    def used(self, team: str) -> tuple[float, float]:
-        """What the part uses for a team once this transaction is carried out."""
-        cpus, gpus = self._view.used.get(self._part, {}).get(team, (0.0, 0.0))
-        more = self.change.get(team, (0.0, 0.0))
-        return cpus + more[0], gpus + more[1]
-
-    def charge(self, team: str, need: Need, tasks: int) -> None:
-        cpus, gpus = self.change.get(team, (0.0, 0.0))
-        self.change[team] = (cpus + tasks * need.cpus, gpus + tasks * need.gpus)
-
-    def need_job(self, job: Job) -> None:
-        self.when[records.job_key(job.id)] = job.stamp
-
-    def _put(self, key: str, value: Any) -> None:
-        self.rows[key] = put(key, value)
-        self._sizes[key] = weigh(value) + len(key) + 60
-
-    def set_slice(self, piece: Slice) -> bool:
-        """False where the record would not fit its value; nothing is changed then."""
-        key, value = piece.key, piece.to_value()
-        if weigh(value) > self._value * 0.95:
-            return False
-        self.when.setdefault(key, self._view.stamp(key))
-        self.slices[key] = piece
-        self._put(key, value)
-        return True
-
-    def drop_slice(self, piece: Slice) -> None:
-        self.when.setdefault(piece.key, self._view.stamp(piece.key))
-        self.rows[piece.key] = delete(piece.key)
-
-    def set_team(self, use: Use) -> None:
-        key = records.team_key(use.team)
-        self.when.setdefault(key, self._view.stamp(key))
-        self.teams[use.team] = use
-        self._put(key, use.to_value())
-
-    def set_job(self, job: Job) -> None:
-        self.need_job(job)
-        self._put(records.job_key(job.id), job.to_value())
-
-    def end_job(self, job: Job, status: str, done: int) -> None:
-        self.need_job(job)
-        key, fin = records.job_key(job.id), records.fin_key(job.id)
-        self.when[fin] = 0
-        self.rows[key] = delete(key)
-        self.rows[fin] = put(fin, records.fin_value(status, done))
 
 
 @dataclass
@@ -291,8 +72,8 @@
         self.booting: list[Room] = []
         self.hired: set[str] = set()
         self.left: list[Pending] = []
-        self._seq = 0
-        self._width = records.shard_width(shared.settings.value_bytes)
+        self.seq = 0
+        self.width = records.shard_width(shared.settings.value_bytes)
         self._queue: tuple[tuple[int, int], datetime, list[Pending]] = ((-1, -1), clock.ORIGIN, [])
         self._layouts: deque[tuple[tuple, datetime, timedelta, Layout]] = deque(maxlen=4)
         # Machines on which room is being made, for which job, and until when it is kept.
@@ -305,7 +86,7 @@
         self.cold: dict[str, set[str]] = {}
         # Machines named in the transaction whose answer is out; they must not be returned meanwhile.
         self.in_flight: set[str] = set()
-        self._reserved_at: dict[str, datetime] = {}
+        self.reserved_at: dict[str, datetime] = {}
 
     # Looking at the records.
 
@@ -565,7 +346,7 @@
             machine.begin_anew(order)
         self.kick.set()
 
-    def _stop(self, key: Key, attempt: Attempt, grace: timedelta, why: str, now: datetime) -> None:
+    def stop(self, key: Key, attempt: Attempt, grace: timedelta, why: str, now: datetime) -> None:
         self.stops[key] = Stop(attempt.number, grace, why, now, attempt.machine)
         machine = self.machines.get(attempt.machine)
         if machine is not None:
@@ -574,7 +355,7 @@
     def _stop_useless(self, key: Key, attempt: Attempt, now: datetime) -> None:
         stop = self.stops.get(key)
         if stop is None or stop.attempt != attempt.number or stop.grace > clock.ZERO:
-            self._stop(key, attempt, clock.ZERO, "cancelled", now)
+            self.stop(key, attempt, clock.ZERO, "cancelled", now)
 
     def stop_dead(self, now: datetime) -> None:
         """Tasks whose job is over or cancelled are stopped without grace: their work is useless."""
@@ -592,7 +373,7 @@
                 continue
             if job.spec.checkpoint > clock.ZERO:
                 grace = min(max(left - timedelta(seconds=1), clock.ZERO), job.spec.save + timedelta(seconds=2))
-                self._stop(key, attempt, grace, "notice", now)
+                self.stop(key, attempt, grace, "notice", now)
 
     def _learn(self, machine: Machine, recorded: Rows, now: datetime) -> None:
         rig = self.shared.rigs.get(machine.rig)
@@ -649,9 +430,9 @@
             self.stop_dead(now)
             self._tidy(now)
             batch = Batch(self.shared.view, self.part, self.tenure, self.shared.settings)
-            more = self._record_ends(batch, now)
-            more = self._start(batch, now) or more
-            self._reserve(batch, now)
+            more = ends.record_ends(self, batch, now)
+            more = starts.start(self, batch, now) or more
+            starts.reserve(self, batch, now)
         if not batch.rows:
             return False
         rows = list(batch.rows.values())
@@ -721,354 +502,6 @@
         for job in [j for j, (_, until) in self.backoff.items() if until + timedelta(minutes=5) < now]:
             del self.backoff[job]
 
-    def _record_ends(self, batch: Batch, now: datetime) -> bool:
-        """Ends into the records, and slices and jobs that are over out of them."""
-        view, part = self.shared.view, self.part
-        by_job: dict[str, list[tuple[int, Fact]]] = {}
-        for (job, leg), fact in self.facts.items():
-            by_job.setdefault(job, []).append((leg, fact))
-        # Slices of cancelled jobs with nothing left, and slices all done, also end here.
-        for name, work in self.works().items():
-            if not work.run:
-                by_job.setdefault(name, [])
-        more = False
-        for name, facts in by_job.items():
-            work = self.works().get(name)
-            if work is None:
-                continue
-            job = view.jobs.get(name)
-            touched: dict[int, Slice] = {}
-            ended: list[tuple[int, Fact]] = []
-            for leg, fact in facts:
-                attempt = work.run.get(leg)
-                if attempt is None or attempt.number != fact.attempt:
-                    continue
-                at = work.shard_of(leg, self._width)
-                piece = touched.get(at) or batch.slice(name, work.team, work.need, at)
-                run = {n: a for n, a in piece.run.items() if n != leg}
-                done = piece.done
-                if fact.done and job is not None and not job.spec.service:
-                    done = ranges.union(done, ((leg, leg + 1),))
-                touched[at] = replace(piece, run=run, done=done)
-                ended.append((leg, fact))
-            shards = {**work.shards, **touched}
-            done = ranges.normal(pair for piece in shards.values() for pair in piece.done)
-            held = job.alloc.get(part, ()) if job is not None else ()
-            idle = {n: p for n, p in shards.items() if not p.run}
-            whole = len(idle) == len(shards) and (job is None or not ranges.minus(held, done))
-            if whole or job is None:
-                over = idle
-            else:
-                # A wide array's shards leave the records a few at a time, not one by one.
-                over = {n: p for n, p in idle.items() if not ranges.minus(self._within(held, n), p.done)}
-                over = over if len(over) >= FOLD else {}
-            keys = [records.slice_key(part, name, n) for n in touched.keys() | over.keys()]
-            if job is not None and over:
-                keys += [records.job_key(name), records.fin_key(name)]
-            if not keys:
-                continue
-            if not batch.room_for(*keys):
-                if batch.rows:
-                    return True
-                # Wider than one transaction: some of it now, the rest in the next.
-                some = sorted(over.keys() | touched.keys())[: max(1, batch.free - 2)]
-                over = {n: p for n, p in over.items() if n in some}
-                touched = {n: p for n, p in touched.items() if n in some}
-                ended = [(leg, f) for leg, f in ended if work.shard_of(leg, self._width) in some]
-                whole, more = False, True
-            for n, piece in touched.items():
-                if n not in over:
-                    # Fewer attempts never make the record larger than a range each.
-                    batch.set_slice(piece)
-            for piece in over.values():
-                batch.drop_slice(piece)
-            if job is not None and over:
-                all_done = ranges.normal([*job.done, *(pair for piece in over.values() for pair in piece.done)])
-                if whole and ranges.size(all_done) >= job.spec.legs:
-                    batch.end_job(job, "done", job.spec.legs)
-                else:
-                    batch.set_job(replace(job.with_part(part, ranges.minus(held, all_done)), done=all_done))
-            for leg, fact in ended:
-                batch.ended.add((name, leg))
-                batch.charge(work.team, work.need, -1)
-                batch.after.append(partial(self._note_end, name, leg, fact, now))
-        return more
-
-    def _within(self, held: Ranges, shard: int) -> Ranges:
-        """The held tasks whose attempts are written into this shard."""
-        if shard < 0:
-            return held
-        low, high = shard * self._width, (shard + 1) * self._width
-        return tuple((max(a, low), min(b, high)) for a, b in held if a < high and b > low)
-
-    def _note_end(self, job: str, leg: int, fact: Fact, now: datetime) -> None:
-        log.debug("ended", part=self.part, task=f"{job}/{leg}", machine=fact.machine, cause=fact.cause)
-        if fact.cause == "done":
-            machine = self.machines.get(fact.machine)
-            if machine is not None:
-                machine.failures.clear()
-                seen, known = machine.tasks.get((job, leg)), self.shared.view.jobs.get(job)
-                if known is not None and seen is not None and seen.running_since is not None:
-                    self.shared.learn(known, seen.since - seen.running_since)
-            self.backoff.pop(job, None)
-        elif fact.cause in ("error", "unknown", "no_room", "busy"):
-            pause = timedelta(seconds=20 if fact.cause == "error" else 4)
-            self.avoid.setdefault(job, {})[fact.machine] = now + pause
-            if fact.cause == "error":
-                machine = self.machines.get(fact.machine)
-                if machine is not None:
-                    machine.failures[job] = now
-                times = self.backoff.get(job, (0, now))[0] + 1
-                # A job that fails everywhere comes back ever more slowly and waits for its user.
-                pause = timedelta(seconds=min(60.0, 0.5 * 2 ** min(times, 8))) if times > 3 else clock.ZERO
-                self.backoff[job] = (times, now + pause)
-                log.info("task-error", part=self.part, task=f"{job}/{leg}", machine=fact.machine, times=times)
-
-    def _start(self, batch: Batch, now: datetime) -> bool:
-        """Write-ahead of starts. The order goes out only with a report's response, after the answer."""
-        queue = self.pending()
-        self.queued = {item.job.id: self.queued.get(item.job.id, now) for item in queue}
-        if not queue:
-            self.left = []
-            return False
-        rooms = self.rooms(batch.ended)
-        self._hold_back(queue)
-        self._image_first(queue, rooms)
-        placed, self.left, more = policy.place(
-            self._within_limits(batch, queue, now),
-            rooms,
-            batch.free,
-            self._bars if self.avoid or self.pledges or self.held_back or self.cold else None,
-        )
-        groups: dict[tuple[str, int], list[tuple[Pending, int, Room]]] = {}
-        for item, leg, room in placed:
-            work = self.works().get(item.job.id)
-            at = leg // self._width if work is None else work.shard_of(leg, self._width)
-            groups.setdefault((item.job.id, at), []).append((item, leg, room))
-        for (name, at), rows in groups.items():
-            job, team = rows[0][0].job, rows[0][0].job.spec.team
-            piece = batch.slice(name, team, job.spec.need, at)
-            if not self._set_aside(batch, team, job.spec.need, len(rows), piece.key):
-                more = True
-                break
-            run = dict(piece.run)
-            for _, leg, room in rows:
-                self._seq += 1
-                run[leg] = Attempt((self.tenure.term << 32) | self._seq, room.id)
-            if not batch.set_slice(replace(piece, run=run)):
-                log.error("record-full", part=self.part, job=name, shard=at, tasks=len(run))
-                continue
-            batch.need_job(job)
-            batch.charge(team, job.spec.need, len(rows))
-            self.waits.append(now - self.queued.get(name, now))
-            for _, leg, room in rows:
-                log.debug(
-                    "start", part=self.part, task=f"{name}/{leg}", machine=room.id,
-                    wait=f"{(clock.wall() - job.at).total_seconds():.1f}", cached=job.spec.image in room.images,
-                )  # fmt: skip
-        if self.left and not more:
-            self._preempt(rooms, now)
-        return more
-
-    def _within_limits(self, batch: Batch, queue: list[Pending], now: datetime) -> list[Pending]:
-        """As much of the queue as the teams' limits let start, in its order."""
-        left: dict[str, tuple[float, float]] = {}
-        overdue, out = self.shared.overdue(now), []
-        for item in queue:
-            spec = item.job.spec
-            if spec.team not in left:
-                most = self.shared.most_for(spec.team, self.part)
-                if most is None:
-                    continue
-                used = batch.used(spec.team)
-                left[spec.team] = (most[0] - used[0], most[1] - used[1])
-            if self._yields(item, overdue):
-                continue
-            have, need = left[spec.team], spec.need
-            count = min(item.count, fits_in(have, need))
-            if count <= 0:
-                continue
-            left[spec.team] = (have[0] - count * need.cpus, have[1] - count * need.gpus)
-            out.append(item if count == item.count else replace(item, legs=ranges.first(item.legs, count)))
-        return out
-
-    def _yields(self, item: Pending, overdue: dict[str, dict[str, int]]) -> bool:
-        """Whether an item leaves its team's room to a job that another part holds and that has begun
-        nothing for too long: a part's own steady stream must not starve it."""
-        jobs = overdue.get(item.job.spec.team)
-        if not jobs or item.overdue:
-            return False
-        view, here = self.shared.view, item.job.spec
-        scarce = self.shared.room_left(here, self.part) < 2 * item.count
-        return scarce and any(
-            priority >= here.priority and name in view.jobs and self.part not in view.jobs[name].alloc
-            for name, priority in jobs.items()
-        )
-
-    def _set_aside(self, batch: Batch, team: str, need: Need, tasks: int, key: str) -> bool:
-        """Sees to it that the team's record sets enough aside for this part, in the same transaction.
-        Some more than is needed is taken while there is plenty, so that parts seldom meet there."""
-        limits, team_key = self.shared.limits(team), records.team_key(team)
-        used = batch.used(team)
-        used = (used[0] + tasks * need.cpus, used[1] + tasks * need.gpus)
-        use = batch.team(team)
-        have = use.parts.get(self.part, (0.0, 0.0))
-        bound = [most < float("inf") for most in limits]
-        short = any(b and u > h + policy.EPS for b, u, h in zip(bound, used, have, strict=True))
-        if not batch.room_for(key, *([team_key] if short else [])):
-            return False
-        if short:
-            others = (use.cpus - have[0], use.gpus - have[1])
-            share = 2 * max(1, self.shared.settings.controllers)
-            fresh = [
-                max(u, u + (most - other - u) / share) if b else 0.0
-                for b, u, most, other in zip(bound, used, limits, others, strict=True)
-            ]
-            batch.set_team(use.with_part(self.part, *fresh))
-        return True
-
-    def _reserve(self, batch: Batch, now: datetime) -> None:
-        """Gives back what is set aside and not needed here, once others may want it."""
-        view = self.shared.view
-        waiting: dict[str, tuple[float, float]] = {}
-        overdue = self.shared.overdue(now)
-        for item in self.pending():
-            if not self._yields(item, overdue):
-                spec = item.job.spec
-                cpus, gpus = waiting.get(spec.team, (0.0, 0.0))
-                waiting[spec.team] = (cpus + item.count * spec.need.cpus, gpus + item.count * spec.need.gpus)
-        for name, use in view.teams.items():
-            have = use.parts.get(self.part)
-            key, limits = records.team_key(name), self.shared.limits(name)
-            if have is None or limits is None or key in batch.rows:
-                continue
-            if now - self._reserved_at.get(name, clock.ORIGIN) < RESERVE_EVERY:
-                continue
-            used, wants = batch.used(name), waiting.get(name, (0.0, 0.0))
-            pressed = any(
-                most < float("inf") and total > 0.75 * most
-                for total, most in zip((use.cpus, use.gpus), limits, strict=True)
-            )
-            if not pressed and (any(u > policy.EPS for u in used) or name in waiting):
-                continue
-            fresh = [min(h, u + w) for h, u, w in zip(have, used, wants, strict=True)]
-            if all(h - f <= policy.EPS for h, f in zip(have, fresh, strict=True)) or not batch.room_for(key):
-                continue
-            self._reserved_at[name] = now
-            batch.set_team(use.with_part(self.part, *(max(f, u) for f, u in zip(fresh, used, strict=True))))
-
-    def _hold_back(self, queue: list[Pending]) -> None:
-        """Which types a waiting service is kept from, as when bidding."""
-        rigs, wall = self.shared.rigs.values(), clock.wall()
-        boot = max((rig.startup for rig in rigs), default=clock.ZERO)
-        self.held_back = {}
-        for item in queue:
-            job = item.job
-            if (
-                job.spec.service
-                and job.id not in self.held_back
-                and wall - job.at < self.shared.patience(job.spec, boot)
-            ):
-                dear = renting.dear_rigs(job, rigs, self.shared.op.dear, self.part)
-                if dear:
-                    self.held_back[job.id] = frozenset(dear)
-
-    def _image_first(self, queue: list[Pending], rooms: list[Room]) -> None:
-        """A service that would be late by its fetch keeps off machines without its image for a moment, where
-        one that has the image can be cleared for it sooner: images lead placement, also against free room."""
-        self.cold = {}
-        wall, pulls = clock.wall(), [rig.pull for rig in self.shared.rigs.values()]
-        for item in queue:
-            spec = item.job.spec
-            within = self.shared.start_within(spec)
-            if within is None or item.job.id in self.cold:
-                continue
-            left = within - (wall - item.job.at)
-            fetch = timedelta(seconds=spec.image_gb / max(pulls, default=1.0))
-            if left < within * 0.4 or fetch + self.shared.settings.report_every / 2 < left:
-                continue
-            if any(self._clearable(room, spec) for room in rooms if spec.image in room.images):
-                self.cold[item.job.id] = {room.id for room in rooms if spec.image not in room.images}
-
-    def _clearable(self, room: Room, spec: Spec) -> bool:
-        """Whether a machine has room for a task, or would, less what may be stopped for it."""
-        if room.spot and not spec.spot:
-            return False
-        cpus, gpus, memory = room.cpus, room.gpus, room.memory
-        for key, (work, _) in self.by_machine().get(room.id, {}).items():
-            job = self.live(key[0])
-            if job is not None and job.spec.priority < spec.priority:
-                cpus, gpus, memory = cpus + work.need.cpus, gpus + work.need.gpus, memory + work.need.memory
-        return spec.need.cpus <= cpus and spec.need.gpus <= gpus and spec.need.memory <= memory
-
-    def _bars(self, item: Pending) -> tuple[Container[str], Container[str]]:
-        """Machines and types that an item keeps off: those where its job just failed, and room that is being
-        made for other work, which is not filled while its victims go."""
-        name = item.job.id
-        pledged = {machine for machine, (job, _) in self.pledges.items() if job != name}
-        return pledged | self.avoid.get(name, {}).keys() | self.cold.get(name, set()), self.held_back.get(name, ())
-
-    def _preempt(self, rooms: list[Room], now: datetime) -> None:
-        waiting = [item for item in self.left if item.job.spec.priority > 0 or item.guaranteed]
-        if not waiting:
-            return
-        over, sure, most = self._beyond(), self.shared.guaranteed(), MOST_PREEMPTED
-        running: dict[str, list[Victim]] = {}
-        top = max(item.job.spec.priority for item in waiting)
-        for machine, rows in self.by_machine().items():
-            if machine in self.pledges:
-                continue
-            for key, (work, attempt) in rows.items():
-                job = self.live(key[0])
-                if job is None or key in self.stops:
-                    continue
-                beyond = over.get(work.team, False) and job.id not in sure
-                if job.spec.priority >= top and not beyond:
-                    continue
-                loss = self._loss(key, attempt, job, now)
-                row = Victim(work.need, job.spec.priority, beyond, work.team, loss, (key, attempt, job))
-                running.setdefault(machine, []).append(row)
-        rooms = [room for room in rooms if room.id in running]
-        for item in waiting:
-            made = sum(1 for job, _ in self.pledges.values() if job == item.job.id)
-            kept_from, cold = self.held_back.get(item.job.id, ()), self.cold.get(item.job.id, ())
-            for _ in range(item.count - made):
-                if most <= 0:
-                    return
-                open_to = [room for room in rooms if room.rig not in kept_from and room.id not in cold]
-                found = policy.victims(item, open_to, running)
-                if found is None:
-                    break
-                room, chosen = found
-                for victim in chosen:
-                    key, attempt, job = victim.handle
-                    saves = job.spec.checkpoint > clock.ZERO
-                    grace = job.spec.save + timedelta(seconds=1) if saves else clock.ZERO
-                    self._stop(key, attempt, grace, "preempted", now)
-                    log.info("preempt", part=self.part, task=f"{key[0]}/{key[1]}", machine=room.id, by=item.job.id)
-                self.pledges[room.id] = (item.job.id, now + PLEDGE)
-                rooms = [other for other in rooms if other.id != room.id]
-                most -= 1
-
-    def _beyond(self) -> dict[str, bool]:
-        out = {}
-        for team in self.shared.settings.teams.values():
-            cpus, gpus = self.shared.view.used_by(team.name)
-            out[team.name] = (team.gpus > 0 and gpus > team.gpus + policy.EPS) or (
-                team.cpus > 0 and cpus > team.cpus + policy.EPS
-            )
-        return out
-
-    def _loss(self, key: Key, attempt: Attempt, job: Job, now: datetime) -> float:
-        """Seconds of work that stopping a task now would waste."""
-        machine = self.machines.get(attempt.machine)
-        seen = machine.tasks.get(key) if machine else None
-        if seen is None or seen.running_since is None:
-            return 0.0
-        if job.spec.checkpoint > clock.ZERO:
-            return job.spec.save.total_seconds() + 1.0
-        return (now - seen.running_since).total_seconds()
-
     # Gone for certain.
 
     def gone(self, machine: str, cause: str) -> None:
--- /dev/null
+++ b/roadbend/placement/shared.py
@@ -0,0 +1,139 @@
+"""What a controller's parts have in common, and what teams' limits and guarantees leave them."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+from roadbend import clock
+from roadbend.parts.ownership import Ownership
+from roadbend.placement import policy
+from roadbend.rental.cloud import Rig
+from roadbend.settings import Operator, Settings
+from roadbend.store.client import StateClient
+from roadbend.store.records import Job, Need, Spec
+from roadbend.store.view import Reader, View
+
+
+@dataclass
+class Shared:
+    """What a controller's parts have in common."""
+
+    settings: Settings
+    op: Operator
+    state: StateClient
+    view: View
+    reader: Reader
+    ownership: Ownership
+    rigs: dict[str, Rig] = field(default_factory=dict)
+    # Jobs that a peer told its user are cancelled, before the records say so here.
+    cancelled: OrderedDict[str, datetime] = field(default_factory=OrderedDict)
+    # Who is within its team's guarantee; it changes only when a job comes or goes.
+    guarantee: tuple[int, set[str]] = (-1, set())
+    # Jobs that have waited too long without beginning, by team, and when that was last looked at.
+    overdue_jobs: dict[str, dict[str, int]] = field(default_factory=dict)
+    overdue_at: datetime = clock.ORIGIN
+    # Machines that we deleted lately; the cloud's list goes on showing them for a while.
+    deleted: OrderedDict[str, datetime] = field(default_factory=OrderedDict)
+    # By lane, how long tasks ran over how long their owner said, learnt as they end.
+    factors: dict[str, float] = field(default_factory=dict)
+
+    def factor(self, lane: str) -> float:
+        return self.factors.get(lane, 1.0)
+
+    def start_within(self, spec: Spec) -> timedelta | None:
+        """How soon a task should start, where an aim says so, of its class or of work in a guarantee."""
+        rows = [
+            o.within
+            for o in self.settings.objectives
+            if o.within is not None and (o.kind == "wait" and o.lane == spec.lane or o.kind == "guarantee")
+        ]
+        return min(rows, default=None) if spec.service else None
+
+    def deadlines(self, spec: Spec) -> tuple[float, ...]:
+        """The times of its due time at which a job's aims count, the first one first."""
+        rows = {o.times for o in self.settings.objectives if o.kind == "deadline" and o.lane == spec.lane}
+        return tuple(sorted(x for x in rows if x >= 1.0)) or (1.0,)
+
+    def patience(self, spec: Spec, boot: timedelta) -> timedelta:
+        """How long a service may be held back from machines on which it is dear."""
+        within = self.start_within(spec)
+        spare = (within - boot * 1.1) / 2 if within is not None else clock.ZERO
+        return max(self.op.dear_wait, spare)
+
+    def learn(self, job: Job, ran: timedelta) -> None:
+        if job.spec.expected > timedelta(seconds=1):
+            x = min(4.0, max(0.25, ran / job.spec.expected))
+            self.factors[job.spec.lane] = 0.93 * self.factor(job.spec.lane) + 0.07 * x
+            while len(self.factors) > 256:
+                self.factors.pop(next(iter(self.factors)))
+
+    def guaranteed(self) -> set[str]:
+        if self.guarantee[0] != self.view.membership:
+            self.guarantee = (self.view.membership, within_guarantee(self.view.jobs.values(), self.settings))
+        return self.guarantee[1]
+
+    def begun(self, job: Job) -> bool:
+        rows = (works.get(job.id) for works in self.view.slices.values())
+        return bool(job.done) or any(work is not None and (work.run or work.done) for work in rows)
+
+    def overdue(self, now: datetime) -> dict[str, dict[str, int]]:
+        """Team -> jobs that have begun nothing for long, with their priority. Whatever the order of work
+        is, such a job comes next, and other parts leave its team's room to it; but not for ever, for it
+        may be one that no machine can be had for."""
+        if now - self.overdue_at >= timedelta(seconds=1):
+            self.overdue_at, wall, limit = now, clock.wall(), self.op.begin_within
+            self.overdue_jobs = {}
+            for job in self.view.jobs.values():
+                if limit <= wall - job.at < limit * 3 and job.id not in self.cancelled and not self.begun(job):
+                    self.overdue_jobs.setdefault(job.spec.team, {})[job.id] = job.spec.priority
+        return self.overdue_jobs
+
+    def limits(self, team: str) -> tuple[float, float] | None:
+        """A team's most cores and GPUs; None for a team that we don't know."""
+        row = self.settings.teams.get(team)
+        return None if row is None else (row.cpus_max or float("inf"), row.gpus_max or float("inf"))
+
+    def most_for(self, team: str, part: str) -> tuple[float, float] | None:
+        """What a part may use for a team at most: the limit less what other parts have set aside."""
+        most = self.limits(team)
+        if most is None:
+            return None
+        use = self.view.teams.get(team)
+        others = [row for name, row in use.parts.items() if name != part] if use else []
+        return most[0] - sum(c for c, _ in others), most[1] - sum(g for _, g in others)
+
+    def room_left(self, spec: Spec, part: str) -> int:
+        """How many more of a job's tasks its team's limit lets a part start."""
+        most = self.most_for(spec.team, part)
+        if most is None:
+            return 0
+        used = self.view.used.get(part, {}).get(spec.team, (0.0, 0.0))
+        return fits_in((most[0] - used[0], most[1] - used[1]), spec.need)
+
+
+def within_guarantee(jobs: Iterable[Job], settings: Settings) -> set[str]:
+    """Jobs that fit into their team's guarantee together with its earlier unfinished jobs."""
+    used: dict[str, list[float]] = {}
+    out = set()
+    for job in sorted(jobs, key=lambda j: (j.at, j.id)):
+        team = settings.teams.get(job.spec.team)
+        if team is None:
+            continue
+        sums = used.setdefault(team.name, [0.0, 0.0])
+        total = job.spec.need.times(job.spec.legs)
+        sums[0] += total.cpus
+        sums[1] += total.gpus
+        fits = (team.cpus <= 0 or sums[0] <= team.cpus) and (team.gpus <= 0 or sums[1] <= team.gpus)
+        if fits and (team.cpus > 0 or team.gpus > 0):
+            out.add(job.id)
+    return out
+
+
+def fits_in(left: tuple[float, float], need: Need) -> int:
+    """How many tasks' cores and GPUs fit into what is left of a limit."""
+    count = 1_000_000
+    for have, want in zip(left, (need.cpus, need.gpus), strict=True):
+        if want > 0 and have < float("inf"):
+            count = min(count, int((have + policy.EPS) / want))
+    return max(0, count)
--- /dev/null
+++ b/roadbend/placement/starts.py
@@ -0,0 +1,284 @@
+"""Starts: which of what waits goes where now, within teams' limits; room that is made by preemption."""
+
+from __future__ import annotations
+
+from collections.abc import Container
+from dataclasses import replace
+from datetime import datetime, timedelta
+from functools import partial
+from typing import TYPE_CHECKING
+
+from roadbend import clock
+from roadbend.fleet.machines import Key
+from roadbend.log import Log
+from roadbend.placement import policy
+from roadbend.placement.batch import Batch
+from roadbend.placement.policy import Pending, Room, Victim
+from roadbend.placement.shared import fits_in
+from roadbend.rental import policy as renting
+from roadbend.store import ranges, records
+from roadbend.store.records import Attempt, Job, Need, Spec
+
+if TYPE_CHECKING:
+    from roadbend.placement.runtime import PartRuntime
+
+log = Log("placement")
+# How long room that is being made is kept for the task that it is made for.
+PLEDGE = timedelta(seconds=15)
+# How often a part looks whether it has set too much aside for a team.
+RESERVE_EVERY = timedelta(seconds=1)
+# Most tasks stopped for others in one step.
+MOST_PREEMPTED = 24
+
+
+def start(rt: PartRuntime, batch: Batch, now: datetime) -> bool:
+    """Write-ahead of starts. The order goes out only with a report's response, after the answer."""
+    queue = rt.pending()
+    rt.queued = {item.job.id: rt.queued.get(item.job.id, now) for item in queue}
+    if not queue:
+        rt.left = []
+        return False
+    rooms = rt.rooms(batch.ended)
+    hold_back(rt, queue)
+    image_first(rt, queue, rooms)
+    placed, rt.left, more = policy.place(
+        within_limits(rt, batch, queue, now),
+        rooms,
+        batch.free,
+        partial(bars, rt) if rt.avoid or rt.pledges or rt.held_back or rt.cold else None,
+    )
+    groups: dict[tuple[str, int], list[tuple[Pending, int, Room]]] = {}
+    for item, leg, room in placed:
+        work = rt.works().get(item.job.id)
+        at = leg // rt.width if work is None else work.shard_of(leg, rt.width)
+        groups.setdefault((item.job.id, at), []).append((item, leg, room))
+    for (name, at), rows in groups.items():
+        job, team = rows[0][0].job, rows[0][0].job.spec.team
+        piece = batch.slice(name, team, job.spec.need, at)
+        if not set_aside(rt, batch, team, job.spec.need, len(rows), piece.key):
+            more = True
+            break
+        run = dict(piece.run)
+        for _, leg, room in rows:
+            rt.seq += 1
+            run[leg] = Attempt((rt.tenure.term << 32) | rt.seq, room.id)
+        if not batch.set_slice(replace(piece, run=run)):
+            log.error("record-full", part=rt.part, job=name, shard=at, tasks=len(run))
+            continue
+        batch.need_job(job)
+        batch.charge(team, job.spec.need, len(rows))
+        rt.waits.append(now - rt.queued.get(name, now))
+        for _, leg, room in rows:
+            log.debug(
+                "start", part=rt.part, task=f"{name}/{leg}", machine=room.id,
+                wait=f"{(clock.wall() - job.at).total_seconds():.1f}", cached=job.spec.image in room.images,
+            )  # fmt: skip
+    if rt.left and not more:
+        preempt(rt, rooms, now)
+    return more
+
+
+def within_limits(rt: PartRuntime, batch: Batch, queue: list[Pending], now: datetime) -> list[Pending]:
+    """As much of the queue as the teams' limits let start, in its order."""
+    left: dict[str, tuple[float, float]] = {}
+    overdue, out = rt.shared.overdue(now), []
+    for item in queue:
+        spec = item.job.spec
+        if spec.team not in left:
+            most = rt.shared.most_for(spec.team, rt.part)
+            if most is None:
+                continue
+            used = batch.used(spec.team)
+            left[spec.team] = (most[0] - used[0], most[1] - used[1])
+        if yields(rt, item, overdue):
+            continue
+        have, need = left[spec.team], spec.need
+        count = min(item.count, fits_in(have, need))
+        if count <= 0:
+            continue
+        left[spec.team] = (have[0] - count * need.cpus, have[1] - count * need.gpus)
+        out.append(item if count == item.count else replace(item, legs=ranges.first(item.legs, count)))
+    return out
+
+
+def yields(rt: PartRuntime, item: Pending, overdue: dict[str, dict[str, int]]) -> bool:
+    """Whether an item leaves its team's room to a job that another part holds and that has begun
+    nothing for too long: a part's own steady stream must not starve it."""
+    jobs = overdue.get(item.job.spec.team)
+    if not jobs or item.overdue:
+        return False
+    view, here = rt.shared.view, item.job.spec
+    scarce = rt.shared.room_left(here, rt.part) < 2 * item.count
+    return scarce and any(
+        priority >= here.priority and name in view.jobs and rt.part not in view.jobs[name].alloc
+        for name, priority in jobs.items()
+    )
+
+
+def set_aside(rt: PartRuntime, batch: Batch, team: str, need: Need, tasks: int, key: str) -> bool:
+    """Sees to it that the team's record sets enough aside for this part, in the same transaction.
+    Some more than is needed is taken while there is plenty, so that parts seldom meet there."""
+    limits, team_key = rt.shared.limits(team), records.team_key(team)
+    used = batch.used(team)
+    used = (used[0] + tasks * need.cpus, used[1] + tasks * need.gpus)
+    use = batch.team(team)
+    have = use.parts.get(rt.part, (0.0, 0.0))
+    bound = [most < float("inf") for most in limits]
+    short = any(b and u > h + policy.EPS for b, u, h in zip(bound, used, have, strict=True))
+    if not batch.room_for(key, *([team_key] if short else [])):
+        return False
+    if short:
+        others = (use.cpus - have[0], use.gpus - have[1])
+        share = 2 * max(1, rt.shared.settings.controllers)
+        fresh = [
+            max(u, u + (most - other - u) / share) if b else 0.0
+            for b, u, most, other in zip(bound, used, limits, others, strict=True)
+        ]
+        batch.set_team(use.with_part(rt.part, *fresh))
+    return True
+
+
+def reserve(rt: PartRuntime, batch: Batch, now: datetime) -> None:
+    """Gives back what is set aside and not needed here, once others may want it."""
+    view = rt.shared.view
+    waiting: dict[str, tuple[float, float]] = {}
+    overdue = rt.shared.overdue(now)
+    for item in rt.pending():
+        if not yields(rt, item, overdue):
+            spec = item.job.spec
+            cpus, gpus = waiting.get(spec.team, (0.0, 0.0))
+            waiting[spec.team] = (cpus + item.count * spec.need.cpus, gpus + item.count * spec.need.gpus)
+    for name, use in view.teams.items():
+        have = use.parts.get(rt.part)
+        key, limits = records.team_key(name), rt.shared.limits(name)
+        if have is None or limits is None or key in batch.rows:
+            continue
+        if now - rt.reserved_at.get(name, clock.ORIGIN) < RESERVE_EVERY:
+            continue
+        used, wants = batch.used(name), waiting.get(name, (0.0, 0.0))
+        pressed = any(
+            most < float("inf") and total > 0.75 * most
+            for total, most in zip((use.cpus, use.gpus), limits, strict=True)
+        )
+        if not pressed and (any(u > policy.EPS for u in used) or name in waiting):
+            continue
+        fresh = [min(h, u + w) for h, u, w in zip(have, used, wants, strict=True)]
+        if all(h - f <= policy.EPS for h, f in zip(have, fresh, strict=True)) or not batch.room_for(key):
+            continue
+        rt.reserved_at[name] = now
+        batch.set_team(use.with_part(rt.part, *(max(f, u) for f, u in zip(fresh, used, strict=True))))
+
+
+def hold_back(rt: PartRuntime, queue: list[Pending]) -> None:
+    """Which types a waiting service is kept from, as when bidding."""
+    rigs, wall = rt.shared.rigs.values(), clock.wall()
+    boot = max((rig.startup for rig in rigs), default=clock.ZERO)
+    rt.held_back = {}
+    for item in queue:
+        job = item.job
+        if job.spec.service and job.id not in rt.held_back and wall - job.at < rt.shared.patience(job.spec, boot):
+            dear = renting.dear_rigs(job, rigs, rt.shared.op.dear, rt.part)
+            if dear:
+                rt.held_back[job.id] = frozenset(dear)
+
+
+def image_first(rt: PartRuntime, queue: list[Pending], rooms: list[Room]) -> None:
+    """A service that would be late by its fetch keeps off machines without its image for a moment, where
+    one that has the image can be cleared for it sooner: images lead placement, also against free room."""
+    rt.cold = {}
+    wall, pulls = clock.wall(), [rig.pull for rig in rt.shared.rigs.values()]
+    for item in queue:
+        spec = item.job.spec
+        within = rt.shared.start_within(spec)
+        if within is None or item.job.id in rt.cold:
+            continue
+        left = within - (wall - item.job.at)
+        fetch = timedelta(seconds=spec.image_gb / max(pulls, default=1.0))
+        if left < within * 0.4 or fetch + rt.shared.settings.report_every / 2 < left:
+            continue
+        if any(clearable(rt, room, spec) for room in rooms if spec.image in room.images):
+            rt.cold[item.job.id] = {room.id for room in rooms if spec.image not in room.images}
+
+
+def clearable(rt: PartRuntime, room: Room, spec: Spec) -> bool:
+    """Whether a machine has room for a task, or would, less what may be stopped for it."""
+    if room.spot and not spec.spot:
+        return False
+    cpus, gpus, memory = room.cpus, room.gpus, room.memory
+    for key, (work, _) in rt.by_machine().get(room.id, {}).items():
+        job = rt.live(key[0])
+        if job is not None and job.spec.priority < spec.priority:
+            cpus, gpus, memory = cpus + work.need.cpus, gpus + work.need.gpus, memory + work.need.memory
+    return spec.need.cpus <= cpus and spec.need.gpus <= gpus and spec.need.memory <= memory
+
+
+def bars(rt: PartRuntime, item: Pending) -> tuple[Container[str], Container[str]]:
+    """Machines and types that an item keeps off: those where its job just failed, and room that is being
+    made for other work, which is not filled while its victims go."""
+    name = item.job.id
+    pledged = {machine for machine, (job, _) in rt.pledges.items() if job != name}
+    return pledged | rt.avoid.get(name, {}).keys() | rt.cold.get(name, set()), rt.held_back.get(name, ())
+
+
+def preempt(rt: PartRuntime, rooms: list[Room], now: datetime) -> None:
+    waiting = [item for item in rt.left if item.job.spec.priority > 0 or item.guaranteed]
+    if not waiting:
+        return
+    over, sure, most = teams_beyond(rt), rt.shared.guaranteed(), MOST_PREEMPTED
+    running: dict[str, list[Victim]] = {}
+    top = max(item.job.spec.priority for item in waiting)
+    for machine, rows in rt.by_machine().items():
+        if machine in rt.pledges:
+            continue
+        for key, (work, attempt) in rows.items():
+            job = rt.live(key[0])
+            if job is None or key in rt.stops:
+                continue
+            beyond = over.get(work.team, False) and job.id not in sure
+            if job.spec.priority >= top and not beyond:
+                continue
+            loss = work_lost(rt, key, attempt, job, now)
+            row = Victim(work.need, job.spec.priority, beyond, work.team, loss, (key, attempt, job))
+            running.setdefault(machine, []).append(row)
+    rooms = [room for room in rooms if room.id in running]
+    for item in waiting:
+        made = sum(1 for job, _ in rt.pledges.values() if job == item.job.id)
+        kept_from, cold = rt.held_back.get(item.job.id, ()), rt.cold.get(item.job.id, ())
+        for _ in range(item.count - made):
+            if most <= 0:
+                return
+            open_to = [room for room in rooms if room.rig not in kept_from and room.id not in cold]
+            found = policy.victims(item, open_to, running)
+            if found is None:
+                break
+            room, chosen = found
+            for victim in chosen:
+                key, attempt, job = victim.handle
+                saves = job.spec.checkpoint > clock.ZERO
+                grace = job.spec.save + timedelta(seconds=1) if saves else clock.ZERO
+                rt.stop(key, attempt, grace, "preempted", now)
+                log.info("preempt", part=rt.part, task=f"{key[0]}/{key[1]}", machine=room.id, by=item.job.id)
+            rt.pledges[room.id] = (item.job.id, now + PLEDGE)
+            rooms = [other for other in rooms if other.id != room.id]
+            most -= 1
+
+
+def teams_beyond(rt: PartRuntime) -> dict[str, bool]:
+    out = {}
+    for team in rt.shared.settings.teams.values():
+        cpus, gpus = rt.shared.view.used_by(team.name)
+        out[team.name] = (team.gpus > 0 and gpus > team.gpus + policy.EPS) or (
+            team.cpus > 0 and cpus > team.cpus + policy.EPS
+        )
+    return out
+
+
+def work_lost(rt: PartRuntime, key: Key, attempt: Attempt, job: Job, now: datetime) -> float:
+    """Seconds of work that stopping a task now would waste."""
+    machine = rt.machines.get(attempt.machine)
+    seen = machine.tasks.get(key) if machine else None
+    if seen is None or seen.running_since is None:
+        return 0.0
+    if job.spec.checkpoint > clock.ZERO:
+        return job.spec.save.total_seconds() + 1.0
+    return (now - seen.running_since).total_seconds()
--- a/roadbend/placement/test_placement.py
+++ b/roadbend/placement/test_placement.py
@@ -7,7 +7,7 @@
 from roadbend.placement import forecast, policy
 from roadbend.placement.forecast import Line
 from roadbend.placement.policy import Pending, Room, Victim
-from roadbend.placement.runtime import within_guarantee
+from roadbend.placement.shared import within_guarantee
 from roadbend.standins.world import job, settings_for
 from roadbend.store.records import Job, Need
 
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -10,7 +10,8 @@
 from roadbend.log import Log
 from roadbend.placement import forecast
 from roadbend.placement import policy as placing
-from roadbend.placement.runtime import PartRuntime, Shared, fits_in
+from roadbend.placement.runtime import PartRuntime
+from roadbend.placement.shared import Shared, fits_in
 from roadbend.rental import policy
 from roadbend.rental.cloud import MOST_HIRED, MOST_NAMES, Busy, Cloud, Listed, NoCapacity, read_rigs
 from roadbend.store import ranges, records
