--- a/roadbend/fleet/machines.py
+++ b/roadbend/fleet/machines.py
@@ -50,6 +50,8 @@
     # The tasks as the last report had them, and the count of recorded changes then, if all was in order.
     rows: list | None = None
     calm: int | None = None
+    # What the records leave free on it, and the mark of the records that this was worked out from.
+    free: tuple[int, float, float, float] | None = None
     recall_at: datetime | None = None
     tasks: dict[Key, Seen] = field(default_factory=dict)
     draining: str | None = None
--- a/roadbend/placement/batch.py
+++ b/roadbend/placement/batch.py
@@ -63,18 +63,19 @@
     def need_job(self, job: Job) -> None:
         self.when[records.job_key(job.id)] = job.stamp
 
-    def _put(self, key: str, value: Any) -> None:
+    def _put(self, key: str, value: Any, size: int | None = None) -> None:
         self.rows[key] = put(key, value)
-        self._sizes[key] = weigh(value) + len(key) + 60
+        self._sizes[key] = (weigh(value) if size is None else size) + len(key) + 60
 
     def set_slice(self, piece: Slice) -> bool:
         """False where the record would not fit its value; nothing is changed then."""
         key, value = piece.key, piece.to_value()
-        if weigh(value) > self._value * 0.95:
+        size = weigh(value)
+        if size > self._value * 0.95:
             return False
         self.when.setdefault(key, self._view.stamp(key))
         self.slices[key] = piece
-        self._put(key, value)
+        self._put(key, value, size)
         return True
 
     def drop_slice(self, piece: Slice) -> None:
--- a/roadbend/placement/forecast.py
+++ b/roadbend/placement/forecast.py
@@ -2,12 +2,12 @@
 telling peers how long a reoffered job would wait here."""
 
 import heapq
-from bisect import insort
-from collections.abc import Callable, Container
+from bisect import bisect_left, bisect_right, insort
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from roadbend.placement.policy import Pending, Room, allowed
+from roadbend.placement.policy import Pending, Room, allowed, least_of
 from roadbend.store.records import Job, Need
 
 NEVER = float("inf")
@@ -51,29 +51,75 @@
             self.room.images = {*self.room.images, job.spec.image}
 
 
+class Board:
+    """The lines in the order in which each could take the least that anybody asks for. Work that is laid on a
+    line only ever makes it later, so a job looks no further down than to where it finds its places."""
+
+    def __init__(self, lines: Iterable[Line], least: Need):
+        self.lines = list(lines)
+        self._least = least
+        self._soonest = [line.earliest(least) for line in self.lines]
+        self.order = sorted((at, n) for n, at in enumerate(self._soonest) if at < NEVER)
+
+    def add(self, line: Line) -> int:
+        """One more line, a machine that is to be hired."""
+        self.lines.append(line)
+        at = line.earliest(self._least)
+        self._soonest.append(at)
+        if at < NEVER:
+            insort(self.order, (at, len(self.lines) - 1))
+        return len(self.lines) - 1
+
+    def filled(self, n: int) -> None:
+        """Something was laid on a line."""
+        old, new = self._soonest[n], self.lines[n].earliest(self._least)
+        if new != old:
+            del self.order[bisect_left(self.order, (old, n))]
+            self._soonest[n] = new
+            if new < NEVER:
+                insort(self.order, (new, n))
+
+
 class Starts:
     """Where tasks of one job would begin to run, the soonest first, as they are laid on the lines one by
-    one. Looking at every line is paid once a job, not once a task."""
+    one. Lines are looked at once a job, not once a task, and only as far as a sooner place may be found."""
 
-    def __init__(self, job: Job, lines: list[Line], rigs: Container[str] = ()):
-        self._job = job
-        spec = job.spec
+    def __init__(self, job: Job, board: Board, rigs: Container[str] = ()):
+        self._job, self._board, self._rigs = job, board, rigs
         self._rows: list[tuple[float, bool, int, float, Line]] = []
-        for at, line in enumerate(lines):
-            room = line.room
-            if room.rig not in rigs and allowed(job, room.rig, room.zone, room.spot):
-                self._add(at, line, spec)
-        heapq.heapify(self._rows)
-
-    def _add(self, at: int, line: Line, spec) -> None:
+        # The last line that was looked at in the board's order; those before it, and some that were there
+        # when they were looked at and have come later since, are known here.
+        self._last: tuple[float, int] = (-1.0, -1)
+        self._known: set[int] = set()
+
+    def _look(self) -> None:
+        """Lines that could come before the best one known."""
+        order, rows, lines = self._board.order, self._rows, self._board.lines
+        at = bisect_right(order, self._last)
+        while at < len(order):
+            row = order[at]
+            if rows and round(row[0], 6) > rows[0][0]:
+                return
+            self._last = row
+            at += 1
+            n = row[1]
+            if n not in self._known:
+                self._known.add(n)
+                room = lines[n].room
+                if room.rig not in self._rigs and allowed(self._job, room.rig, room.zone, room.spot):
+                    self._push(n, lines[n])
+
+    def _push(self, n: int, line: Line) -> None:
+        spec = self._job.spec
         start = line.earliest(spec.need)
         if start < NEVER:
             # Level ones: what may run on spot machines leaves the others free.
             runs = round(start + line.room.fetch(spec.image, spec.image_gb), 6)
-            self._rows.append((runs, spec.spot and not line.room.spot, at, start, line))
+            heapq.heappush(self._rows, (runs, spec.spot and not line.room.spot, n, start, line))
 
     def best(self) -> tuple[float, float, Line | None]:
         """When the next task would run, from when it would be on its machine, and which that is."""
+        self._look()
         if not self._rows:
             return NEVER, NEVER, None
         runs, _, _, start, line = self._rows[0]
@@ -81,34 +127,32 @@
 
     def put(self, run: float) -> None:
         """The next task is laid where it runs first."""
-        _, _, at, start, line = heapq.heappop(self._rows)
+        _, _, n, start, line = heapq.heappop(self._rows)
         line.put(self._job, start, run)
-        before = len(self._rows)
-        self._add(at, line, self._job.spec)
-        if len(self._rows) > before:
-            heapq.heappush(self._rows, self._rows.pop())
+        self._board.filled(n)
+        self._push(n, line)
 
-    def join(self, at: int, line: Line) -> None:
+    def join(self, line: Line) -> None:
         """One more line, a machine that is to be hired."""
-        before = len(self._rows)
-        self._add(at, line, self._job.spec)
-        if len(self._rows) > before:
-            heapq.heappush(self._rows, self._rows.pop())
+        n = self._board.add(line)
+        self._known.add(n)
+        self._push(n, line)
 
 
 def earliest(job: Job, lines: list[Line]) -> tuple[float, Line | None]:
     """Where a task would begin to run first, its fetch counted, and from when it would be there."""
-    _, start, line = Starts(job, lines).best()
+    _, start, line = Starts(job, Board(lines, job.spec.need)).best()
     return start, line
 
 
 def lay(queue: list[Pending], lines: list[Line], run_of: Callable[[Job], float], most: int) -> dict[str, list[float]]:
     """Lays the queue on the machines, at most so many tasks of it; when each job's tasks would begin."""
     starts: dict[str, list[float]] = {}
+    board = Board(lines, least_of(item.job.spec.need for item in queue))
     for item in queue:
         if most <= 0:
             break
-        rows, run = Starts(item.job, lines), run_of(item.job)
+        rows, run = Starts(item.job, board), run_of(item.job)
         for _ in range(min(most, item.count)):
             _, start, line = rows.best()
             if line is None:
--- a/roadbend/placement/policy.py
+++ b/roadbend/placement/policy.py
@@ -138,9 +138,14 @@
     return row[:5]
 
 
-def best_room(job: Job, rooms: Iterable[Room]) -> Room | None:
-    found = suitable(job, rooms)
-    return found[0] if found else None
+def least_of(needs: Iterable[Need]) -> Need:
+    """What each of some needs asks for at the least."""
+    needs = list(needs)
+    return Need(
+        min((n.cpus for n in needs), default=0.0),
+        min((n.gpus for n in needs), default=0.0),
+        min((n.memory for n in needs), default=0.0),
+    )
 
 
 Bars = Callable[[Pending], tuple[Container[str], Container[str]]]
@@ -153,7 +158,10 @@
     `most_jobs` jobs. `bars` names the machines and the types that a job must keep off."""
     placed: list[tuple[Pending, int, Room]] = []
     left: list[Pending] = []
-    rooms = [room for room in rooms if room.ready_in <= 0]
+    queue = list(queue)
+    # Most machines are full: they are passed over once, not once a job.
+    least = least_of(item.job.spec.need for item in queue)
+    rooms = [room for room in rooms if room.ready_in <= 0 and room.fits(least)]
     # What found no room keeps others alike from looking again.
     hopeless: set[tuple] = set()
     jobs: set[str] = set()
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -137,7 +137,7 @@
         queue = [item for item in self.pending() if item.job.spec.priority >= least]
         starts = forecast.lay(queue, lines, self.run_seconds, self.most_forecast(lines))
         layout = Layout(lines, starts)
-        self._layouts.append((mark, now, max(REUSE * 2, (clock.now() - now) * 12), layout))
+        self._layouts.append((mark, now, max(REUSE * 2, self.shared.rest(clock.now() - now)), layout))
         return layout
 
     @staticmethod
@@ -158,18 +158,24 @@
     def rooms(self, ended: Container[Key] = ()) -> list[Room]:
         """Machines that may be given work, with what the records leave free on them; `ended`: attempts
         that the transaction in the making takes out."""
-        now, index, rigs = clock.now(), self.by_machine(), self.shared.rigs
-        out = []
+        now, rigs, marks = clock.now(), self.shared.rigs, self.shared.view.marks.get(self.part, {})
+        back: dict[str, list[Need]] = {}
+        for key in ended:
+            work = self.works().get(key[0])
+            attempt = work.run.get(key[1]) if work is not None else None
+            if attempt is not None:
+                back.setdefault(attempt.machine, []).append(work.need)
+        silent, out = self.shared.settings.report_every * 2.2, []
         for machine in self.machines.values():
             rig = rigs.get(machine.rig)
-            if rig is None or not self.usable(machine, now):
+            if rig is None or not self.usable(machine, now, silent):
                 continue
-            whole = rig.room
-            cpus, gpus, memory = whole.cpus, whole.gpus, whole.memory
-            for key, (work, _) in index.get(machine.id, {}).items():
-                if key not in ended:
-                    need = work.need
-                    cpus, gpus, memory = cpus - need.cpus, gpus - need.gpus, memory - need.memory
+            whole, mark = rig.room, marks.get(machine.id, 0)
+            if machine.free is None or machine.free[0] != mark:
+                machine.free = (mark, *self._left(machine.id, whole))
+            _, cpus, gpus, memory = machine.free
+            for need in back.get(machine.id, ()):
+                cpus, gpus, memory = cpus + need.cpus, gpus + need.gpus, memory + need.memory
             out.append(
                 Room(
                     machine.id, machine.rig, machine.zone, machine.spot, cpus, gpus, memory, machine.images,
@@ -178,7 +184,15 @@
             )  # fmt: skip
         return out
 
-    def usable(self, machine: Machine, now: datetime) -> bool:
+    def _left(self, machine: str, whole: Need) -> tuple[float, float, float]:
+        """What the records leave free of a machine."""
+        cpus, gpus, memory = whole.cpus, whole.gpus, whole.memory
+        for work, _ in self.by_machine().get(machine, {}).values():
+            need = work.need
+            cpus, gpus, memory = cpus - need.cpus, gpus - need.gpus, memory - need.memory
+        return cpus, gpus, memory
+
+    def usable(self, machine: Machine, now: datetime, silent: timedelta) -> bool:
         return (
             machine.draining is None
             and machine.recall_at is None
@@ -187,7 +201,7 @@
             # Until a machine has carried our token it may be a late copy of a report that we see; one that
             # we hired in this term and that reports for the first time is no such thing.
             and (machine.ours or machine.expected)
-            and machine.fresh(now, self.shared.settings.report_every * 2.2)
+            and machine.fresh(now, silent)
             and len(machine.failures) < self.shared.op.error_limit
         )
 
--- a/roadbend/placement/shared.py
+++ b/roadbend/placement/shared.py
@@ -38,6 +38,11 @@
     # By lane, how long tasks ran over how long their owner said, learnt as they end.
     factors: dict[str, float] = field(default_factory=dict)
 
+    def rest(self, took: timedelta) -> timedelta:
+        """For how long what took so long to work out serves before it is worked out anew. A controller that
+        holds the parts of others, too, looks at each of them less often, so that reports are still answered."""
+        return took * 12 * max(1, len(self.ownership.tenures))
+
     def factor(self, lane: str) -> float:
         return self.factors.get(lane, 1.0)
 
--- a/roadbend/placement/test_placement.py
+++ b/roadbend/placement/test_placement.py
@@ -23,23 +23,27 @@
     return Room(name, "g2", "east", spot, cpus, gpus, memory, frozenset(images), TOTAL, **more)
 
 
+def best(job, rooms):
+    return next((room.id for room in policy.suitable(job, rooms)), None)
+
+
 def test_the_image_leads_then_the_least_scrap():
     item = pending(loaners=False)
     rooms = [room("a"), room("b", cpus=8, gpus=1, memory=40), room("c", images=["img-1"])]
-    assert policy.best_room(item.job, rooms).id == "c"
-    assert policy.best_room(item.job, rooms[:2]).id == "b"
+    assert best(item.job, rooms) == "c"
+    assert best(item.job, rooms[:2]) == "b"
 
 
 def test_work_that_may_use_spot_machines_leaves_the_others_free():
     rooms = [room("a", images=["img-1"]), room("b", spot=True)]
-    assert policy.best_room(pending().job, rooms).id == "b"
-    assert policy.best_room(pending(loaners=False).job, rooms).id == "a"
-    assert policy.best_room(pending(loaners=False).job, rooms[1:]) is None
+    assert best(pending().job, rooms) == "b"
+    assert best(pending(loaners=False).job, rooms) == "a"
+    assert best(pending(loaners=False).job, rooms[1:]) is None
 
 
 def test_nothing_goes_where_its_job_does_not_allow_it():
     for change in ({"rigs": ["h8"]}, {"yard": "west"}):
-        assert policy.best_room(pending(**change).job, [room("a")]) is None
+        assert best(pending(**change).job, [room("a")]) is None
 
 
 def test_priority_then_guarantee_then_deadline_then_age():
--- a/roadbend/rental/policy.py
+++ b/roadbend/rental/policy.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
-from roadbend.placement.forecast import Line, Starts
-from roadbend.placement.policy import Pending, Room, allowed
+from roadbend.placement.forecast import Board, Line, Starts
+from roadbend.placement.policy import Pending, Room, allowed, least_of
 from roadbend.rental.cloud import Rig
 from roadbend.store.records import Job
 
@@ -158,16 +158,19 @@
     Tasks are laid on the machines in their order, as these come free. One that would start too late,
     and that a new machine would start sooner, calls for that machine; those behind it may share it."""
     out: dict[tuple[str, bool], int] = {}
-    lines = list(lines)
+    board = Board(lines, least_of(timing.item.job.spec.need for timing in queue))
     alike: dict[object, int] = {}
     for timing in queue:
         need = timing.item.job.spec.need
         alike[need] = alike.get(need, 0) + timing.item.count
     for timing in queue:
         item, spec = timing.item, timing.item.job.spec
-        rows = Starts(item.job, lines, timing.avoid)
+        rows = Starts(item.job, board, timing.avoid)
         slack, reach = in_reach(timing, choices, part, boot_factor)
         option: Option | None = None
+        # A choice goes by how many are alike only where they are fewer than a machine takes.
+        wide = max((empty_room("", o, part).count(spec.need) for o in choices), default=0)
+        chosen: dict[int, Option | None] = {}
         for at in range(item.count):
             if most <= 0:
                 return out
@@ -175,14 +178,16 @@
             begin, _, line = rows.best()
             if begin > slack:
                 if at == 0 or option is not None:
-                    option = _choose(timing, choices, part, boot_factor, alike[spec.need], slack, reach)
+                    count = min(alike[spec.need], wide)
+                    if count not in chosen:
+                        chosen[count] = _choose(timing, choices, part, boot_factor, count, slack, reach)
+                    option = chosen[count]
                 if option is not None:
-                    room = empty_room(f"new-{len(lines)}", option, part)
+                    room = empty_room(f"new-{len(board.lines)}", option, part)
                     room.ready_in *= boot_factor
                     if room.ready_in + room.fetch(spec.image, timing.image_gb) < begin - 1.0:
                         line = Line(room)
-                        lines.append(line)
-                        rows.join(len(lines) - 1, line)
+                        rows.join(line)
                         key = (option.rig.name, option.spot)
                         out[key] = out.get(key, 0) + 1
             alike[spec.need] -= 1
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -136,7 +136,7 @@
                 if self._shared.ownership.may_start(now) and self._shared.rigs:
                     hires = self._plan(runtime, now)
                     # Where looking at everything takes long, it is done less often.
-                    pause = max(ROUND, (clock.now() - now) * 12)
+                    pause = max(ROUND, self._shared.rest(clock.now() - now))
                     await self._round(runtime, now, *hires)
             except (NoAnswer, Busy) as error:
                 log.debug("cloud-trouble", part=part, error=str(error)[:60])
--- a/roadbend/store/view.py
+++ b/roadbend/store/view.py
@@ -69,8 +69,9 @@
         self.held: dict[str, dict[str, None]] = {}
         self.slices: dict[str, dict[str, Work]] = {}
         self.machines: dict[str, dict[str, Rows]] = {}
-        # Counts the changes of what is recorded on a machine.
+        # Tells the changes of what is recorded on a machine.
         self.marks: dict[str, dict[str, int]] = {}
+        self._marked = 0
         # Cores and GPUs of all recorded attempts: part -> team -> amounts.
         self.used: dict[str, dict[str, tuple[float, float]]] = {}
         self.teams: dict[str, Use] = {}
@@ -202,8 +203,9 @@
                         self._mark(part, attempt.machine)
 
     def _mark(self, part: str, machine: str) -> None:
-        marks = self.marks.setdefault(part, {})
-        marks[machine] = marks.get(machine, 0) + 1
+        # One count for all, so that a mark that was dropped and began anew is never taken for the old one.
+        self._marked += 1
+        self.marks.setdefault(part, {})[machine] = self._marked
 
     def _swap(self, part: str, job: str, shard: int, new: Slice | None) -> None:
         """A shard's record changed: the indexes follow by what differs."""
