--- a/roadbend/http/server.py
+++ b/roadbend/http/server.py
@@ -1,5 +1,6 @@
 """Serving requests. Bodies are CBOR; a connection stays open until one side closes it."""
 
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -16,6 +17,10 @@
 IDLE_S = 75.0
 REQUEST_S = 10.0
 WRITE_S = 10.0
+# How often all connections are looked at for that.
+SWEEP_S = 1.0
+# Heads of answers that are remembered.
+MOST_ANSWERS = 512
 
 
 @dataclass(frozen=True)
@@ -48,92 +53,161 @@
 Handle = Callable[[Request], Awaitable[Response]]
 
 
+class _Link:
+    """A connection that is open: whether it waits for a request, and until when it may."""
+
+    __slots__ = ("scope", "until", "favoured")
+
+    def __init__(self, until: float):
+        self.scope = trio.CancelScope()
+        self.until = until
+        self.favoured = False
+
+
 class Server:
-    def __init__(self, handle: Handle, most: int):
-        self._handle = handle
-        self._most = most
-        self._open = 0
+    """`most`: connections at once. `favoured`: requests whose connections are kept before all others, and for
+    `stale` seconds at least without another request."""
+
+    def __init__(
+        self, handle: Handle, most: int, favoured: Callable[[Request], bool] | None = None, stale: float = IDLE_S
+    ):
+        self._handle, self._most = handle, most
+        self._favoured, self._stale = favoured, stale
+        self._links: set[_Link] = set()
+        # Those that wait for a request, the longest waiting first: others', and the favoured ones.
+        self._waiting: tuple[OrderedDict[_Link, float], OrderedDict[_Link, float]] = (OrderedDict(), OrderedDict())
+        self._answers: dict[tuple, h11.Response] = {}
 
     async def serve(self, stream: trio.abc.Stream) -> None:
-        # Bounded: past the limit a connection is refused at once instead of waiting for memory.
-        if self._open >= self._most:
+        # Bounded: past the limit a connection that only waits makes room, or else the new one is refused at
+        # once instead of waiting for memory.
+        if len(self._links) >= self._most and not self._make_room():
             await trio.aclose_forcefully(stream)
             return
-        self._open += 1
+        link = _Link(trio.current_time() + IDLE_S)
+        self._links.add(link)
         try:
-            await self._talk(stream)
-        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError, h11.ProtocolError):
+            with link.scope:
+                await self._talk(stream, link)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
             pass
         except OSError:
             pass
         except Exception:
             log.crash("connection-failed")
         finally:
-            self._open -= 1
+            self._forget(link)
             await trio.aclose_forcefully(stream)
 
-    async def _talk(self, stream: trio.abc.Stream) -> None:
+    async def sweep(self) -> None:
+        """Ends connections that say nothing, dribble, or don't take their answer. One look at all of them now
+        and then is cheaper than a timer for each request."""
+        while True:
+            await trio.sleep(SWEEP_S)
+            now = trio.current_time()
+            for link in [link for link in self._links if link.until < now]:
+                self._drop(link)
+
+    def _forget(self, link: _Link) -> None:
+        self._links.discard(link)
+        self._waiting[link.favoured].pop(link, None)
+
+    def _drop(self, link: _Link) -> None:
+        self._forget(link)
+        link.scope.cancel()
+
+    def _make_room(self) -> bool:
+        """Ends the connection that has waited longest. Workers' are kept from users' storms: one of theirs goes
+        only when a living worker would long have used it, as after a cut that left it half open."""
+        for link in self._waiting[False]:
+            self._drop(link)
+            return True
+        for link, since in self._waiting[True].items():
+            if trio.current_time() - since > self._stale:
+                self._drop(link)
+                return True
+            break
+        return False
+
+    async def _talk(self, stream: trio.abc.Stream, link: _Link) -> None:
         conn = h11.Connection(h11.SERVER)
         while True:
+            now = trio.current_time()
+            link.until = now + IDLE_S
+            self._waiting[link.favoured][link] = now
             try:
-                request = await self._read(conn, stream)
+                request = await self._read(conn, stream, link)
             except h11.RemoteProtocolError as error:
-                with trio.move_on_after(WRITE_S):
-                    await self._send(conn, stream, Response(error.error_status_hint or 400, {"error": "bad request"}))
+                link.until = trio.current_time() + WRITE_S
+                await self._send(conn, stream, Response(error.error_status_hint or 400, {"error": "bad request"}))
                 return
+            finally:
+                self._waiting[link.favoured].pop(link, None)
             if request is None:
                 return
             if isinstance(request, Response):
                 response = request
             else:
+                link.favoured = self._favoured is not None and self._favoured(request)
+                # What an answer takes is bounded by whoever makes it.
+                link.until = float("inf")
                 try:
                     response = await self._handle(request)
                 except Exception:
                     # One bad request must not end the process, nor leave its client waiting.
                     log.crash("request-failed", path=request.path[:80])
                     response = Response(500, {"error": "internal"})
-            with trio.fail_after(WRITE_S):
-                await self._send(conn, stream, response)
+            link.until = trio.current_time() + WRITE_S
+            await self._send(conn, stream, response)
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
                 return
             conn.start_next_cycle()
 
-    async def _read(self, conn, stream) -> Request | Response | None:
-        head, body, size = None, [], 0
-        scope = trio.CancelScope(deadline=trio.current_time() + IDLE_S)
-        with scope:
-            while True:
-                event = conn.next_event()
-                if event is h11.NEED_DATA:
-                    if conn.they_are_waiting_for_100_continue:
-                        await stream.send_all(conn.send(h11.InformationalResponse(status_code=100, headers=[])))
-                    data = await stream.receive_some(65536)
-                    if head is None and conn.their_state is h11.IDLE and data:
-                        scope.deadline = min(scope.deadline, trio.current_time() + REQUEST_S)
-                    conn.receive_data(data)
-                elif isinstance(event, h11.Request):
-                    head = event
-                elif isinstance(event, h11.Data):
-                    size += len(event.data)
-                    if size > BODY_LIMIT:
-                        return Response(413, {"error": "body too large"}, close=True)
-                    body.append(bytes(event.data))
-                elif isinstance(event, h11.EndOfMessage):
-                    path, _, query = head.target.decode("ascii", "replace").partition("?")
-                    return Request(head.method.decode("ascii", "replace"), path, query, b"".join(body))
-                else:  # the connection is closed
-                    return None
-        return None
+    async def _read(self, conn, stream, link: _Link) -> Request | Response | None:
+        head, body, size, begun = None, [], 0, False
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                if conn.they_are_waiting_for_100_continue:
+                    await stream.send_all(conn.send(h11.InformationalResponse(status_code=100, headers=[])))
+                data = await stream.receive_some(65536)
+                if not begun and data:
+                    begun = True
+                    link.until = trio.current_time() + REQUEST_S
+                conn.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > BODY_LIMIT:
+                    return Response(413, {"error": "body too large"}, close=True)
+                body.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                path, _, query = head.target.decode("ascii", "replace").partition("?")
+                return Request(head.method.decode("ascii", "replace"), path, query, b"".join(body))
+            else:  # the connection is closed
+                return None
+
+    def _answer(self, status: int, size: int, more: tuple[tuple[str, str], ...], close: bool) -> h11.Response:
+        """Heads of answers are alike: h11 looks at each kind once."""
+        key = (status, size, more, close)
+        found = self._answers.get(key)
+        if found is None:
+            headers = [("content-length", str(size))]
+            if size:
+                headers.append(("content-type", "application/cbor"))
+            headers.extend(more)
+            if close:
+                headers.append(("connection", "close"))
+            if len(self._answers) >= MOST_ANSWERS:
+                self._answers.clear()
+            found = self._answers[key] = h11.Response(status_code=status, headers=headers)
+        return found
 
     async def _send(self, conn, stream, response: Response) -> None:
         body = b"" if response.body is None else cbor2.dumps(response.body)
-        headers = [("content-length", str(len(body)))]
-        if body:
-            headers.append(("content-type", "application/cbor"))
-        headers.extend(response.headers)
-        if response.close or conn.their_state is h11.ERROR:
-            headers.append(("connection", "close"))
-        out = conn.send(h11.Response(status_code=response.status, headers=headers))
+        close = response.close or conn.their_state is h11.ERROR
+        out = conn.send(self._answer(response.status, len(body), response.headers, close))
         if body:
             out += conn.send(h11.Data(data=body))
         out += conn.send(h11.EndOfMessage())
--- a/roadbend/node.py
+++ b/roadbend/node.py
@@ -31,6 +31,9 @@
 
 log = Log("node")
 MOST_TOLD = 256
+# Sockets kept for what we open ourselves (the state service 16, the cloud 6, machines asked and told 64, peers),
+# for peers' connections to us, and for connections that are just being closed.
+OWN_SOCKETS = 200
 
 
 class Node:
@@ -52,7 +55,11 @@
         self.exchange = Exchange(self.shared, self.peers, self.runtimes, self.rental.closed, rng)
         self.users = Users(self.shared, self.exchange.submit, self._tell, self.aside, Limit(ceiling=op.users_at_once))
         self.told: OrderedDict[str, datetime] = OrderedDict()
-        self.server = Server(self.handle, most=max(64, settings.sockets - 300))
+        # Workers' connections are kept from storms of users, until a living worker would have reported twice.
+        stale = 2.5 * settings.report_every + timedelta(seconds=4)
+        self.server = Server(
+            self.handle, max(64, settings.sockets - OWN_SOCKETS), self._from_worker, stale.total_seconds()
+        )
         self.peers.handlers[frames.PING] = self._on_ping
         self.view.watchers.append(self._on_record)
         self.ownership.changed.append(self._on_ownership)
@@ -60,6 +67,10 @@
 
     # Routes.
 
+    @staticmethod
+    def _from_worker(request: Request) -> bool:
+        return request.path == "/hello"
+
     async def handle(self, request: Request) -> Response:
         path = request.path
         if path == "/hello":
@@ -214,6 +225,7 @@
             await nursery.start(self.net.listen, self.settings.back, self.peers.serve)
             for link in self.peers.links.values():
                 nursery.start_soon(link.run, self.pulse, self._took)
+            nursery.start_soon(self.server.sweep)
             nursery.start_soon(self.reader.run)
             nursery.start_soon(self.ownership.run)
             nursery.start_soon(self.rental.catalog_loop)
