--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from datetime import datetime, timedelta
+from itertools import accumulate
 
 import trio
 
@@ -18,11 +19,13 @@
 from roadbend.rental.cloud import MOST_NAMES, Busy, Cloud, Listed, NoCapacity
 
 log = Log("fleet")
-# Machines of a part that we tell its owner we hear, and reports of strangers that we remember.
-MOST_HEARD = 1024
+# Bytes of names of machines that we tell their owner we hear, and reports of strangers that we remember.
+MOST_HEARD = 64 * 1024
 MOST_STRANGERS = 4096
 # Machines looked into at once; each takes a connection.
 MOST_PROBES = 48
+# How long looking into a machine, or gathering deletions, may take; more says that we ourselves stood still.
+PROBE_WITHIN = timedelta(seconds=3)
 # For how many of the workers' leases machines of a zone that can't be reached are kept.
 CUT_LEASES = 6
 
@@ -32,6 +35,7 @@
 
     def __init__(self):
         self.names: list[str] = []
+        self.began = clock.now()
         self.done = trio.Event()
         # Until the call has succeeded, nothing is proven gone.
         self.error: Exception | None = NoAnswer("not carried out")
@@ -53,6 +57,8 @@
         # their leases end.
         self._cut: dict[str, tuple[datetime, frozenset[str]]] = {}
         self._direct = trio.CapacityLimiter(16)
+        # When this process last went on after standing still: before that nobody's silence counts.
+        self._woke = clock.ORIGIN
 
     def take_list(self, rows: list[Listed]) -> None:
         self.listed = {row.id: row for row in rows}
@@ -102,7 +108,9 @@
         for part, rows in self._strangers.items():
             names = [name for name, (at, _) in rows.items() if now - at < timedelta(seconds=6)]
             if names and part not in self._runtimes:
-                out[part] = tuple(names[-MOST_HEARD:])
+                # The latest; those beyond are taken for silent a little sooner.
+                sizes = accumulate(len(name) + 2 for name in reversed(names))
+                out[part] = tuple(names[-sum(1 for size in sizes if size <= MOST_HEARD) :])
         return out
 
     def _heard_elsewhere(self, part: str, machine: str, now: datetime) -> bool:
@@ -151,14 +159,25 @@
     # Silence.
 
     async def watch(self, nursery: trio.Nursery) -> None:
+        last = clock.now()
         while True:
             await clock.pause(timedelta(seconds=1))
+            self.note_time(last)
+            last = clock.now()
             for runtime in list(self._runtimes.values()):
                 try:
                     self._look(runtime, nursery)
                 except Exception:
                     log.crash("watch-failed", part=runtime.part)
 
+    def note_time(self, last: datetime) -> None:
+        """A second was to pass. Where far more did, this process stood still while its clocks ran on, and all
+        machines look silent; what they sent is still to be read."""
+        now = clock.now()
+        if now - last > timedelta(seconds=1) + self._shared.settings.report_every / 2:
+            log.info("stood-still", seconds=f"{(now - last).total_seconds():.1f}")
+            self._woke = now
+
     def _look(self, runtime: PartRuntime, nursery: trio.Nursery) -> None:
         now = clock.now()
         op, settings = self._shared.op, self._shared.settings
@@ -170,9 +189,9 @@
             # What counts is not that it reports, but that it hears us.
             last = machine.heard_us if machine is not None else None
             if last is None:
-                overdue = now - since > op.find_owner
+                overdue = now - max(since, self._woke) > op.find_owner
             else:
-                overdue = now - last > settings.report_every * op.silent_reports
+                overdue = now - max(last, self._woke) > settings.report_every * op.silent_reports
             listed = self.listed.get(name)
             if listed is not None and listed.status == "failed":
                 overdue = True
@@ -271,12 +290,16 @@
         machine, listed = runtime.machines.get(name), self.listed.get(name)
         address = machine.address if machine else (listed.address if listed else "")
         failed = listed is not None and listed.status == "failed"
+        began = clock.now()
         before = machine.heard_us if machine else None
         if address and not failed and await self._inspect(runtime, name, address):
             if clock.now() - (before or runtime.tenure.since) < settings.lease * 1.5:
                 # It lives and will report, or end its lease; till then nothing more is put on it.
                 await clock.pause(timedelta(seconds=2))
                 return
+        if clock.now() - began > PROBE_WITHIN:
+            # Its answers may lie unread: we stood still while we asked.
+            return
         machine = runtime.machines.get(name)
         if machine is not None:
             machine.doubted = False
@@ -333,7 +356,7 @@
         if self._wave is wave:
             self._wave = None
         try:
-            await self._cloud.delete(wave.names, urgent=True)
+            await self._cloud.delete(wave.names, urgent=True, still=lambda: clock.now() - wave.began < PROBE_WITHIN)
             wave.error = None
         except (NoAnswer, Busy, NoCapacity) as error:
             wave.error = error
--- a/roadbend/rental/cloud.py
+++ b/roadbend/rental/cloud.py
@@ -1,5 +1,6 @@
 """The cloud's client. Nonsense counts as no answer."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -85,7 +86,12 @@
 
 
 class Busy(Exception):
-    """Over the limit, or the cloud is out: not executed."""
+    """Over the limit, the cloud is out, or the reason has passed: not executed."""
+
+
+# Whether there is still reason for a call, asked right before it goes out: it may have waited for its turn,
+# and the process may have stood still meanwhile while another controller took the part over.
+Still = Callable[[], bool]
 
 
 class Cloud:
@@ -115,9 +121,20 @@
         finally:
             self._waiting[rank] -= 1
 
-    async def _call(self, method: str, target: str, body: Any = None, *, rank: int = LIST, urgent: bool = False) -> Any:
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: Any = None,
+        *,
+        rank: int = LIST,
+        urgent: bool = False,
+        still: Still | None = None,
+    ) -> Any:
         if not urgent:
             await self._turn(rank)
+        if still is not None and not still():
+            raise Busy("no longer")
         self._bucket.spend(1)
         status, answer = await self._client.request(method, target, body, within=timedelta(seconds=5))
         if status == 503 and isinstance(answer, dict) and answer.get("error") == "no capacity":
@@ -140,19 +157,21 @@
             raise NoAnswer("nonsense: empty catalog")
         return rigs
 
-    async def hire(self, name: str, rig: str, zone: str, spot: bool, count: int) -> list[str]:
+    async def hire(
+        self, name: str, rig: str, zone: str, spot: bool, count: int, still: Still | None = None
+    ) -> list[str]:
         body = {"hire": name, "rig": rig, "yard": zone, "loaners": spot, "howMany": count}
-        answer = await self._call("POST", "/machines", body, rank=HIRE)
+        answer = await self._call("POST", "/machines", body, rank=HIRE, still=still)
         rows = answer.get("hitches") if isinstance(answer, dict) else None
         if not isinstance(rows, list) or not all(isinstance(row, str) for row in rows):
             raise NoAnswer("nonsense: hire")
         return rows
 
-    async def delete(self, names: list[str], urgent: bool = False) -> None:
+    async def delete(self, names: list[str], urgent: bool = False, still: Still | None = None) -> None:
         """Returns when all of them are gone; where it raises, none is proven gone."""
         for at in range(0, len(names), MOST_NAMES):
             body = {"hitches": names[at : at + MOST_NAMES]}
-            await self._call("POST", "/machines/delete", body, rank=RETURN, urgent=urgent)
+            await self._call("POST", "/machines/delete", body, rank=RETURN, urgent=urgent, still=still)
 
     def list_pause(self, machines: int) -> timedelta:
         """How often the list is read, of several pages at every controller: for a quarter of the calls."""
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -13,7 +13,7 @@
 from roadbend.placement.runtime import PartRuntime
 from roadbend.placement.shared import Shared, fits_in
 from roadbend.rental import policy
-from roadbend.rental.cloud import MOST_HIRED, MOST_NAMES, Busy, Cloud, Listed, NoCapacity, read_rigs
+from roadbend.rental.cloud import MOST_HIRED, MOST_NAMES, Busy, Cloud, Listed, NoCapacity, Still, read_rigs
 from roadbend.store import ranges, records
 from roadbend.store.client import Conflict, NoLease, Unavailable, commit, put
 from roadbend.store.records import Job
@@ -213,7 +213,7 @@
                 late.append(boot.id)
         if late:
             log.info("never-up", part=part, machines=",".join(late[:5]), count=len(late))
-            await self._cloud.delete(late)
+            await self._cloud.delete(late, still=self._still(runtime))
             for name in late:
                 boots.pop(name, None)
                 runtime.gone(name, "deleted")
@@ -306,7 +306,7 @@
         key = (part, rig, spot)
         for attempt in range(6):
             try:
-                got = await self._cloud.hire(name, rig, part, spot, count)
+                got = await self._cloud.hire(name, rig, part, spot, count, self._still(runtime))
                 break
             except NoCapacity:
                 self._refuse(key)
@@ -327,6 +327,12 @@
         else:
             self.refused.pop(key, None)
 
+    def _still(self, runtime: PartRuntime) -> Still:
+        """Machines are hired and given back for a part only while it is ours: a new owner may have put work on
+        what we found empty before we stood still."""
+        ownership = self._shared.ownership
+        return lambda: ownership.tenure(runtime.part) == runtime.tenure and ownership.may_start(clock.now())
+
     def _refuse(self, key: tuple[str, str, bool]) -> None:
         op, now = self._shared.op, clock.now()
         old = self.refused.get(key)
@@ -370,7 +376,7 @@
             names = [name for name in names if name not in runtime.by_machine()]
         if not names:
             return
-        await self._cloud.delete(names)
+        await self._cloud.delete(names, still=self._still(runtime))
         log.info("returned", part=runtime.part, count=len(names), machines=",".join(names))
         for name in names:
             runtime.gone(name, "deleted")
