--- a/roadbend/conftest.py
+++ b/roadbend/conftest.py
@@ -1,6 +1,7 @@
 """Stories run on trio's mock clock: no wall-clock luck, and waiting costs nothing."""
 
 import inspect
+import sys
 from datetime import UTC, datetime, timedelta
 
 import pytest
@@ -37,3 +38,24 @@
             return base
 
     monkeypatch.setattr(clock, "wall", wall)
+
+
+def count_calls(function) -> int:
+    """How many calls of Python functions something takes: a cost that knows no clock."""
+    count = 0
+
+    def note(_frame, event, _arg):
+        nonlocal count
+        count += event == "call"
+
+    sys.setprofile(note)
+    try:
+        function()
+    finally:
+        sys.setprofile(None)
+    return count
+
+
+@pytest.fixture
+def calls():
+    return count_calls
--- /dev/null
+++ b/roadbend/fleet/test_standing_still.py
@@ -0,0 +1,48 @@
+"""A controller that stands still for seconds while its clocks run on."""
+
+import pytest
+import trio
+
+from roadbend.rental.cloud import Busy
+from roadbend.settings import Team
+from roadbend.standins.world import job, world
+
+
+async def test_a_controller_that_stood_still_takes_no_machine_for_silent():
+    """Its machines' reports lie unread when it goes on; all of them looked silent, and were looked into at once."""
+    async with world(count=1, teams={"red": Team("red", 0, 0, 4, 40)}, capacity=20) as w:
+        assert await w.submit(0, job(1, legs=16, yard="east", shape="daemon", dueS=None), None) == 201
+        assert await w.until(lambda: len(w.board.running("run-000001")) == 16, 60)
+        fleet, asked = w.nodes["node-0"].fleet, []
+
+        async def probe(runtime, name):
+            asked.append(name)
+            fleet._probing.discard((runtime.part, name))
+
+        fleet._probe = probe
+        await trio.sleep(3)
+        assert asked == []
+        trio.lowlevel.current_clock().jump(6)
+        await trio.sleep(2)
+        assert asked == []
+        # From then on silence counts again.
+        for machine in w.cloud.machines:
+            w.network.cut("node-0", machine)
+        await trio.sleep(8)
+        assert len(set(asked)) == 8
+
+
+async def test_a_late_call_for_a_part_that_is_no_longer_ours_does_not_go_out():
+    async with world(count=1) as w:
+        assert await w.submit(0, job(1, yard="east", shape="daemon", dueS=None), None) == 201
+        assert await w.until(lambda: w.board.running("run-000001"), 60)
+        node = w.nodes["node-0"]
+        machine, runtime = next(iter(w.board.where["run-000001/0"])), node.runtimes["east"]
+        still = node.rental._still(runtime)
+        assert still()
+        node.ownership._forget("east", "for the story")
+        assert not still()
+        for call in (node.cloud.delete([machine], still=still), node.cloud.hire("h-1", "g2", "east", False, 1, still)):
+            with pytest.raises(Busy):
+                await call
+        assert list(w.cloud.machines) == [machine]
--- a/roadbend/http/server.py
+++ b/roadbend/http/server.py
@@ -53,15 +53,19 @@
 Handle = Callable[[Request], Awaitable[Response]]
 
 
+# What a connection is known to be for by its last request.
+OTHER, FAVOURED, NEW = range(3)
+
+
 class _Link:
     """A connection that is open: whether it waits for a request, and until when it may."""
 
-    __slots__ = ("scope", "until", "favoured")
+    __slots__ = ("scope", "until", "kind")
 
     def __init__(self, until: float):
         self.scope = trio.CancelScope()
         self.until = until
-        self.favoured = False
+        self.kind = NEW
 
 
 class Server:
@@ -74,8 +78,8 @@
         self._handle, self._most = handle, most
         self._favoured, self._stale = favoured, stale
         self._links: set[_Link] = set()
-        # Those that wait for a request, the longest waiting first: others', and the favoured ones.
-        self._waiting: tuple[OrderedDict[_Link, float], OrderedDict[_Link, float]] = (OrderedDict(), OrderedDict())
+        # Those that wait for a request, by kind, the longest waiting first.
+        self._waiting: tuple[OrderedDict[_Link, float], ...] = (OrderedDict(), OrderedDict(), OrderedDict())
         self._answers: dict[tuple, h11.Response] = {}
 
     async def serve(self, stream: trio.abc.Stream) -> None:
@@ -110,7 +114,7 @@
 
     def _forget(self, link: _Link) -> None:
         self._links.discard(link)
-        self._waiting[link.favoured].pop(link, None)
+        self._waiting[link.kind].pop(link, None)
 
     def _drop(self, link: _Link) -> None:
         self._forget(link)
@@ -118,15 +122,13 @@
 
     def _make_room(self) -> bool:
         """Ends the connection that has waited longest. Workers' are kept from users' storms: one of theirs goes
-        only when a living worker would long have used it, as after a cut that left it half open."""
-        for link in self._waiting[False]:
-            self._drop(link)
-            return True
-        for link, since in self._waiting[True].items():
-            if trio.current_time() - since > self._stale:
+        only when a living worker would long have used it, as after a cut that left it half open. One that has
+        just been opened goes last, for it may be a worker's that is about to speak."""
+        for kind in (OTHER, FAVOURED, NEW):
+            link, since = next(iter(self._waiting[kind].items()), (None, 0.0))
+            if link is not None and (kind != FAVOURED or trio.current_time() - since > self._stale):
                 self._drop(link)
                 return True
-            break
         return False
 
     async def _talk(self, stream: trio.abc.Stream, link: _Link) -> None:
@@ -134,7 +136,7 @@
         while True:
             now = trio.current_time()
             link.until = now + IDLE_S
-            self._waiting[link.favoured][link] = now
+            self._waiting[link.kind][link] = now
             try:
                 request = await self._read(conn, stream, link)
             except h11.RemoteProtocolError as error:
@@ -142,13 +144,13 @@
                 await self._send(conn, stream, Response(error.error_status_hint or 400, {"error": "bad request"}))
                 return
             finally:
-                self._waiting[link.favoured].pop(link, None)
+                self._waiting[link.kind].pop(link, None)
             if request is None:
                 return
             if isinstance(request, Response):
                 response = request
             else:
-                link.favoured = self._favoured is not None and self._favoured(request)
+                link.kind = FAVOURED if self._favoured is not None and self._favoured(request) else OTHER
                 # What an answer takes is bounded by whoever makes it.
                 link.until = float("inf")
                 try:
--- a/roadbend/placement/test_placement.py
+++ b/roadbend/placement/test_placement.py
@@ -1,5 +1,7 @@
 """Which task goes where, and what may be stopped for it."""
 
+import copy
+import random
 from datetime import timedelta
 
 from roadbend import clock
@@ -107,3 +109,63 @@
     cold.put(item.job, 0.0, 10.0)
     # The image is on its way; the next task of this job begins there at once.
     assert cold.releases[0][0] == 90.0 and forecast.earliest(item.job, [cold, warm])[1] is cold
+
+
+def lay_looking_everywhere(queue, lines, run):
+    """The forecast as it is meant: every task looks at every machine."""
+    starts = {}
+    for item in queue:
+        spec = item.job.spec
+        for _ in range(item.count):
+            rows = []
+            for n, line in enumerate(lines):
+                start = line.earliest(spec.need)
+                if start < forecast.NEVER and policy.allowed(item.job, line.room.rig, line.room.zone, line.room.spot):
+                    runs = round(start + line.room.fetch(spec.image, spec.image_gb), 6)
+                    rows.append((runs, spec.spot and not line.room.spot, n, start, line))
+            if not rows:
+                break
+            _, _, _, start, line = min(rows)
+            starts.setdefault(item.job.id, []).append(start)
+            line.put(item.job, start, run(item.job))
+    return starts
+
+
+def test_the_forecast_finds_the_same_places_as_one_that_looks_at_every_machine():
+    """Lines are looked at only as far as a sooner place may be; half of the processor time went there."""
+    rng = random.Random(11)
+    for _ in range(60):
+        lines = []
+        for n in range(rng.randrange(1, 25)):
+            room_ = room(
+                f"m-{n}", rng.choice((0, 6, 12, 24)), rng.choice((0, 1, 2)), 144.0, rng.random() < 0.5, pull=1.0
+            )
+            room_.images = frozenset(rng.sample(("img-1", "img-2", "img-3"), rng.randrange(3)))
+            room_.ready_in = rng.choice((0.0, 0.0, 0.0, rng.uniform(1, 40)))
+            ends = [(rng.uniform(1, 90), Need(rng.choice((6.0, 12.0)), 1, 0)) for _ in range(rng.randrange(3))]
+            lines.append(Line(room_, sorted(ends, key=lambda row: row[0])))
+        queue = [
+            pending(
+                n, rng.randrange(1, 9), vcpus=rng.choice((5.0, 8.0, 11.5)), bundle=f"img-{rng.randrange(1, 4)}",
+                imageGb=rng.uniform(1, 20), loaners=rng.random() < 0.7, legs=9,
+                shape=rng.choice(("batch", "daemon")), dueS=None,
+            )
+            for n in range(1, rng.randrange(2, 9))
+        ]  # fmt: skip
+
+        def run(job):
+            return forecast.run_seconds(job, 1.0)
+
+        want = lay_looking_everywhere(queue, copy.deepcopy(lines), run)
+        assert forecast.lay(queue, lines, run, 9999) == want
+
+
+def test_a_queue_behind_full_machines_looks_at_few_of_them(calls):
+    """What each of many jobs costs must not be a look at each of many machines."""
+
+    def cost(machines):
+        lines = [Line(room(f"m-{n}", gpus=0.0), [(10.0 + n, Need(8, 1, 40))]) for n in range(machines)]
+        queue = [pending(n, 2, legs=2) for n in range(1, 41)]
+        return calls(lambda: forecast.lay(queue, lines, lambda _: 500.0, 9999))
+
+    assert cost(800) - cost(400) < 400 * 4
--- a/roadbend/test_growth.py
+++ b/roadbend/test_growth.py
@@ -1,7 +1,6 @@
 """What must hold at any size: wide arrays, full records, nobody starved, and work that follows the change."""
 
 import random
-import sys
 from dataclasses import replace
 from datetime import timedelta
 
@@ -82,27 +81,11 @@
             assert view.used_by(team) == (2.0 * count, 1.0 * count)
 
 
-def calls(function) -> int:
-    """How many calls of Python functions something takes: a cost that knows no clock."""
-    count = 0
-
-    def note(_frame, event, _arg):
-        nonlocal count
-        count += event == "call"
-
-    sys.setprofile(note)
-    try:
-        function()
-    finally:
-        sys.setprofile(None)
-    return count
-
-
 def lines(count, gpus=2.0):
     return [Line(room(f"m-{n}", gpus=gpus)) for n in range(count)]
 
 
-def test_a_wide_job_costs_a_look_at_each_machine_and_not_one_a_task():
+def test_a_wide_job_costs_a_look_at_each_machine_and_not_one_a_task(calls):
     small = calls(lambda: forecast.lay([pending(1, 10, legs=10)], lines(100), lambda _: 30.0, 9999))
     wide = calls(lambda: forecast.lay([pending(1, 200, legs=200)], lines(100), lambda _: 30.0, 9999))
     more = calls(lambda: forecast.lay([pending(1, 10, legs=10)], lines(300), lambda _: 30.0, 9999))
@@ -115,7 +98,7 @@
     assert calls(lambda: wanted(late[:2], [], choices(), "east", 1.0)) < 100 * 150
 
 
-async def test_a_calm_report_costs_the_same_beside_few_machines_and_beside_many():
+async def test_a_calm_report_costs_the_same_beside_few_machines_and_beside_many(calls):
     async with world(teams={"red": Team("red", 0, 0, 4, 400)}, capacity=60) as w:
         costs = []
         for number, legs in ((1, 2), (2, 60)):
