--- a/roadbend/placement/forecast.py
+++ b/roadbend/placement/forecast.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from roadbend.placement.policy import Pending, Room, allowed, least_of
+from roadbend.placement.policy import EPS, Pending, Room, allowed, least_of
 from roadbend.store.records import Job, Need
 
 NEVER = float("inf")
@@ -27,13 +27,14 @@
     free_from: float = 0.0
 
     def earliest(self, need: Need) -> float:
-        if self.room.fits(need):
-            return max(self.room.ready_in, self.free_from)
-        cpus, gpus, memory = self.room.cpus, self.room.gpus, self.room.memory
+        room, want_cpus, want_gpus, want_memory = self.room, need.cpus - EPS, need.gpus - EPS, need.memory - EPS
+        cpus, gpus, memory = room.cpus, room.gpus, room.memory
+        if want_cpus <= cpus and want_gpus <= gpus and want_memory <= memory:
+            return max(room.ready_in, self.free_from)
         for at, freed in self.releases:
             cpus, gpus, memory = cpus + freed.cpus, gpus + freed.gpus, memory + freed.memory
-            if need.cpus <= cpus + 1e-6 and need.gpus <= gpus + 1e-6 and need.memory <= memory + 1e-6:
-                return max(at, self.room.ready_in)
+            if want_cpus <= cpus and want_gpus <= gpus and want_memory <= memory:
+                return max(at, room.ready_in)
         return NEVER
 
     def put(self, job: Job, start: float, run: float) -> None:
@@ -95,10 +96,11 @@
     def _look(self) -> None:
         """Lines that could come before the best one known."""
         order, rows, lines = self._board.order, self._rows, self._board.lines
-        at = bisect_right(order, self._last)
-        while at < len(order):
+        at, count = bisect_right(order, self._last), len(order)
+        while at < count:
             row = order[at]
-            if rows and round(row[0], 6) > rows[0][0]:
+            # What is as soon but for the rounding is looked at too, for it may be the better one.
+            if rows and row[0] > rows[0][0] + 1e-5:
                 return
             self._last = row
             at += 1
--- a/roadbend/placement/shared.py
+++ b/roadbend/placement/shared.py
@@ -14,6 +14,9 @@
 from roadbend.store.records import Job, Need, Spec
 from roadbend.store.view import Reader, View
 
+# For how many times as long as it took to work out a layout or a round of hiring it serves.
+REST = 20
+
 
 @dataclass
 class Shared:
@@ -41,7 +44,7 @@
     def rest(self, took: timedelta) -> timedelta:
         """For how long what took so long to work out serves before it is worked out anew. A controller that
         holds the parts of others, too, looks at each of them less often, so that reports are still answered."""
-        return took * 12 * max(1, len(self.ownership.tenures))
+        return took * REST * max(1, len(self.ownership.tenures))
 
     def factor(self, lane: str) -> float:
         return self.factors.get(lane, 1.0)
--- a/roadbend/rental/policy.py
+++ b/roadbend/rental/policy.py
@@ -171,6 +171,8 @@
         # A choice goes by how many are alike only where they are fewer than a machine takes.
         wide = max((empty_room("", o, part).count(spec.need) for o in choices), default=0)
         chosen: dict[int, Option | None] = {}
+        left = alike[spec.need]
+        alike[spec.need] = left - item.count
         for at in range(item.count):
             if most <= 0:
                 return out
@@ -178,7 +180,7 @@
             begin, _, line = rows.best()
             if begin > slack:
                 if at == 0 or option is not None:
-                    count = min(alike[spec.need], wide)
+                    count = min(left, wide)
                     if count not in chosen:
                         chosen[count] = _choose(timing, choices, part, boot_factor, count, slack, reach)
                     option = chosen[count]
@@ -190,7 +192,7 @@
                         rows.join(line)
                         key = (option.rig.name, option.spot)
                         out[key] = out.get(key, 0) + 1
-            alike[spec.need] -= 1
+            left -= 1
             if line is None:
                 # Nothing can be had for it, nor for those beside it.
                 break
