--- a/roadbend/placement/shared.py
+++ b/roadbend/placement/shared.py
@@ -14,8 +14,8 @@
 from roadbend.store.records import Job, Need, Spec
 from roadbend.store.view import Reader, View
 
-# For how many times as long as it took to work out a layout or a round of hiring it serves.
-REST = 20
+# For how many times as long as it took to work out a layout or a round of hiring it serves, with a whole core.
+REST = 12
 
 
 @dataclass
@@ -42,9 +42,10 @@
     factors: dict[str, float] = field(default_factory=dict)
 
     def rest(self, took: timedelta) -> timedelta:
-        """For how long what took so long to work out serves before it is worked out anew. A controller that
-        holds the parts of others, too, looks at each of them less often, so that reports are still answered."""
-        return took * REST * max(1, len(self.ownership.tenures))
+        """For how long what took so long to work out serves before it is worked out anew. Of a core of which we
+        have a quarter it may take a quarter of what it might of a whole one; a controller that holds the parts
+        of others, too, looks at each of them less often. So reports are still answered."""
+        return took * (REST / self.settings.cpu * max(1, len(self.ownership.tenures)))
 
     def factor(self, lane: str) -> float:
         return self.factors.get(lane, 1.0)
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -63,6 +63,8 @@
     cloud_rps: float
     list_lag: timedelta
     sockets: int
+    # How much of a core we have.
+    cpu: float = 1.0
     objectives: tuple[Objective, ...] = ()
 
     @property
@@ -161,6 +163,7 @@
         cloud_rps=_positive(table, "deployment.cloud.rps"),
         list_lag=timedelta(seconds=_positive(table, "deployment.cloud.list_lag_s", 5.0)),
         sockets=int(_positive(table, "deployment.machine_limits.sockets", 1000.0)),
+        cpu=min(1.0, _positive(table, "deployment.machine_limits.cpu", 1.0)),
         objectives=tuple(objectives),
     )
 
