--- a/roadbend/placement/forecast.py
+++ b/roadbend/placement/forecast.py
@@ -142,9 +142,18 @@
 
 
 def earliest(job: Job, lines: list[Line]) -> tuple[float, Line | None]:
-    """Where a task would begin to run first, its fetch counted, and from when it would be there."""
-    _, start, line = Starts(job, Board(lines, job.spec.need)).best()
-    return start, line
+    """Where a task would begin to run first, its fetch counted, and from when it would be there. For one task a
+    plain look at every line is the cheapest."""
+    spec = job.spec
+    best, found = (NEVER, False), (NEVER, None)
+    for line in lines:
+        room = line.room
+        start = line.earliest(spec.need)
+        if start <= best[0] and start < NEVER and allowed(job, room.rig, room.zone, room.spot):
+            runs = (round(start + room.fetch(spec.image, spec.image_gb), 6), spec.spot and not room.spot)
+            if runs < best:
+                best, found = runs, (start, line)
+    return found
 
 
 def lay(queue: list[Pending], lines: list[Line], run_of: Callable[[Job], float], most: int) -> dict[str, list[float]]:
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -38,6 +38,8 @@
 ANSWER_WAIT = timedelta(milliseconds=400)
 # A transaction gathers what comes within this time.
 STEP_GAP = timedelta(milliseconds=90)
+# Most jobs whose loose tasks are remembered.
+MOST_KNOWN = 4096
 # Most machines remembered as deleted.
 MOST_DELETED = 8192
 
@@ -74,6 +76,8 @@
         self.left: list[Pending] = []
         self.seq = 0
         self.width = records.shard_width(shared.settings.value_bytes)
+        # Tasks not placed, by job, and the marks of the records that this was worked out from.
+        self._loose: dict[str, tuple[tuple[int, int], Ranges]] = {}
         self._queue: tuple[tuple[int, int], datetime, list[Pending]] = ((-1, -1), clock.ORIGIN, [])
         self._layouts: deque[tuple[tuple, datetime, timedelta, Layout]] = deque(maxlen=4)
         # Machines on which room is being made, for which job, and until when it is kept.
@@ -147,9 +151,18 @@
 
     def loose(self, job: Job) -> Ranges:
         """Tasks of a job that this part holds and has not placed."""
-        held, work = job.alloc.get(self.part, ()), self.works().get(job.id)
+        work = self.works().get(job.id)
         if work is None:
-            return held
+            return job.alloc.get(self.part, ())
+        known, mark = self._loose.get(job.id), (job.stamp, work.changed)
+        if known is None or known[0] != mark:
+            if len(self._loose) >= MOST_KNOWN:
+                self._loose.clear()
+            known = self._loose[job.id] = (mark, self._unplaced(job, work))
+        return known[1]
+
+    def _unplaced(self, job: Job, work: Work) -> Ranges:
+        held = job.alloc.get(self.part, ())
         if len(work.run) + ranges.size(work.done) >= ranges.size(held):
             if work.run.keys() >= set(ranges.numbers(ranges.minus(held, work.done))):
                 return ()
--- a/roadbend/store/view.py
+++ b/roadbend/store/view.py
@@ -27,12 +27,14 @@
 class Work:
     """A part's work on one job: its shards put together."""
 
-    __slots__ = ("job", "part", "team", "need", "shards", "run", "_done")
+    __slots__ = ("job", "part", "team", "need", "shards", "run", "changed", "_done")
 
     def __init__(self, job: str, part: str, team: str, need: Need):
         self.job, self.part, self.team, self.need = job, part, team, need
         self.shards: dict[int, Slice] = {}
         self.run: dict[int, Attempt] = {}
+        # Another number after every change of the records of any work.
+        self.changed = 0
         self._done: Ranges | None = None
 
     @property
@@ -249,6 +251,8 @@
             if not work.shards:
                 del works[job]
         work._done = None
+        self._marked += 1
+        work.changed = self._marked
         if len(self.marks.get(part, ())) > 20_000:
             # Marks only ever tell a machine's change from no change; those without work may start anew.
             self.marks[part] = {name: n for name, n in self.marks[part].items() if name in machines}
