--- a/roadbend/placement/policy.py
+++ b/roadbend/placement/policy.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable, Container, Iterable, Mapping
 from dataclasses import dataclass, field, replace
+from datetime import datetime
 
 from roadbend.store import ranges
 from roadbend.store.ranges import Ranges
@@ -96,13 +97,25 @@
     )
 
 
-def rank(item: Pending) -> tuple:
+def lateness(job: Job, now: datetime, times: tuple[float, ...]) -> int:
+    """How many of the times of its due time at which a job's aims count are out of reach, by what its owner
+    said and nothing else: every part that holds a slice of it judges alike at one moment."""
+    if job.spec.due is None:
+        return 0
+    end = now + job.spec.expected - job.at
+    return sum(1 for x in times if end > job.spec.due * x)
+
+
+def rank(item: Pending, late: int = 0) -> tuple:
+    """`late`: work whose deadline is out of reach goes behind what can still be in time. When there is more than
+    all machines can do, the order of deadlines alone would make nearly everything a little late."""
     job = item.job
     deadline = job.deadline
     return (
         -job.spec.priority,
         not item.overdue,
         not item.guaranteed,
+        late,
         deadline is None,
         deadline or job.at,
         job.at,
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -125,7 +125,8 @@
                 legs = ranges.minus(legs, first)
             if legs:
                 out.append(Pending(job, legs, name in sure))
-        out.sort(key=policy.rank)
+        wall, deadlines = clock.wall(), self.shared.deadlines
+        out.sort(key=lambda item: policy.rank(item, policy.lateness(item.job, wall, deadlines(item.job.spec))))
         self._queue = (mark, now, out)
         return out
 
--- a/roadbend/placement/test_placement.py
+++ b/roadbend/placement/test_placement.py
@@ -68,6 +68,28 @@
     return None if found is None else (found[0].id, [row.handle for row in found[1]])
 
 
+def test_work_that_cannot_be_in_time_goes_behind_work_that_can_and_every_part_judges_alike():
+    """In the fleet's bursts the order of deadlines alone made nearly every array a little late."""
+    wall, times = clock.wall(), (1.0, 1.5)
+
+    def order(*items):
+        return [
+            item.job.id for item in sorted(items, key=lambda i: policy.rank(i, policy.lateness(i.job, wall, times)))
+        ]
+
+    lost = pending(1, age=200, expectedS=20.0, dueS=100.0)
+    second = pending(2, age=90, expectedS=20.0, dueS=100.0)
+    first = pending(3, age=10, expectedS=20.0, dueS=100.0)
+    assert [policy.lateness(item.job, wall, times) for item in (lost, second, first)] == [2, 1, 0]
+    assert order(lost, second, first) == ["run-000003", "run-000002", "run-000001"]
+    # What has begun nothing for long, and what is within its team's guarantee, still goes first.
+    overdue = Pending(lost.job, lost.legs, False, True)
+    assert order(first, overdue) == ["run-000001", "run-000003"]
+    assert order(first, pending(4, guaranteed=True, age=200, dueS=100.0)) == ["run-000004", "run-000003"]
+    # Nothing but the job itself and the time of day is asked: parts can't disagree about it.
+    assert policy.lateness(pending(5, age=500, dueS=None).job, wall, times) == 0
+
+
 def test_only_lesser_work_or_work_beyond_anothers_guarantee_is_stopped():
     full = [room("a", cpus=0, gpus=0, memory=0)]
     rows = {"a": [victim("normal", 1, 30.0), victim("low", 0, 90.0)]}
--- a/roadbend/test_growth.py
+++ b/roadbend/test_growth.py
@@ -383,3 +383,16 @@
     assert list(view.held["east"]) == [name] and view.membership == 1
     view.applied([delete(records.job_key(name))], 9)
     assert view.held["east"] == {} and view.membership == 2
+
+
+async def test_a_smaller_share_of_a_core_and_more_parts_mean_fewer_looks_at_everything():
+    """On a quarter of a core, forecasts that rested as on a whole one took most of it, and answers fell behind."""
+    async with world(count=1) as w:
+        shared = w.nodes["node-0"].shared
+        whole = shared.rest(timedelta(milliseconds=50))
+        assert set(shared.ownership.tenures) == {"east"}
+        quarter = replace(shared, settings=replace(shared.settings, cpu=0.25))
+        assert quarter.rest(timedelta(milliseconds=50)) == whole * 4
+        shared.ownership.tenures["west"] = replace(shared.ownership.tenures["east"], part="west")
+        assert shared.rest(timedelta(milliseconds=50)) == whole * 2
+        del shared.ownership.tenures["west"]
--- a/roadbend/test_settings.py
+++ b/roadbend/test_settings.py
@@ -50,13 +50,14 @@
 rps = 4.0
 list_lag_s = 8.0
 [deployment.machine_limits]
+cpu = 0.25
 sockets = 1800
 """
 
 
 def test_the_platforms_file_is_read_and_what_is_new_in_it_ignored():
     settings = read_platform(PLATFORM)
-    assert settings.lease == timedelta(seconds=18) and settings.controllers == 2
+    assert settings.lease == timedelta(seconds=18) and settings.controllers == 2 and settings.cpu == 0.25
     assert settings.teams["red"].gpus_max == 12 and settings.objectives[0].within == timedelta(seconds=10)
 
 
