--- a/roadbend/placement/policy.py
+++ b/roadbend/placement/policy.py
@@ -51,15 +51,16 @@
 
     def count(self, need: Need) -> int:
         """How many such tasks fit."""
+        if not self.fits(need):
+            return 0
         most = 1_000_000
-        for want, have in (
-            (need.cpus, self.cpus),
-            (need.gpus, self.gpus),
-            (need.memory, self.memory),
-        ):
-            if want > 0:
-                most = min(most, int((have + EPS) / want))
-        return max(0, most)
+        if need.cpus > 0:
+            most = min(most, int((self.cpus + EPS) / need.cpus))
+        if need.gpus > 0:
+            most = min(most, int((self.gpus + EPS) / need.gpus))
+        if need.memory > 0:
+            most = min(most, int((self.memory + EPS) / need.memory))
+        return most
 
     def scrap(self, need: Need) -> float:
         """What would be left, as a share of the machine, over all that it has."""
--- a/roadbend/store/records.py
+++ b/roadbend/store/records.py
@@ -16,7 +16,7 @@
 import os.path
 from dataclasses import dataclass, field, replace
 from datetime import datetime, timedelta
-from functools import cached_property
+from functools import cached_property, lru_cache
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
@@ -30,12 +30,18 @@
 PRIORITY = {"production": 3, "high": 2, "normal": 1, "best_effort": 0}
 
 
+@lru_cache(maxsize=4096)
+def quoted(name: str) -> str:
+    """Names of teams, parts and controllers come again and again."""
+    return quote(name, safe="")
+
+
 def job_key(job: str) -> str:
     return f"r/job/{job}"
 
 
 def slice_key(part: str, job: str, shard: int) -> str:
-    key = f"r/slice/{quote(part, safe='')}/{job}"
+    key = f"r/slice/{quoted(part)}/{job}"
     # Records of version 0.1 had no shards; they are read, and emptied where they lie.
     return key if shard < 0 else f"{key}/{shard}"
 
@@ -52,19 +58,19 @@
 
 
 def team_key(team: str) -> str:
-    return f"r/team/{quote(team, safe='')}"
+    return f"r/team/{quoted(team)}"
 
 
 def term_key(part: str) -> str:
-    return f"r/term/{quote(part, safe='')}"
+    return f"r/term/{quoted(part)}"
 
 
 def own_key(part: str) -> str:
-    return f"r/own/{quote(part, safe='')}"
+    return f"r/own/{quoted(part)}"
 
 
 def node_key(name: str) -> str:
-    return f"r/node/{quote(name, safe='')}"
+    return f"r/node/{quoted(name)}"
 
 
 def fin_key(job: str) -> str:
