--- a/roadbend/cli.py
+++ b/roadbend/cli.py
@@ -1,6 +1,7 @@
 """The command line. Exit status: 0 all well, 2 bad arguments or settings."""
 
 import argparse
+import gc
 import os
 import random
 import sys
@@ -41,6 +42,11 @@
     from roadbend.http.net import Net
     from roadbend.node import Node
 
+    # Layouts make and drop many small objects that are in no cycle: looking for cycles is left to every 50,000th,
+    # and what was imported is never looked at again.
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 20)
+
     async def start() -> None:
         await Node(settings, operator, Net(), random.Random(os.urandom(16))).run()
 
--- a/roadbend/http/net.py
+++ b/roadbend/http/net.py
@@ -12,6 +12,15 @@
     return host, int(port)
 
 
+class _Stream(trio.SocketStream):
+    """Those who serve wait for the next request, and nearly always it is not there yet: waiting first saves a
+    system call, and an exception, for each."""
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        await trio.lowlevel.wait_readable(self.socket)
+        return await super().receive_some(max_bytes)
+
+
 class Net:
     """TCP over IPv4, by number; nothing is ever looked up."""
 
@@ -31,4 +40,8 @@
         sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
         await sock.bind((host, port))
         sock.listen(256)
-        await trio.serve_listeners(handler, [trio.SocketListener(sock)], task_status=task_status)
+
+        async def accepted(stream: trio.SocketStream) -> None:
+            await handler(_Stream(stream.socket))
+
+        await trio.serve_listeners(accepted, [trio.SocketListener(sock)], task_status=task_status)
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -169,9 +169,9 @@
                 return ()
         return ranges.minus(held, ranges.union(work.done, ((n, n + 1) for n in work.run)))
 
-    def rooms(self, ended: Container[Key] = ()) -> list[Room]:
+    def rooms(self, ended: Container[Key] = (), least: Need | None = None) -> list[Room]:
         """Machines that may be given work, with what the records leave free on them; `ended`: attempts
-        that the transaction in the making takes out."""
+        that the transaction in the making takes out. `least`: only those that have so much room."""
         now, rigs, marks = clock.now(), self.shared.rigs, self.shared.view.marks.get(self.part, {})
         back: dict[str, list[Need]] = {}
         for key in ended:
@@ -190,6 +190,10 @@
             _, cpus, gpus, memory = machine.free
             for need in back.get(machine.id, ()):
                 cpus, gpus, memory = cpus + need.cpus, gpus + need.gpus, memory + need.memory
+            if least is not None and (
+                least.gpus > gpus + policy.EPS or least.cpus > cpus + policy.EPS or least.memory > memory + policy.EPS
+            ):
+                continue
             out.append(
                 Room(
                     machine.id, machine.rig, machine.zone, machine.spot, cpus, gpus, memory, machine.images,
--- a/roadbend/placement/starts.py
+++ b/roadbend/placement/starts.py
@@ -38,7 +38,10 @@
     if not queue:
         rt.left = []
         return False
-    rooms = rt.rooms(batch.ended)
+    # Most machines are full. Only services that must start soon look at those, for what could be cleared there.
+    soon = any(rt.shared.start_within(item.job.spec) is not None for item in queue)
+    least = None if soon else policy.least_of(item.job.spec.need for item in queue)
+    rooms = rt.rooms(batch.ended, least)
     hold_back(rt, queue)
     image_first(rt, queue, rooms)
     placed, rt.left, more = policy.place(
@@ -74,7 +77,7 @@
                 wait=f"{(clock.wall() - job.at).total_seconds():.1f}", cached=job.spec.image in room.images,
             )  # fmt: skip
     if rt.left and not more:
-        preempt(rt, rooms, now)
+        preempt(rt, batch, rooms, least is None, now)
     return more
 
 
@@ -220,10 +223,13 @@
     return pledged | rt.avoid.get(name, {}).keys() | rt.cold.get(name, set()), rt.held_back.get(name, ())
 
 
-def preempt(rt: PartRuntime, rooms: list[Room], now: datetime) -> None:
+def preempt(rt: PartRuntime, batch: Batch, rooms: list[Room], all_of_them: bool, now: datetime) -> None:
     waiting = [item for item in rt.left if item.job.spec.priority > 0 or item.guaranteed]
     if not waiting:
         return
+    if not all_of_them:
+        known = {room.id: room for room in rooms}
+        rooms = [known.get(room.id, room) for room in rt.rooms(batch.ended)]
     over, sure, most = teams_beyond(rt), rt.shared.guaranteed(), MOST_PREEMPTED
     running: dict[str, list[Victim]] = {}
     top = max(item.job.spec.priority for item in waiting)
