--- a/roadbend/http/net.py
+++ b/roadbend/http/net.py
@@ -12,13 +12,25 @@
     return host, int(port)
 
 
-class _Stream(trio.SocketStream):
+class _Accepted(trio.abc.Stream):
     """Those who serve wait for the next request, and nearly always it is not there yet: waiting first saves a
     system call, and an exception, for each."""
 
+    def __init__(self, stream: trio.SocketStream):
+        self._stream = stream
+
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
-        await trio.lowlevel.wait_readable(self.socket)
-        return await super().receive_some(max_bytes)
+        await trio.lowlevel.wait_readable(self._stream.socket)
+        return await self._stream.receive_some(max_bytes)
+
+    async def send_all(self, data) -> None:
+        await self._stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await self._stream.wait_send_all_might_not_block()
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
 
 
 class Net:
@@ -42,6 +54,6 @@
         sock.listen(256)
 
         async def accepted(stream: trio.SocketStream) -> None:
-            await handler(_Stream(stream.socket))
+            await handler(_Accepted(stream))
 
         await trio.serve_listeners(accepted, [trio.SocketListener(sock)], task_status=task_status)
