--- a/roadbend/http/server.py
+++ b/roadbend/http/server.py
@@ -141,12 +141,12 @@
             link.until = now + IDLE_S
             self._waiting[link.kind][link] = now
             try:
-                data = await self._receive(stream, link)
-                request = self._known(data)
-                if request is not None:
-                    known = True
-                else:
-                    known, request = False, await self._read(conn, stream, link, data)
+                # Where a client sent more than one request at once, h11 has the rest.
+                data = None if conn.trailing_data[0] else await self._receive(stream, link)
+                request = self._known(data) if data is not None else None
+                known = request is not None
+                if not known:
+                    request = await self._read(conn, stream, data)
             except h11.RemoteProtocolError as error:
                 link.until = trio.current_time() + WRITE_S
                 await self._send(conn, stream, Response(error.error_status_hint or 400, {"error": "bad request"}))
@@ -204,15 +204,18 @@
                 self._heads.clear()
             self._heads[data[:end]] = (request.method, request.path, request.query, len(request.body))
 
-    async def _read(self, conn, stream, link: _Link, first: bytes) -> Request | Response | None:
-        head, body, size, pieces = None, [], 0, 0
+    async def _read(self, conn, stream, first: bytes | None) -> Request | Response | None:
+        head, body, size, data = None, [], 0, first
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
                 if conn.they_are_waiting_for_100_continue:
                     await stream.send_all(conn.send(h11.InformationalResponse(status_code=100, headers=[])))
-                conn.receive_data(first if not pieces else await stream.receive_some(65536))
-                pieces += 1
+                if data is None:
+                    first = None
+                    data = await stream.receive_some(65536)
+                conn.receive_data(data)
+                data = None
             elif isinstance(event, h11.Request):
                 head = event
             elif isinstance(event, h11.Data):
@@ -223,7 +226,7 @@
             elif isinstance(event, h11.EndOfMessage):
                 path, _, query = head.target.decode("ascii", "replace").partition("?")
                 request = Request(head.method.decode("ascii", "replace"), path, query, b"".join(body))
-                if pieces == 1:
+                if first is not None:
                     self._remember(first, head, request, conn)
                 return request
             else:  # the connection is closed
--- a/roadbend/http/test_server.py
+++ b/roadbend/http/test_server.py
@@ -134,6 +134,9 @@
             nursery.cancel_scope.cancel()
         return answers
 
+    # Two at once are answered one after the other.
+    both = await talk(Server(echo, most=64), [kinds[0] + kinds[2]], False)
+    assert both[0].startswith(b"HTTP/1.1 200")
     server = Server(echo, most=64)
     for _ in range(150):
         data = [rng.choice(kinds) for _ in range(rng.randrange(1, 6))]
