--- a/roadbend/fleet/messages.py
+++ b/roadbend/fleet/messages.py
@@ -6,6 +6,9 @@
 
 from roadbend.http.server import Malformed
 
+# A notice of more than a month says nothing.
+MOST_NOTICE = 30 * 86400.0
+
 
 class TaskReport(NamedTuple):
     job: str
@@ -107,7 +110,7 @@
         whole(data.get("stint"), "stint"),
         whole(data.get("tick"), "tick"),
         whole(data.get("baton"), "baton"),
-        None if notice is None else number(notice, "recallS"),
+        None if notice is None else min(number(notice, "recallS"), MOST_NOTICE),
         tuple(tasks),
         rows,
     )
--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -87,6 +87,9 @@
             answer = await runtime.report(report)
             if answer is None:
                 return Response(503, {"error": "old report"})
+            if not ownership.may_renew(clock.now()):
+                # It waited for what the report called for; what we may answer is judged when the answer goes out.
+                return Response(503, {"error": "no state"})
             return Response(200, {"baton": answer[0], "orders": answer[1]})
         if report.zone not in ownership.parts():
             return Response(503, {"error": "no such part"})
--- a/roadbend/parts/ownership.py
+++ b/roadbend/parts/ownership.py
@@ -215,7 +215,7 @@
                 since = self._absent.setdefault(part, now)
                 if mine is not None:
                     self._forget(part, "key gone")
-                if now < self._aloof.get(part, now):
+                if now < self._aloof.get(part, now) and len(live) > 1:
                     continue
                 first = policy.preferred(part, self._zones, live - self._shy(part, now))
                 grace = clock.ZERO if first == me else self._op.takeover_grace * 2
--- a/roadbend/peers/test_peers.py
+++ b/roadbend/peers/test_peers.py
@@ -51,9 +51,9 @@
     assert Pulse.unpack(pulse.pack()) == pulse
 
 
-def known(pulse, asked, contact):
+def known(pulse, asked, contact, waited=0 * S):
     row = Known()
-    row.take(pulse, asked, asked, contact)
+    row.take(pulse, asked, asked + waited, contact)
     return row
 
 
@@ -67,5 +67,13 @@
     # Its list does not go back far enough.
     short = Pulse("b1", 500 * S, 20 * S, (0, 0), span=10 * S)
     assert known(short, t, t - 20 * S).reach(t - 20 * S) == t - 20 * S
+    # It may have counted back from when its answer came, not from when it was asked: it restarted just after our
+    # last contact, and its answer took 1.4 s.
+    slow = Pulse("b2", 1.2 * S, None, (0, 0), span=100 * S)
+    assert known(slow, t, t - 1 * S, 1.4 * S).reach(t - 1 * S) == t - 1 * S
+    assert known(slow, t, t - 1.3 * S, 1.4 * S).reach(t - 1.3 * S) == t - 1.3 * S
+    # Its clock may run fast, and what it told at the very edge of its list may have been cut off.
+    edge = Pulse("b1", 500 * S, 20 * S, (0, 0), span=20 * S)
+    assert known(edge, t, t - 20 * S).reach(t - 20 * S) == t - 20 * S
     # Without any contact of our own there is nothing to build on.
     assert known(alive, t, None).reach(None) is None
--- a/roadbend/placement/ends.py
+++ b/roadbend/placement/ends.py
@@ -21,6 +21,9 @@
 log = Log("placement")
 # Shards of a job that is still running leave the records when there are this many to go.
 FOLD = 4
+# For how long a job keeps off a machine on which it failed, and what fails everywhere at most rests.
+AVOID = timedelta(seconds=20)
+BACKOFF_MOST = timedelta(seconds=24)
 
 
 def record_ends(rt: PartRuntime, batch: Batch, now: datetime) -> bool:
@@ -116,7 +119,7 @@
                 rt.shared.learn(known, seen.since - seen.running_since)
         rt.backoff.pop(job, None)
     elif fact.cause in ("error", "unknown", "no_room", "busy"):
-        pause = timedelta(seconds=20 if fact.cause == "error" else 4)
+        pause = AVOID if fact.cause == "error" else AVOID / 5
         rt.avoid.setdefault(job, {})[fact.machine] = now + pause
         if fact.cause == "error":
             machine = rt.machines.get(fact.machine)
@@ -124,6 +127,6 @@
                 machine.failures[job] = now
             times = rt.backoff.get(job, (0, now))[0] + 1
             # A job that fails everywhere comes back ever more slowly and waits for its user.
-            pause = timedelta(seconds=min(30.0, 0.5 * 2 ** min(times, 8))) if times > 3 else clock.ZERO
+            pause = min(BACKOFF_MOST, timedelta(seconds=0.5 * 2 ** min(times, 8))) if times > 3 else clock.ZERO
             rt.backoff[job] = (times, now + pause)
             log.info("task-error", part=rt.part, task=f"{job}/{leg}", machine=fact.machine, times=times)
--- a/roadbend/placement/starts.py
+++ b/roadbend/placement/starts.py
@@ -25,9 +25,9 @@
 # How long room that is being made is kept for the task that it is made for.
 PLEDGE = timedelta(seconds=15)
 # How long what waits for a machine keeps its team's limit from lesser work, and what is set aside from other parts.
-HOLD = timedelta(seconds=30)
+HOLD = timedelta(seconds=20)
 # For how long a job leaves its team's room to one of another part that has begun nothing.
-YIELD = timedelta(seconds=45)
+YIELD = timedelta(seconds=30)
 # How often a part looks whether it has set too much aside for a team.
 RESERVE_EVERY = timedelta(seconds=1)
 # Most tasks stopped for others in one step.
@@ -113,13 +113,16 @@
     """Whether an item leaves its team's room to a job that another part holds and that has begun
     nothing for too long: a part's own steady stream must not starve it."""
     jobs = overdue.get(item.job.spec.team)
-    if not jobs or item.overdue or clock.now() - rt.queued.get(item.job.id, clock.now()) > YIELD:
+    if not jobs or item.overdue:
         return False
     view, here = rt.shared.view, item.job.spec
     scarce = rt.shared.room_left(here, rt.part) < 2 * item.count
+    # Only for so long: one that has not begun by then waits for something else than the team's room.
+    since = clock.wall() - rt.shared.op.begin_within - YIELD
     return scarce and any(
-        priority >= here.priority and name in view.jobs and rt.part not in view.jobs[name].alloc
+        priority >= here.priority and rt.part not in view.jobs[name].alloc
         for name, priority in jobs.items()
+        if name in view.jobs and view.jobs[name].at > since
     )
 
 
--- a/roadbend/test_growth.py
+++ b/roadbend/test_growth.py
@@ -8,8 +8,9 @@
 import trio
 
 from roadbend import clock
+from roadbend.bidding import exchange
 from roadbend.http.client import NoAnswer
-from roadbend.placement import forecast, policy
+from roadbend.placement import ends, forecast, policy, starts
 from roadbend.placement.forecast import Line
 from roadbend.placement.test_placement import pending, room
 from roadbend.rental import cloud as renting
@@ -396,3 +397,25 @@
         shared.ownership.tenures["west"] = replace(shared.ownership.tenures["east"], part="west")
         assert shared.rest(timedelta(milliseconds=50)) == whole * 2
         del shared.ownership.tenures["west"]
+
+
+def test_what_keeps_a_job_waiting_adds_up_to_less_than_users_permit():
+    """Once all troubles are over, no job waits 90 s beside room that fits it: what may follow each other is a rest
+    after failures, room kept for others' machines, room left to a job of another part, and room being made."""
+    assert ends.BACKOFF_MOST + starts.HOLD + starts.YIELD + starts.PLEDGE < timedelta(seconds=90)
+    # A job that no part can start is offered everywhere well before that, its turn among others counted.
+    assert exchange.LONG_WAIT + 4 * Operator().reoffer_every + Operator().cool_down < timedelta(seconds=60)
+
+
+def test_a_wide_job_without_room_keeps_its_teams_limit_from_nobody_who_would_fit():
+    """A wide array that only fits a machine type that is full stood first, and took all that its team had left."""
+    wide, small = pending(1, 10, legs=50, rigs=["big"]), pending(2, 20, legs=2)
+    limits = policy.Allowance(lambda team: (1000.0, 4.0))
+    placed, left, _ = policy.place([wide, small], [room("m-1", gpus=2.0)], limits=limits)
+    assert [(item.job.id, leg) for item, leg, _ in placed] == [("run-000002", 0), ("run-000002", 1)]
+    assert left[0].job.id == "run-000001" and left[0].count == 4
+    # What waits for a machine that was hired for it keeps the limit from lesser work, for a while.
+    high = pending(3, 10, legs=4, rigs=["big"], rank="production")
+    limits = policy.Allowance(lambda team: (1000.0, 4.0), lambda job: True)
+    placed, _, _ = policy.place([high, small], [room("m-1", gpus=2.0)], limits=limits)
+    assert placed == []
