--- a/roadbend/bidding/casa.py
+++ b/roadbend/bidding/casa.py
@@ -85,8 +85,8 @@
     free = job.free
     if not free:
         return {}
-    if spec.together:
-        return _together(job, bids, omega, rng)
+    if spec.together or spec.gang:
+        return _whole(job, bids, omega, rng)
     room = {}
     for bid in bids:
         cap = spec.zone_cap - ranges.size(job.alloc.get(bid.part, ()))
@@ -114,7 +114,7 @@
     return out
 
 
-def _together(job: Job, bids: Sequence[Bid], omega: float, rng: random.Random) -> dict[str, ranges.Ranges]:
+def _whole(job: Job, bids: Sequence[Bid], omega: float, rng: random.Random) -> dict[str, ranges.Ranges]:
     held = [part for part, rs in job.alloc.items() if rs]
     if held:
         return {held[0]: job.free} if any(bid.part == held[0] for bid in bids) else {}
--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -55,6 +55,8 @@
         peers.handlers[frames.ASSIGN] = self._on_assign
         peers.handlers[frames.REVOKE] = self._on_revoke
         peers.handlers[frames.INFORM] = self._on_inform
+        peers.handlers[frames.GANG_REQUEST] = self._on_gang_request
+        peers.handlers[frames.GANG_INFORM] = self._on_gang_inform
 
     # Bidding.
 
@@ -82,6 +84,12 @@
     def _on_inform(self, sender: str, payload: bytes) -> bytes:
         return messages.pack_bids(self.better(Ask.unpack(payload)))
 
+    def _on_gang_request(self, sender: str, payload: bytes) -> bytes:
+        return messages.pack_bids(self.bids(Ask.unpack(payload).as_gang()))
+
+    def _on_gang_inform(self, sender: str, payload: bytes) -> bytes:
+        return messages.pack_bids(self.better(Ask.unpack(payload).as_gang()))
+
     def better(self, ask: Ask) -> list[Bid]:
         """Bids for a job that waits elsewhere: only under both tests of algorithm 5."""
         op, now, out = self._shared.op, clock.now(), []
@@ -172,9 +180,12 @@
         again = ask.theirs is not None
         bids = self.better(ask) if again else self.bids(ask)
         kind, payload = frames.INFORM if again else frames.REQUEST, ask.pack()
+        if ask.spec.gang:
+            kind = frames.GANG_INFORM if again else frames.GANG_REQUEST
         async with trio.open_nursery() as nursery:
             for link in self._peers.links.values():
-                nursery.start_soon(self._ask, link, kind, payload, bids)
+                if not ask.spec.gang or link.known.speaks(frames.GANGS):
+                    nursery.start_soon(self._ask, link, kind, payload, bids)
         # One bid a part: while ownership moves, two may answer for it.
         return list({bid.part: bid for bid in bids}.values())
 
@@ -255,7 +266,8 @@
         """Says whether anybody bid."""
         op, part, now = self._shared.op, runtime.part, clock.now()
         loose = runtime.loose(job)
-        if not loose or (job.spec.together and loose != job.alloc.get(part)):
+        whole = job.spec.together or job.spec.gang
+        if not loose or (whole and loose != job.alloc.get(part)):
             return True
         waited = max(clock.ZERO, clock.wall() - job.at)
         theirs = bidder.estimate(job, now)
@@ -274,8 +286,13 @@
         # Those that would begin here sooner than the best bidder could have them stay.
         soonest = min(casa.response(bid, op.omega) for bid in bids) - job.spec.expected
         stay = sum(1 for start in bidder.starts(job) if start <= soonest.total_seconds())
+        if job.spec.gang:
+            # It begins with its last task, and goes as a whole.
+            stay = stay if stay == ranges.size(loose) else 0
         loose = ranges.minus(loose, ranges.first(loose, stay))
-        shards = sorted({n // width for low, high in loose for n in (*range(low, high, width), high - 1)})[:MOST_SHARDS]
+        # Each is a condition of the transaction, beside the job's and the term's.
+        most = min(MOST_SHARDS, 4 * self._shared.settings.txn_ops - 2)
+        shards = sorted({n // width for low, high in loose for n in (*range(low, high, width), high - 1)})[:most]
         loose = tuple(
             (max(a, n * width), min(b, (n + 1) * width))
             for n in shards
@@ -287,7 +304,7 @@
         for n in shards:
             key = records.slice_key(part, job.id, n)
             also[key] = view.stamp(key)
-        if not loose:
+        if not loose or job.spec.gang and ranges.size(loose) < job.spec.legs:
             return True
         without = job.with_part(part, ranges.minus(job.alloc.get(part, ()), loose))
         shares = casa.allot(without, bids, op.omega, self._rng, left=self._left(job))
@@ -307,7 +324,7 @@
     async def move(self, job: Job, fresh: Job, bids: list[Bid], chosen: set[str], also: dict[str, int]) -> bool:
         """Records who holds what; that is the assignment. `also`: further stamps that must hold."""
         view, key = self._shared.view, records.job_key(job.id)
-        value = fresh.to_value()
+        value = fresh.to_small_value(int(self._shared.settings.value_bytes * 0.95))
         rows = [put(key, value)]
         when = {key: job.stamp, **also}
         try:
--- a/roadbend/bidding/messages.py
+++ b/roadbend/bidding/messages.py
@@ -1,6 +1,6 @@
 """Frames of the bidding: request, accept, assign, revoke, inform. docs/peers.md describes them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from roadbend.bidding.casa import Bid
@@ -42,6 +42,9 @@
         )
         return out.bytes()
 
+    def as_gang(self) -> "Ask":
+        return replace(self, spec=replace(self.spec, gang=True))
+
     @staticmethod
     def unpack(data: bytes) -> "Ask":
         scan = Scanner(data)
--- a/roadbend/bidding/offers.py
+++ b/roadbend/bidding/offers.py
@@ -51,6 +51,9 @@
         cores = max(1.0, sum(line.room.total.cpus for line in lines))
         ready = [line.room for line in lines if line.room.ready_in <= 0]
         now_count = self._fit(job, ready)
+        if spec.gang:
+            # All of it at once on machines' real free room, or it can't start now.
+            now_count = now_count if now_count >= spec.legs else 0
         room = now_count + self._fit(job, [line.room for line in lines if line.room.ready_in > 0])
         wait, line = (0.0, None) if now_count else forecast.earliest(job, lines)
         could_hire = self._hire(job, ask, dear)
@@ -64,9 +67,10 @@
             return None
         # Slices fit the free room: what the team's limit or our own queue keeps waiting is not asked for,
         # or a huge array would pile up here range by range.
-        left = self._team_left(job) - own
+        # A gang is held whole by one part, and queues there while its team is at its limit.
+        left = spec.legs if spec.gang else self._team_left(job) - own
         now_count, room = min(now_count, left), min(max(room, 0 if own else 1), left)
-        if room <= 0:
+        if room <= 0 or spec.gang and room < spec.legs:
             return None
         if line is not None:
             fetch = timedelta(seconds=line.room.fetch(spec.image, spec.image_gb))
--- a/roadbend/fleet/machines.py
+++ b/roadbend/fleet/machines.py
@@ -25,6 +25,18 @@
     running_since: datetime | None = None
 
 
+@dataclass
+class Direct:
+    """An order to start that went straight to the machine. It may be carried out late, so that the absence or the
+    end of its attempt proves nothing before it is known what became of it: answered, with the machine's count then;
+    or fenced, by a token that the machine must show first, since with it the order is refused."""
+
+    attempt: int
+    session: int
+    order: tuple[int, int] | None = None
+    fenced: bool = False
+
+
 @dataclass
 class Machine:
     id: str
@@ -60,6 +72,7 @@
     failures: dict[str, datetime] = field(default_factory=dict)
     empty_since: datetime | None = None
     foreign: int = 0
+    direct: dict[Key, Direct] = field(default_factory=dict)
 
     def fresh(self, now: datetime, silent_after: timedelta) -> bool:
         return self.heard_us is not None and now - self.heard_us < silent_after
@@ -71,9 +84,29 @@
         if last is None or now - last < report_every * 1.25 + timedelta(seconds=0.7):
             self.heard_us = now
 
+    def settled(self, key: Key, attempt: int, report: Report, current: bool) -> bool:
+        """Whether what a report shows of an attempt is the last word, as far as direct orders go."""
+        row = self.direct.get(key)
+        if row is None or row.attempt != attempt or report.session > row.session:
+            return True
+        if row.fenced:
+            return current
+        return row.order is not None and report.order > row.order
+
+    def fence(self) -> None:
+        """Nobody knows what became of a direct order: from now on a higher token goes out, and nothing more is started
+        here before the machine shows it."""
+        self.life += 1
+        self.ours = self.expected = False
+        self.rows = self.calm = None
+        for row in self.direct.values():
+            row.fenced = True
+
     def begin_anew(self, order: tuple[int, int]) -> None:
         self.order, self.life = order, self.life + 1
         self.ours = self.expected = self.doubted = False
+        for row in self.direct.values():
+            row.fenced, row.session = True, 1 << 64
         self.tasks, self.images, self.foreign = {}, {}, 0
         self.rows = self.calm = None
 
@@ -147,6 +180,8 @@
             running_since = now
         same = known is not None and known.state == task.state
         seen[key] = Seen(task.attempt, task.state, known.since if same else now, running_since)
+        if ended and not machine.settled(key, task.attempt, report, current):
+            continue
         if ended:
             # `done` stays true however old the report; any other end needs the proof above.
             if task.cause == "done":
@@ -170,7 +205,10 @@
             # Write-ahead has been done. Repeating an order is harmless: the worker ignores what it
             # holds, and this attempt has not been forgotten while it is in the records.
             orders.append(messages.run(work.job, key[1], attempt.number))
-        elif current and not wanted:
+        elif current and not wanted and machine.settled(key, attempt.number, report, current):
             facts.setdefault(key, Fact(attempt.number, machine.id, False, "absent"))
     machine.tasks = seen
+    machine.direct = {
+        key: row for key, row in machine.direct.items() if key in recorded and recorded[key][1].number == row.attempt
+    }
     return orders
--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -9,6 +9,7 @@
 
 from roadbend import clock
 from roadbend.fleet import messages
+from roadbend.fleet.machines import Direct, Key
 from roadbend.http.client import Client, NoAnswer
 from roadbend.http.net import Net
 from roadbend.http.server import Malformed, Request, Response, decode
@@ -17,6 +18,8 @@
 from roadbend.placement.runtime import PartRuntime
 from roadbend.placement.shared import Shared
 from roadbend.rental.cloud import MOST_NAMES, Busy, Cloud, Listed, NoCapacity
+from roadbend.store import records
+from roadbend.store.records import Attempt
 
 log = Log("fleet")
 # Bytes of names of machines that we tell their owner we hear, and reports of strangers that we remember.
@@ -24,6 +27,9 @@
 MOST_STRANGERS = 4096
 # Machines looked into at once; each takes a connection.
 MOST_PROBES = 48
+# How long a direct order to start may go without an answer, and how many of its lives a token can number.
+DIRECT_WITHIN = timedelta(seconds=1.5)
+MOST_LIVES = (1 << records.LIFE_BITS) - 2
 # How long looking into a machine, or gathering deletions, may take; more says that we ourselves stood still.
 PROBE_WITHIN = timedelta(seconds=3)
 # For how many of the workers' leases machines of a zone that can't be reached are kept.
@@ -57,6 +63,7 @@
         # their leases end.
         self._cut: dict[str, tuple[datetime, frozenset[str]]] = {}
         self._direct = trio.CapacityLimiter(16)
+        self._nursery: trio.Nursery | None = None
         # When this process went on after standing still, lately, and for how long it had: nobody's silence.
         self._stalls: deque[tuple[datetime, timedelta]] = deque(maxlen=64)
 
@@ -122,7 +129,7 @@
             for link in self._peers.links.values()
         )
 
-    # Direct commands: only kills; a run that arrives late would be a start that nobody expects.
+    # Direct commands. A kill that arrives late does no harm; for a start see `_start_directly`.
 
     async def command(self, runtime: PartRuntime, machine: str, orders: list[dict]) -> None:
         target = runtime.machines.get(machine)
@@ -136,8 +143,71 @@
         except NoAnswer as error:
             log.debug("command-lost", machine=machine, error=error)
 
+    def order_now(self, runtime: PartRuntime, machine: str, rows: list[tuple[Key, Attempt]]) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(self._order_now, runtime, machine, rows)
+
+    async def _order_now(self, runtime: PartRuntime, name: str, rows: list[tuple[Key, Attempt]]) -> None:
+        try:
+            await self._start_directly(runtime, name, rows)
+        except Exception:
+            log.crash("order-failed", machine=name)
+
+    async def _start_directly(self, runtime: PartRuntime, name: str, rows: list[tuple[Key, Attempt]]) -> None:
+        """Starts that must not wait for the machine's next report. Once each; where no answer says what became of
+        it, the machine's token is raised, so that the order is refused should it arrive later (`machines.Direct`)."""
+        machine = runtime.machines.get(name)
+        if machine is None or machine.life >= MOST_LIVES:
+            return
+        async with self._direct:
+            now, recorded = clock.now(), runtime.by_machine().get(name, {})
+            ownership = self._shared.ownership
+            rows = [
+                (key, attempt)
+                for key, attempt in rows
+                if key in recorded and recorded[key][1] == attempt and key not in runtime.stops and runtime.live(key[0])
+            ]
+            if (
+                not rows
+                or runtime.machines.get(name) is not machine
+                or not machine.ours
+                or not runtime.usable(machine, now, self._shared.settings.report_every * 2.2)
+                or ownership.tenure(runtime.part) != runtime.tenure
+                or not ownership.may_start(now)
+            ):
+                return
+            session = machine.order[0]
+            for key, attempt in rows:
+                machine.direct[key] = Direct(attempt.number, session)
+            machine.calm = None
+            orders = [messages.run(*key, attempt.number) for key, attempt in rows]
+            body = {"baton": runtime.token(machine), "stint": session, "orders": orders}
+            client, report = Client(self._net, machine.address, most=1, keep=0), None
+            try:
+                status, answer = await client.request("POST", "/commands", body, within=DIRECT_WITHIN)
+                if status == 200:
+                    report = messages.read_report(answer)
+                elif status in (400, 409):
+                    # Nothing was executed, nor will be.
+                    for key, attempt in rows:
+                        if key in machine.direct and machine.direct[key].attempt == attempt.number:
+                            del machine.direct[key]
+                    return
+            except (NoAnswer, Malformed) as error:
+                log.debug("command-lost", machine=name, error=error)
+        if report is not None and report.machine == name:
+            for key, attempt in rows:
+                row = machine.direct.get(key)
+                if row is not None and row.attempt == attempt.number:
+                    row.order = report.order
+            return
+        log.info("direct-unanswered", part=runtime.part, machine=name)
+        if runtime.machines.get(name) is machine:
+            machine.fence()
+
     async def send_stops(self, nursery: trio.Nursery) -> None:
         """Kills go out directly as well as with reports."""
+        self._nursery = nursery
         sent: dict[tuple, datetime] = {}
         while True:
             await clock.pause(timedelta(milliseconds=200))
--- a/roadbend/intake/messages.py
+++ b/roadbend/intake/messages.py
@@ -51,8 +51,8 @@
 def read_submission(data: Any) -> tuple[str, Spec]:
     job = read_id(data)
     shape = data.get("shape")
-    if shape not in ("batch", "daemon"):
-        raise Malformed("shape: expected batch or daemon")
+    if shape not in ("batch", "daemon", "group"):
+        raise Malformed("shape: expected batch, daemon or group")
     rank = data.get("rank")
     if not isinstance(rank, str) or rank not in PRIORITY:
         raise Malformed("rank: expected production, high, normal or best_effort")
@@ -91,6 +91,7 @@
         checkpoint=_seconds(data.get("milestoneS"), "milestoneS"),
         save=_seconds(data.get("stowS"), "stowS"),
         due=None if due is None else _seconds(due, "dueS"),
+        gang=shape == "group",
     )
 
 
@@ -98,8 +99,8 @@
     team = teams.get(spec.team)
     if team is None:
         raise NeverRuns("unknown team")
-    # A service needs all of its tasks at once, an array one at a time.
-    total = spec.need.times(spec.legs if spec.service else 1)
+    # A service and a gang need all of their tasks at once, an array one at a time.
+    total = spec.need.times(spec.legs if spec.service or spec.gang else 1)
     for want, most, name in ((total.cpus, team.cpus_max, "vcpus"), (total.gpus, team.gpus_max, "gpus")):
         if 0 < most < want - 1e-9:
             raise NeverRuns(f"more {name} than the team's limit")
@@ -117,3 +118,6 @@
     zones = {zone for rig in fits for zone in rig.zones if spec.zone in (None, zone)}
     if spec.apart and spec.legs > 1 and (len(zones) < 2 or spec.together):
         raise NeverRuns("apart leaves no zone for the other half")
+    if spec.gang and spec.apart and spec.legs > 1:
+        # One part owns a gang whole, and a part is a zone.
+        raise NeverRuns("a gang that is to be apart is not served")
--- a/roadbend/intake/users.py
+++ b/roadbend/intake/users.py
@@ -26,6 +26,8 @@
 
 log = Log("intake")
 MOST_ENDS = 20_000
+# How much of a value a job's record may take before any of its tasks is held by a part.
+LARGEST = 0.7
 SUBMIT_SHARE, POLL_SHARE = 0.7, 1.0
 # Reads of the records come several times a second; so long without one is trouble.
 STALE = timedelta(seconds=1.6)
@@ -141,7 +143,14 @@
             return await self._refuse(name, 422, str(error))
         job = Job(name, spec, clock.wall())
         value = job.to_value()
+        if records.weigh(value) > shared.settings.value_bytes * LARGEST:
+            return await self._refuse(name, 400, "rigs: more names than a record holds")
+        if spec.gang and spec.legs > shared.settings.widest_gang:
+            # All of its tasks must be recorded in one transaction.
+            return await self._refuse(name, 422, "wider than any gang that can start")
         rows = [put(records.job_key(name), value)]
+        if spec.gang:
+            rows.insert(0, put(records.gang_key(name), 1))
         when = {records.job_key(name): 0, records.fin_key(name): 0}
         try:
             ledger = await commit(shared.state, when, rows, within=timedelta(seconds=2.5))
@@ -248,6 +257,8 @@
                     delete(records.job_key(name)),
                     put(records.fin_key(name), records.fin_value(STATUS_ABORTED, done)),
                 ]
+                if job.spec.gang:
+                    rows.append(delete(records.gang_key(name)))
                 when = {records.job_key(name): job.stamp, records.fin_key(name): 0}
                 try:
                     ledger = await commit(shared.state, when, rows, within=timedelta(seconds=2.5), urgent=True)
--- a/roadbend/node.py
+++ b/roadbend/node.py
@@ -39,9 +39,12 @@
 class Node:
     def __init__(self, settings: Settings, op: Operator, net: Net, rng: random.Random, boot: str | None = None):
         self.settings, self.op, self.net = settings, op, net
-        self.boot = boot or secrets.token_hex(6)
+        # The id of this life of the process ends with what it understands beyond version 2 of the frames.
+        self.boot = (boot or secrets.token_hex(6)) + frames.GANGS
         self.began = clock.now()
-        self.budget = Budget(settings.state_rps, settings.state_write_rps, settings.controllers)
+        self.budget = Budget(
+            settings.state_rps, settings.state_write_rps, settings.controllers, settings.state_write_rps_next
+        )
         self.state = StateClient(Client(net, settings.state, most=16, keep=8), self.budget, rng=rng)
         self.cloud = Cloud(Client(net, settings.cloud, most=6, keep=2), settings.cloud_rps, settings.controllers)
         self.view = View()
@@ -202,6 +205,7 @@
             self.runtimes.pop(part, None)
             return
         runtime = PartRuntime(self.shared, tenure)
+        runtime.order_now = self.fleet.order_now
         self.runtimes[part] = runtime
         if self._nursery is not None:
             self._nursery.start_soon(runtime.run)
--- a/roadbend/peers/frames.py
+++ b/roadbend/peers/frames.py
@@ -11,6 +11,10 @@
 REPLY = 0x80
 
 HELLO, PING, REQUEST, ASSIGN, REVOKE, INFORM = 1, 2, 3, 4, 5, 6
+# As REQUEST and INFORM, for a gang: spoken only to peers whose boot id, which every pulse brings, ends with GANGS.
+# Others drop a connection on which a kind comes that they don't know.
+GANG_REQUEST, GANG_INFORM = 7, 8
+GANGS = "+gangs"
 
 
 class BadFrame(Exception):
--- a/roadbend/peers/pulse.py
+++ b/roadbend/peers/pulse.py
@@ -89,6 +89,10 @@
             self.covered = max(base, asked)
         self.pulse, self.asked, self.heard_at = pulse, asked, now
 
+    def speaks(self, dialect: str) -> bool:
+        """Whether the peer understands what came after version 2 of the frames; one that we have not heard may not."""
+        return self.pulse is not None and self.pulse.boot.endswith(dialect)
+
     def reach(self, contact: datetime | None) -> datetime | None:
         known = [at for at in (self.covered, contact) if at is not None]
         return max(known) if known else None
--- a/roadbend/placement/batch.py
+++ b/roadbend/placement/batch.py
@@ -18,8 +18,8 @@
 class Batch:
     """One transaction in the making: working copies of what it changes, and its conditions."""
 
-    def __init__(self, view: View, part: str, tenure: Tenure, settings: Settings):
-        self._view, self._part, self._most = view, part, settings.txn_ops
+    def __init__(self, view: View, part: str, tenure: Tenure, settings: Settings, most: int | None = None):
+        self._view, self._part, self._most = view, part, min(settings.txn_ops, most or settings.txn_ops)
         self._value = settings.value_bytes
         self.when: dict[str, int] = {records.term_key(part): tenure.stamp}
         self.rows: dict[str, dict] = {}
@@ -67,6 +67,9 @@
         self.rows[key] = put(key, value)
         self._sizes[key] = (weigh(value) if size is None else size) + len(key) + 60
 
+    def fits(self, piece: Slice) -> bool:
+        return weigh(piece.to_value()) <= self._value * 0.95
+
     def set_slice(self, piece: Slice) -> bool:
         """False where the record would not fit its value; nothing is changed then."""
         key, value = piece.key, piece.to_value()
@@ -90,11 +93,13 @@
 
     def set_job(self, job: Job) -> None:
         self.need_job(job)
-        self._put(records.job_key(job.id), job.to_value())
+        self._put(records.job_key(job.id), job.to_small_value(int(self._value * 0.95)))
 
     def end_job(self, job: Job, status: str, done: int) -> None:
         self.need_job(job)
         key, fin = records.job_key(job.id), records.fin_key(job.id)
         self.when[fin] = 0
         self.rows[key] = delete(key)
+        if job.spec.gang:
+            self.rows[records.gang_key(job.id)] = delete(records.gang_key(job.id))
         self.rows[fin] = put(fin, records.fin_value(status, done))
--- a/roadbend/placement/ends.py
+++ b/roadbend/placement/ends.py
@@ -10,10 +10,12 @@
 from roadbend import clock
 from roadbend.fleet.machines import Fact
 from roadbend.log import Log
+from roadbend.placement import gangs
 from roadbend.placement.batch import Batch
 from roadbend.store import ranges, records
 from roadbend.store.ranges import Ranges
-from roadbend.store.records import Slice
+from roadbend.store.records import Attempt, Job, Slice
+from roadbend.store.view import Work
 
 if TYPE_CHECKING:
     from roadbend.placement.runtime import PartRuntime
@@ -52,10 +54,18 @@
             piece = touched.get(at) or batch.slice(name, work.team, work.need, at)
             run = {n: a for n, a in piece.run.items() if n != leg}
             done = piece.done
-            if fact.done and job is not None and not job.spec.service:
+            if fact.done and job is not None and not job.spec.service and not job.spec.gang:
                 done = ranges.union(done, ((leg, leg + 1),))
             touched[at] = replace(piece, run=run, done=done)
             ended.append((leg, fact))
+        if job is not None and job.spec.gang and any(fact.done for _, fact in ended):
+            if not end_gang(batch, job, touched, [piece for n, piece in work.shards.items() if n not in touched]):
+                return True
+            for leg, fact in ended:
+                batch.ended.add((name, leg))
+                batch.charge(work.team, work.need, -1)
+                batch.after.append(partial(note_end, rt, name, leg, fact, now))
+            continue
         shards = {**work.shards, **touched}
         done = ranges.normal(pair for piece in shards.values() for pair in piece.done)
         held = job.alloc.get(part, ()) if job is not None else ()
@@ -82,9 +92,10 @@
             ended = [(leg, f) for leg, f in ended if work.shard_of(leg, rt.width) in some]
             whole, more = False, True
         for n, piece in touched.items():
-            if n not in over:
-                # Fewer attempts never make the record larger than a range each.
-                batch.set_slice(piece)
+            if n not in over and not batch.set_slice(piece):
+                # Written by a version with larger values: its attempts move to where this one would write them.
+                if not spread(rt, batch, work, piece):
+                    return True
         for piece in over.values():
             batch.drop_slice(piece)
         if job is not None and over:
@@ -100,6 +111,43 @@
     return more
 
 
+def end_gang(batch: Batch, job: Job, touched: dict[int, Slice], others: list[Slice]) -> bool:
+    """One task that is done means that all are, and the job is: once, whoever reports first. What of it may still be on
+    machines stays in the slices until that is proven gone, as with a cancelled job."""
+    keys = [piece.key for piece in touched.values()]
+    keys += [piece.key for piece in others if not piece.run]
+    if not batch.room_for(*keys, records.job_key(job.id), records.fin_key(job.id), records.gang_key(job.id)):
+        return False
+    for piece in [*touched.values(), *others]:
+        if not piece.run:
+            batch.drop_slice(piece)
+        elif piece in touched.values():
+            batch.set_slice(piece)
+    batch.end_job(job, "done", job.spec.legs)
+    return True
+
+
+def spread(rt: PartRuntime, batch: Batch, work: Work, piece: Slice) -> bool:
+    """Splits a slice that is larger than values may be now, in one transaction: a task is in one record before and
+    after. Its attempts that a shard of today's width would hold elsewhere go there. Says whether all found room."""
+    homes: dict[int, dict[int, Attempt]] = {}
+    for leg, attempt in piece.run.items():
+        homes.setdefault(leg // rt.width, {})[leg] = attempt
+    away = {at: rows for at, rows in homes.items() if at != piece.shard}
+    pieces = [replace(piece, run=homes.get(piece.shard, {}))]
+    for at, rows in away.items():
+        other = batch.slice(work.job, work.team, work.need, at)
+        pieces.append(replace(other, run={**other.run, **rows}))
+    if not away or not all(batch.fits(row) for row in pieces) or not batch.room_for(*(row.key for row in pieces)):
+        if not batch.rows:
+            log.error("record-full", part=rt.part, job=work.job, shard=piece.shard, tasks=len(piece.run))
+        return bool(not away)
+    for row in pieces:
+        batch.set_slice(row)
+    log.info("split", part=rt.part, job=work.job, shard=piece.shard, into=len(pieces))
+    return True
+
+
 def within(rt: PartRuntime, held: Ranges, shard: int) -> Ranges:
     """The held tasks whose attempts are written into this shard."""
     if shard < 0:
@@ -110,6 +158,9 @@
 
 def note_end(rt: PartRuntime, job: str, leg: int, fact: Fact, now: datetime) -> None:
     log.debug("ended", part=rt.part, task=f"{job}/{leg}", machine=fact.machine, cause=fact.cause)
+    if fact.cause in gangs.REPLACED and (known := rt.live(job)) is not None and known.spec.gang:
+        attempt, machines = rt.lost_on.get(job, (0, set()))
+        rt.lost_on[job] = (fact.attempt, {fact.machine, *(machines if attempt == fact.attempt else ())})
     if fact.cause == "done":
         machine = rt.machines.get(fact.machine)
         if machine is not None:
--- a/roadbend/placement/forecast.py
+++ b/roadbend/placement/forecast.py
@@ -185,6 +185,9 @@
     """How many seconds from now a task may start and still be in time; without a deadline, a service
     wants to start at once and an array may wait for about twice its run time."""
     spec = item.job.spec
+    if spec.gang:
+        # Those who wait for each other are to begin at once.
+        return 0.0
     if spec.due is not None:
         return spec.due.total_seconds() * times - waited - run
     if spec.service or spec.priority >= 2:
--- /dev/null
+++ b/roadbend/placement/gangs.py
@@ -0,0 +1,121 @@
+"""Gangs: all tasks of a job run at the same time or none does. One part owns a gang whole and starts its tasks
+under one attempt number, recorded in one transaction; what is stopped is stopped whole, and the next attempt begins
+when every task of the last one is proven gone. While its tasks still wait for each other, one that was lost is
+replaced."""
+
+from __future__ import annotations
+
+from datetime import datetime, timedelta
+from typing import TYPE_CHECKING
+
+from roadbend import clock
+from roadbend.fleet.machines import Seen
+from roadbend.log import Log
+from roadbend.placement.policy import Pending
+from roadbend.store import ranges
+from roadbend.store.ranges import Ranges
+from roadbend.store.records import Attempt, Job
+from roadbend.store.view import Work
+
+if TYPE_CHECKING:
+    from roadbend.placement.runtime import PartRuntime
+
+log = Log("placement")
+# A task in one of these has not begun; `running` is also said by tasks that are about to exit.
+NOT_BEGUN = ("fetching", "gathering")
+
+
+def seen(rt: PartRuntime, job: str, leg: int, attempt: Attempt) -> Seen | None:
+    """How the machine last showed a task of this attempt."""
+    machine = rt.machines.get(attempt.machine)
+    row = machine.tasks.get((job, leg)) if machine is not None else None
+    return row if row is not None and row.attempt == attempt.number else None
+
+
+def gathers(rt: PartRuntime, job: Job, work: Work) -> bool:
+    """Whether what is left of a gang surely still waits for the rest, so that a task may join it: every task was
+    shown waiting, none is being stopped, and there is time for another fetch."""
+    now = clock.now()
+    if len({attempt.number for attempt in work.run.values()}) != 1:
+        return False
+    for leg, attempt in work.run.items():
+        row = seen(rt, job.id, leg, attempt)
+        if row is None or row.state not in NOT_BEGUN or (job.id, leg) in rt.stops or (job.id, leg) in rt.facts:
+            return False
+        if row.state == "gathering" and now - row.since > rt.shared.settings.gang_wait / 2:
+            return False
+    return True
+
+
+def waiting(rt: PartRuntime, job: Job, loose: Ranges) -> Pending | None:
+    """What of a gang may be placed: all of it, once nothing of an earlier attempt is recorded any more; or what is
+    missing of one that still gathers."""
+    if ranges.size(loose) == job.spec.legs:
+        return Pending(job, loose, False)
+    work = rt.works().get(job.id)
+    if work is None or not work.run or loose_here(job, work) != loose or not gathers(rt, job, work):
+        return None
+    return Pending(job, loose, False)
+
+
+def loose_here(job: Job, work: Work) -> Ranges:
+    return ranges.minus(((0, job.spec.legs),), ranges.of(work.run))
+
+
+def number(rt: PartRuntime, job: str) -> int | None:
+    """The attempt that a task joins."""
+    work = rt.works().get(job)
+    return next((attempt.number for attempt in work.run.values()), None) if work is not None else None
+
+
+def stop_whole(rt: PartRuntime, job: Job, why: str, now: datetime, grace: timedelta | None = None) -> None:
+    """All tasks are told at once, so that each is within `gang_peer` of the first. One that has saved waits for the
+    others; what it is given counts that."""
+    work = rt.works().get(job.id)
+    if work is None:
+        return
+    if grace is None:
+        saves = job.spec.checkpoint > clock.ZERO
+        grace = job.spec.save + rt.shared.settings.gang_peer + timedelta(seconds=1) if saves else clock.ZERO
+    for leg, attempt in work.run.items():
+        old = rt.stops.get((job.id, leg))
+        if old is None or old.attempt != attempt.number:
+            rt.stop((job.id, leg), attempt, grace, why, now)
+
+
+def keep_whole(rt: PartRuntime, now: datetime) -> None:
+    """A gang of which a task is gone is over, unless it still gathers: the others would notice by themselves, after
+    `gang_peer` or `gang_wait`, and are told now."""
+    for name, work in rt.works().items():
+        job = rt.live(name)
+        if job is None or not job.spec.gang or not work.run:
+            continue
+        gone = [(leg, fact) for (other, leg), fact in rt.facts.items() if other == name]
+        if any(fact.done for _, fact in gone):
+            continue
+        if not gone and len(work.run) == job.spec.legs:
+            continue
+        rest = {leg for leg in work.run} - {leg for leg, _ in gone}
+        if not rest:
+            continue
+        if all(fact.cause in REPLACED for _, fact in gone) and still_gathers(rt, job, work, rest):
+            continue
+        log.info("gang-over", part=rt.part, job=name, left=len(rest))
+        stop_whole(rt, job, "peers", now, clock.ZERO)
+
+
+# Ends after which a gang that gathers goes on with another machine in place of the lost one.
+REPLACED = ("deleted", "lease", "no_room", "busy", "unknown")
+
+
+def still_gathers(rt: PartRuntime, job: Job, work: Work, rest: set[int]) -> bool:
+    """As `gathers`, for what is left; tasks that were just ordered may not have been shown yet."""
+    now = clock.now()
+    for leg in rest:
+        attempt = work.run[leg]
+        row = seen(rt, job.id, leg, attempt)
+        if (job.id, leg) in rt.stops or row is not None and row.state not in NOT_BEGUN:
+            return False
+        if row is not None and row.state == "gathering" and now - row.since > rt.shared.settings.gang_wait / 2:
+            return False
+    return True
--- a/roadbend/placement/policy.py
+++ b/roadbend/placement/policy.py
@@ -203,7 +203,7 @@
     def cut(self, item: Pending) -> Pending | None:
         """As much of an item as the limit permits."""
         count = min(item.count, self.most(item.job.spec))
-        if count <= 0:
+        if count <= 0 or item.job.spec.gang and count < item.count:
             return None
         return item if count == item.count else replace(item, legs=ranges.first(item.legs, count))
 
@@ -251,6 +251,12 @@
                 limits.hold(item.job, item.count)
             continue
         found = suitable(item.job, rooms, barred, rigs)
+        if spec.gang and sum(room.count(spec.need) for room in found) < item.count:
+            # Whole or not at all: no gang holds some of the room while another holds the rest.
+            left.append(item)
+            if limits is not None:
+                limits.hold(item.job, item.count)
+            continue
         if not found:
             if free:
                 hopeless.add(kind)
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -5,7 +5,7 @@
 
 import threading
 from collections import deque
-from collections.abc import Container
+from collections.abc import Callable, Container
 from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 from typing import Any
@@ -18,13 +18,13 @@
 from roadbend.fleet.messages import Report
 from roadbend.log import Log
 from roadbend.parts.ownership import Tenure
-from roadbend.placement import ends, forecast, policy, starts
+from roadbend.placement import ends, forecast, gangs, policy, starts
 from roadbend.placement.batch import Batch
 from roadbend.placement.forecast import Line
 from roadbend.placement.policy import Pending, Room
 from roadbend.placement.shared import Shared
 from roadbend.store import ranges, records
-from roadbend.store.client import Conflict, Unavailable, commit, put
+from roadbend.store.client import Conflict, TooLarge, Unavailable, commit, put
 from roadbend.store.ranges import Ranges
 from roadbend.store.records import Attempt, Job, Need
 from roadbend.store.view import Rows, Work
@@ -90,6 +90,13 @@
         self.cold: dict[str, set[str]] = {}
         # Machines named in the transaction whose answer is out; they must not be returned meanwhile.
         self.in_flight: set[str] = set()
+        # Starts that were just recorded and must not wait for a report, and who tells their machines.
+        self.urgent: dict[str, list[tuple[Key, Attempt]]] = {}
+        self.order_now: Callable[[PartRuntime, str, list[tuple[Key, Attempt]]], None] | None = None
+        # Machines on which a gang that gathers has lost a task, by job: its attempt goes on elsewhere.
+        self.lost_on: dict[str, tuple[int, set[str]]] = {}
+        # Fewer changes in a transaction than the settings say, once the service has found one too large.
+        self.most_rows: int | None = None
         self.reserved_at: dict[str, datetime] = {}
 
     # Looking at the records.
@@ -116,7 +123,12 @@
             job = view.jobs[name]
             if name in self.shared.cancelled or name in self.backoff and self.backoff[name][1] > now:
                 continue
-            legs = ranges.first(self.loose(job), MOST_PENDING)
+            legs = self.loose(job)
+            if job.spec.gang:
+                if legs and (item := gangs.waiting(self, job, legs)) is not None:
+                    out.append(replace(item, guaranteed=name in sure, overdue=name in late.get(job.spec.team, ())))
+                continue
+            legs = ranges.first(legs, MOST_PENDING)
             if not legs:
                 continue
             if name in late.get(job.spec.team, ()):
@@ -405,7 +417,11 @@
                 continue
             if job.spec.checkpoint > clock.ZERO:
                 grace = min(max(left - timedelta(seconds=1), clock.ZERO), job.spec.save + timedelta(seconds=2))
-                self.stop(key, attempt, grace, "notice", now)
+                if job.spec.gang:
+                    # All of it saves together, or nothing is saved.
+                    gangs.stop_whole(self, job, "notice", now)
+                else:
+                    self.stop(key, attempt, grace, "notice", now)
 
     def _learn(self, machine: Machine, recorded: Rows, now: datetime) -> None:
         rig = self.shared.rigs.get(machine.rig)
@@ -460,8 +476,9 @@
             return False
         with self.lock:
             self.stop_dead(now)
+            gangs.keep_whole(self, now)
             self._tidy(now)
-            batch = Batch(self.shared.view, self.part, self.tenure, self.shared.settings)
+            batch = Batch(self.shared.view, self.part, self.tenure, self.shared.settings, self.most_rows)
             more = ends.record_ends(self, batch, now)
             more = starts.start(self, batch, now) or more
             starts.reserve(self, batch, now)
@@ -471,6 +488,11 @@
         self.in_flight = {a.machine for piece in batch.slices.values() for a in piece.run.values()}
         try:
             ledger = await commit(self.shared.state, batch.when, rows, within=timedelta(seconds=3))
+        except TooLarge as error:
+            # Certainly not carried out, and never would be: next time in smaller pieces.
+            log.error("too-large", part=self.part, changes=len(rows), error=str(error))
+            self.most_rows = max(2, len(rows) // 2)
+            raise
         except Unavailable:
             self.unsure = dict(batch.when)
             raise
@@ -483,10 +505,18 @@
             self.shared.view.applied(rows, ledger)
             for call in batch.after:
                 call()
+            self._order_urgent()
         finally:
             self.in_flight = set()
         return more
 
+    def _order_urgent(self) -> None:
+        """What must start at once is ordered directly, as soon as it is recorded; the rest with the next report."""
+        urgent, self.urgent = self.urgent, {}
+        if self.order_now is not None:
+            for machine, rows in urgent.items():
+                self.order_now(self, machine, rows)
+
     async def _make_sure(self) -> bool:
         """A transaction without an answer may be carried out late. Starts are bounded by what is set aside
         and not by the team's record, so a late one would come on top of what was started since. Before
@@ -522,6 +552,8 @@
         for rows in (self.facts, self.stops):
             for key in [k for k, row in rows.items() if (a := self._recorded(k)) is None or a.number != row.attempt]:
                 del rows[key]
+        for job in [job for job, (attempt, _) in self.lost_on.items() if gangs.number(self, job) != attempt]:
+            del self.lost_on[job]
         for job, pairs in list(self.avoid.items()):
             for machine in [m for m, until in pairs.items() if until <= now]:
                 del pairs[machine]
--- a/roadbend/placement/shared.py
+++ b/roadbend/placement/shared.py
@@ -73,7 +73,7 @@
             for o in self.settings.objectives
             if o.within is not None and (o.kind == "wait" and o.lane == spec.lane or o.kind == "guarantee")
         ]
-        return min(rows, default=None) if spec.service else None
+        return min(rows, default=None) if spec.service or spec.gang else None
 
     def deadlines(self, spec: Spec) -> tuple[float, ...]:
         """The times of its due time at which a job's aims count, the first one first."""
--- a/roadbend/placement/starts.py
+++ b/roadbend/placement/starts.py
@@ -11,12 +11,12 @@
 from roadbend import clock
 from roadbend.fleet.machines import Key
 from roadbend.log import Log
-from roadbend.placement import policy
+from roadbend.placement import gangs, policy
 from roadbend.placement.batch import Batch
 from roadbend.placement.policy import Allowance, Pending, Room, Victim
 from roadbend.rental import policy as renting
 from roadbend.store import records
-from roadbend.store.records import Attempt, Job, Need, Spec
+from roadbend.store.records import Attempt, Job, Need, Slice, Spec
 
 if TYPE_CHECKING:
     from roadbend.placement.runtime import PartRuntime
@@ -53,7 +53,7 @@
         [item for item in queue if not yields(rt, item, overdue)],
         rooms,
         batch.free,
-        partial(bars, rt) if rt.avoid or rt.pledges or rt.held_back or rt.cold else None,
+        partial(bars, rt) if rt.avoid or rt.pledges or rt.held_back or rt.cold or rt.lost_on else None,
         limits,
     )
     rt.left = within(limits, left)
@@ -61,23 +61,26 @@
     for item, leg, room in placed:
         work = rt.works().get(item.job.id)
         at = leg // rt.width if work is None else work.shard_of(leg, rt.width)
+        # The tasks of a gang go into one transaction, whatever shards they are in.
+        at = -1 if item.job.spec.gang else at
         groups.setdefault((item.job.id, at), []).append((item, leg, room))
-    for (name, at), rows in groups.items():
+    for (name, _), rows in groups.items():
         job, team = rows[0][0].job, rows[0][0].job.spec.team
-        piece = batch.slice(name, team, job.spec.need, at)
-        if not set_aside(rt, batch, team, job.spec.need, len(rows), piece.key):
+        pieces = fill(rt, batch, job, rows)
+        keys = [piece.key for piece in pieces]
+        if not set_aside(rt, batch, team, job.spec.need, len(rows), keys):
             more = True
             break
-        run = dict(piece.run)
-        for _, leg, room in rows:
-            rt.seq += 1
-            run[leg] = Attempt((rt.tenure.term << 32) | rt.seq, room.id)
-        if not batch.set_slice(replace(piece, run=run)):
-            log.error("record-full", part=rt.part, job=name, shard=at, tasks=len(run))
+        if not all(batch.fits(piece) for piece in pieces):
+            log.error("record-full", part=rt.part, job=name, tasks=len(rows))
             continue
+        for piece in pieces:
+            batch.set_slice(piece)
         batch.need_job(job)
         batch.charge(team, job.spec.need, len(rows))
         rt.waits.append(now - rt.queued.get(name, now))
+        if rt.shared.start_within(job.spec) is not None:
+            batch.after.append(partial(order_soon, rt, pieces, {leg for _, leg, _ in rows}))
         for _, leg, room in rows:
             log.debug(
                 "start", part=rt.part, task=f"{name}/{leg}", machine=room.id,
@@ -88,6 +91,32 @@
     return more
 
 
+def fill(rt: PartRuntime, batch: Batch, job: Job, rows: list[tuple[Pending, int, Room]]) -> list[Slice]:
+    """The slices with the new attempts; a gang's tasks have one attempt number."""
+    work, pieces = rt.works().get(job.id), {}
+    common = None
+    if job.spec.gang:
+        common = gangs.number(rt, job.id)
+        if common is None:
+            rt.seq += 1
+            common = (rt.tenure.term << 32) | rt.seq
+    for _, leg, room in rows:
+        at = leg // rt.width if work is None else work.shard_of(leg, rt.width)
+        piece = pieces.get(at) or batch.slice(job.id, job.spec.team, job.spec.need, at)
+        if common is None:
+            rt.seq += 1
+        attempt = Attempt((rt.tenure.term << 32) | rt.seq if common is None else common, room.id)
+        pieces[at] = replace(piece, run={**piece.run, leg: attempt})
+    return list(pieces.values())
+
+
+def order_soon(rt: PartRuntime, pieces: list[Slice], legs: set[int]) -> None:
+    for piece in pieces:
+        for leg in legs & piece.run.keys():
+            attempt = piece.run[leg]
+            rt.urgent.setdefault(attempt.machine, []).append(((piece.job, leg), attempt))
+
+
 def team_left(rt: PartRuntime, batch: Batch, team: str) -> tuple[float, float] | None:
     """What a team's limit leaves this part, after what the transaction in the making starts and ends."""
     most = rt.shared.most_for(team, rt.part)
@@ -126,7 +155,7 @@
     )
 
 
-def set_aside(rt: PartRuntime, batch: Batch, team: str, need: Need, tasks: int, key: str) -> bool:
+def set_aside(rt: PartRuntime, batch: Batch, team: str, need: Need, tasks: int, keys: list[str]) -> bool:
     """Sees to it that the team's record sets enough aside for this part, in the same transaction.
     Some more than is needed is taken while there is plenty, so that parts seldom meet there."""
     limits, team_key = rt.shared.limits(team), records.team_key(team)
@@ -136,7 +165,7 @@
     have = use.parts.get(rt.part, (0.0, 0.0))
     bound = [most < float("inf") for most in limits]
     short = any(b and u > h + policy.EPS for b, u, h in zip(bound, used, have, strict=True))
-    if not batch.room_for(key, *([team_key] if short else [])):
+    if not batch.room_for(*keys, *([team_key] if short else [])):
         return False
     if short:
         others = (use.cpus - have[0], use.gpus - have[1])
@@ -202,7 +231,7 @@
     for item in queue:
         spec = item.job.spec
         within = rt.shared.start_within(spec)
-        if within is None or item.job.id in rt.cold:
+        if within is None or spec.gang or item.job.id in rt.cold:
             continue
         left = within - (wall - item.job.at)
         fetch = timedelta(seconds=spec.image_gb / max(pulls, default=1.0))
@@ -229,6 +258,9 @@
     made for other work, which is not filled while its victims go."""
     name = item.job.id
     pledged = {machine for machine, (job, _) in rt.pledges.items() if job != name}
+    if name in rt.lost_on:
+        # A machine ignores an order for an attempt that it still holds, ended ones too.
+        pledged |= rt.lost_on[name][1]
     return pledged | rt.avoid.get(name, {}).keys() | rt.cold.get(name, set()), rt.held_back.get(name, ())
 
 
@@ -241,6 +273,7 @@
         rooms = [known.get(room.id, room) for room in rt.rooms(batch.ended)]
     over, sure, most = teams_beyond(rt), rt.shared.guaranteed(), MOST_PREEMPTED
     running: dict[str, list[Victim]] = {}
+    losses: dict[str, float] = {}
     top = max(item.job.spec.priority for item in waiting)
     for machine, rows in rt.by_machine().items():
         if machine in rt.pledges:
@@ -252,13 +285,27 @@
             beyond = over.get(work.team, False) and job.id not in sure
             if job.spec.priority >= top and not beyond:
                 continue
-            loss = work_lost(rt, key, attempt, job, now)
+            if job.spec.gang:
+                # Stopped as a whole or not at all, and judged by what all of it would lose.
+                loss = losses.get(job.id)
+                if loss is None:
+                    rows_of = rt.works()[job.id].run.items()
+                    loss = sum(work_lost(rt, (job.id, leg), other, job, now) for leg, other in rows_of)
+                    losses[job.id] = loss
+            else:
+                loss = work_lost(rt, key, attempt, job, now)
             row = Victim(work.need, job.spec.priority, beyond, work.team, loss, (key, attempt, job))
             running.setdefault(machine, []).append(row)
-    rooms = [room for room in rooms if room.id in running]
+    all_rooms, rooms = rooms, [room for room in rooms if room.id in running]
     for item in waiting:
         made = sum(1 for job, _ in rt.pledges.values() if job == item.job.id)
         kept_from, cold = rt.held_back.get(item.job.id, ()), rt.cold.get(item.job.id, ())
+        if item.job.spec.gang:
+            taken = set() if made else preempt_whole(rt, item, all_rooms, rooms, running, now)
+            rooms = [room for room in rooms if room.id not in taken]
+            all_rooms = [room for room in all_rooms if room.id not in taken]
+            most -= len(taken)
+            continue
         for _ in range(item.count - made):
             if most <= 0:
                 return
@@ -267,17 +314,66 @@
             if found is None:
                 break
             room, chosen = found
-            for victim in chosen:
-                key, attempt, job = victim.handle
-                saves = job.spec.checkpoint > clock.ZERO
-                grace = job.spec.save + timedelta(seconds=1) if saves else clock.ZERO
-                rt.stop(key, attempt, grace, "preempted", now)
-                log.info("preempt", part=rt.part, task=f"{key[0]}/{key[1]}", machine=room.id, by=item.job.id)
+            stop_for(rt, item, room, chosen, now)
             rt.pledges[room.id] = (item.job.id, now + PLEDGE)
             rooms = [other for other in rooms if other.id != room.id]
             most -= 1
 
 
+def stop_for(rt: PartRuntime, item: Pending, room: Room, chosen: list[Victim], now: datetime) -> None:
+    for victim in chosen:
+        key, attempt, job = victim.handle
+        log.info("preempt", part=rt.part, task=f"{key[0]}/{key[1]}", machine=room.id, by=item.job.id)
+        if job.spec.gang:
+            gangs.stop_whole(rt, job, "preempted", now)
+            continue
+        saves = job.spec.checkpoint > clock.ZERO
+        grace = job.spec.save + timedelta(seconds=1) if saves else clock.ZERO
+        rt.stop(key, attempt, grace, "preempted", now)
+
+
+def preempt_whole(
+    rt: PartRuntime,
+    item: Pending,
+    all_rooms: list[Room],
+    rooms: list[Room],
+    running: dict[str, list[Victim]],
+    now: datetime,
+) -> set[str]:
+    """Room for all of a gang, or nothing is stopped for it. What it needs is kept for it together, free room too."""
+    need = item.job.spec.need
+    free = {r.id: r.count(need) for r in all_rooms if r.id not in rt.pledges}
+    allowed = {r.id for r in all_rooms if policy.allowed(item.job, r.rig, r.zone, r.spot)}
+    have = sum(count for name, count in free.items() if name in allowed)
+    plan: list[tuple[Room, list[Victim]]] = []
+    open_to = list(rooms)
+    while have < item.count and len(plan) < MOST_PREEMPTED:
+        found = policy.victims(item, open_to, running)
+        if found is None:
+            return set()
+        room, chosen = found
+        trial = replace(room)
+        for victim in chosen:
+            trial.give(victim.need)
+        have += max(1, trial.count(need)) - free.get(room.id, 0)
+        plan.append((room, chosen))
+        open_to = [other for other in open_to if other.id != room.id]
+    if have < item.count:
+        return set()
+    for room, chosen in plan:
+        stop_for(rt, item, room, chosen, now)
+    names = {room.id for room, _ in plan}
+    spare = item.count - sum(1 for _ in plan)
+    for name in sorted(allowed - names, key=lambda name: -free.get(name, 0)):
+        if spare <= 0 or not free.get(name, 0):
+            break
+        spare -= free[name]
+        names.add(name)
+    for name in names:
+        rt.pledges[name] = (item.job.id, now + PLEDGE)
+    return names
+
+
 def teams_beyond(rt: PartRuntime) -> dict[str, bool]:
     out = {}
     for team in rt.shared.settings.teams.values():
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -234,7 +234,7 @@
         for job in self._shared.view.jobs.values():
             within = self._shared.start_within(job.spec)
             # Boots take up to half as long again as they nominally do.
-            if within is None or within > boot * 1.5:
+            if within is None or within > boot * 1.5 or not job.spec.service:
                 continue
             if model is None or job.at > model.at:
                 model = job
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -65,12 +65,29 @@
     sockets: int
     # How much of a core we have.
     cpu: float = 1.0
+    # The changes a second that the state service will allow from some moment on, without notice. Its other limits to
+    # come are in `value_bytes` and `txn_ops`: from the start we write within the smaller of both.
+    state_write_rps_next: float | None = None
+    # How long a gang's tasks wait for each other, and how soon they notice that one is gone.
+    gang_wait: timedelta = timedelta(seconds=30)
+    gang_peer: timedelta = timedelta(seconds=5)
     objectives: tuple[Objective, ...] = ()
 
     @property
     def controllers(self) -> int:
         return len(self.peers) + 1
 
+    @property
+    def shard_width(self) -> int:
+        """How many neighbouring tasks share a record. An attempt takes some 16 to 24 bytes in the form in which limits
+        are measured; a shard of only running tasks must fit with room for a few ranges."""
+        return max(8, min(512, int(self.value_bytes * 0.8 - 400) // 28))
+
+    @property
+    def widest_gang(self) -> int:
+        """A gang's attempts go into one transaction, with its team's record."""
+        return max(1, self.txn_ops - 1) * self.shard_width
+
 
 _MISSING = object()
 
@@ -158,16 +175,25 @@
         cancel_within=timedelta(seconds=_positive(table, "deployment.workers.cancel_s")),
         state_rps=_positive(table, "deployment.state.rps"),
         state_write_rps=_positive(table, "deployment.state.write_rps"),
-        value_bytes=int(_positive(table, "deployment.state.value_kb") * 1024),
-        txn_ops=int(_positive(table, "deployment.state.txn_ops")),
+        value_bytes=int(_smaller(table, "value_kb") * 1024),
+        txn_ops=int(_smaller(table, "txn_ops")),
         cloud_rps=_positive(table, "deployment.cloud.rps"),
         list_lag=timedelta(seconds=_positive(table, "deployment.cloud.list_lag_s", 5.0)),
         sockets=int(_positive(table, "deployment.machine_limits.sockets", 1000.0)),
         cpu=min(1.0, _positive(table, "deployment.machine_limits.cpu", 1.0)),
         objectives=tuple(objectives),
+        state_write_rps_next=_smaller(table, "write_rps"),
+        gang_wait=timedelta(seconds=_positive(table, "deployment.workers.gang_wait_s", 30.0)),
+        gang_peer=timedelta(seconds=_positive(table, "deployment.workers.gang_peer_s", 5.0)),
     )
 
 
+def _smaller(table, key: str) -> float:
+    """The smaller of a limit of the state service and of the one that is to come."""
+    now = _positive(table, f"deployment.state.{key}")
+    return min(now, _positive(table, f"deployment.state.next.{key}", now))
+
+
 def _s(default: float, low: float, high: float, text: str):
     return field(
         default=timedelta(seconds=default),
--- a/roadbend/store/budget.py
+++ b/roadbend/store/budget.py
@@ -6,6 +6,11 @@
 from datetime import datetime, timedelta
 
 from roadbend import clock
+from roadbend.log import Log
+
+log = Log("store")
+# After so long without another refusal the old rate is tried out again: the service may not have changed its limits.
+FALLEN_FOR = timedelta(minutes=10)
 
 
 class Bucket:
@@ -48,6 +53,13 @@
         self._bucket.spend(amount)
         self._count += amount
 
+    def set_total(self, total: float) -> None:
+        self._total = total
+        fair = total / self._sharers
+        self._bucket.fill(clock.now())
+        self._bucket.rate = fair
+        self._bucket.burst = max(1.0, self._bucket.rate * 0.9 * self._burst)
+
     def drain(self) -> None:
         """The service says that together we went over."""
         self._bucket.drain()
@@ -73,9 +85,11 @@
     """Requests and changes of the state service. What keeps the rules and the leases never waits;
     submissions go before starts and ends."""
 
-    def __init__(self, rps: float, write_rps: float, sharers: int):
+    def __init__(self, rps: float, write_rps: float, sharers: int, next_write_rps: float | None = None):
         self._calls = SharedBucket(rps * 0.92, sharers)
         self._writes = SharedBucket(write_rps * 0.92, sharers)
+        self._rates = (write_rps * 0.92, min(write_rps, next_write_rps or write_rps) * 0.92)
+        self._fell: datetime | None = None
         self._first = 0
 
     @property
@@ -103,11 +117,21 @@
         if writes:
             self._writes.spend(writes)
 
-    def push_back(self) -> None:
+    def push_back(self, writing: bool = False) -> None:
+        """The service says that together we went over. For a change that may be since the limit that was to come is in
+        force now: the rate falls to it, and is tried out again only after a long while."""
         self._calls.drain()
         self._writes.drain()
+        if writing and self._rates[1] < self._rates[0]:
+            if self._fell is None:
+                log.info("write-rate", changes=f"{self._rates[1]:.1f}")
+            self._fell = clock.now()
+            self._writes.set_total(self._rates[1])
 
     def share(self, others: list[tuple[float, float]]) -> None:
+        if self._fell is not None and clock.now() - self._fell > FALLEN_FOR:
+            self._fell = None
+            self._writes.set_total(self._rates[0])
         for at, bucket in enumerate((self._calls, self._writes)):
             bucket.measure()
             bucket.lend([used[at] for used in others])
--- a/roadbend/store/client.py
+++ b/roadbend/store/client.py
@@ -54,7 +54,7 @@
         await self._budget.take(writes, urgent, first)
         status, answer = await self._client.request(method, target, body, within=self._within)
         if status == 429:
-            self._budget.push_back()
+            self._budget.push_back(writes > 0)
             raise Refused("429")
         if status == 503:
             raise Refused("503")
@@ -114,6 +114,9 @@
             raise Conflict([str(k) for k in answer.get("failed") or []])
         if status == 400 and isinstance(answer, dict) and answer.get("error") == "no such lease":
             raise NoLease("write")
+        if status == 400:
+            # Nothing else that we send is malformed: a value, or the whole, is larger than the service takes now.
+            raise TooLarge(str(answer)[:120])
         raise NoAnswer(f"nonsense: {status} {answer!r}"[:200])
 
     async def lease(self, ttl: timedelta) -> int:
@@ -145,6 +148,10 @@
     """The state service gave no definite answer in time."""
 
 
+class TooLarge(Unavailable):
+    """Certainly not carried out, and the same would not be later."""
+
+
 async def commit(
     state: StateClient,
     when: dict[str, int],
--- a/roadbend/store/ranges.py
+++ b/roadbend/store/ranges.py
@@ -18,6 +18,26 @@
     return tuple((low, high) for low, high in out)
 
 
+def to_text(a: Ranges) -> str:
+    """A short form: where each range begins after the last one's end, and how long it is."""
+    out, at = [], 0
+    for low, high in a:
+        out += [f"{low - at:x}", f"{high - low:x}"]
+        at = high
+    return " ".join(out)
+
+
+def read(value: str | Iterable[tuple[int, int]]) -> Ranges:
+    """Ranges in either form."""
+    if not isinstance(value, str):
+        return normal(value)
+    numbers, out, at = [int(x, 16) for x in value.split()], [], 0
+    for skip, length in zip(numbers[::2], numbers[1::2], strict=True):
+        out.append((at + skip, at + skip + length))
+        at += skip + length
+    return normal(out)
+
+
 def union(a: Ranges, b: Iterable[tuple[int, int]]) -> Ranges:
     return normal([*a, *b])
 
--- a/roadbend/store/records.py
+++ b/roadbend/store/records.py
@@ -4,6 +4,7 @@
 r/job/<id>            a live job: spec, which part holds which tasks, which tasks are over
 r/slice/<part>/<id>/<n>   a part's attempts at some of a job's tasks, and what each of them takes; tasks go
                       into shards by their number, so that the widest array fits small values
+r/gang/<id>           says that a live job is a gang, for versions before gangs rewrite its own record without that
 r/team/<team>         what each part may use at most for a team; the sum never passes the team's limit
 r/term/<part>         the part's term, never removed; its stamp guards every write of an owner
 r/own/<part>          who owns the part, on the owner's lease
@@ -47,8 +48,7 @@
 
 
 def shard_width(value_bytes: int) -> int:
-    """How many neighbouring tasks share a record. An attempt takes some 16 to 24 bytes in the form in
-    which limits are measured; a shard of only running tasks must fit with room for a few ranges."""
+    """As in settings, where a value's size alone is known."""
     return max(8, min(512, int(value_bytes * 0.8 - 400) // 28))
 
 
@@ -61,6 +61,10 @@
     return f"r/team/{quoted(team)}"
 
 
+def gang_key(job: str) -> str:
+    return f"r/gang/{job}"
+
+
 def term_key(part: str) -> str:
     return f"r/term/{quoted(part)}"
 
@@ -113,6 +117,9 @@
     checkpoint: timedelta
     save: timedelta
     due: timedelta | None
+    # All tasks run at the same time or none does. Not part of the value: versions before gangs would drop it when
+    # they write the job again. It is in the job's record, and in one of its own that they leave alone.
+    gang: bool = False
 
     @property
     def zone_cap(self) -> int:
@@ -161,20 +168,32 @@
 
     def to_value(self) -> dict:
         value = {"s": self.spec.to_value(), "at": clock.to_ms(self.at)}
+        if self.spec.gang:
+            value["g"] = 1
         if self.alloc:
             value["a"] = {part: [list(p) for p in rs] for part, rs in self.alloc.items() if rs}
         if self.done:
             value["d"] = [list(p) for p in self.done]
         return value
 
+    def to_small_value(self, most: int) -> dict:
+        """The same within a limit: what would not fit, since a version with larger values wrote it, has its ranges as
+        text. Versions before this one can't read that, so it is written only where the usual form is too large."""
+        value = self.to_value()
+        if weigh(value) > most:
+            value = {**value, "a": {part: ranges.to_text(rs) for part, rs in self.alloc.items() if rs}}
+            value["d"] = ranges.to_text(self.done)
+        return value
+
     @staticmethod
     def from_value(job: str, v: dict, stamp: int) -> "Job":
+        spec = Spec.from_value(v["s"])
         return Job(
             job,
-            Spec.from_value(v["s"]),
+            replace(spec, gang=True) if v.get("g") else spec,
             clock.from_ms(v["at"]),
-            {part: ranges.normal(rs) for part, rs in v.get("a", {}).items()},
-            ranges.normal(v.get("d", ())),
+            {part: ranges.read(rs) for part, rs in v.get("a", {}).items()},
+            ranges.read(v.get("d", ())),
             stamp,
         )
 
@@ -186,6 +205,9 @@
         names = [spec.team, spec.lane, spec.image, spec.zone or "", *(spec.rigs or ())]
         return 300 + 6 * sum(len(name) + 2 for name in names) + 18 * count
 
+    def as_gang(self) -> "Job":
+        return self if self.spec.gang else replace(self, spec=replace(self.spec, gang=True))
+
     def with_part(self, part: str, held: Ranges) -> "Job":
         alloc = {p: rs for p, rs in self.alloc.items() if p != part}
         if held:
--- a/roadbend/store/view.py
+++ b/roadbend/store/view.py
@@ -81,6 +81,8 @@
         self.terms: dict[str, Term] = {}
         self.owns: dict[str, Own] = {}
         self.nodes: dict[str, Live] = {}
+        # Jobs that are gangs, whatever their own records say.
+        self.gangs: set[str] = set()
         self.catalog: Any = None
         self.catalog_stamp = 0
         self._stamps: dict[str, int] = {}
@@ -126,6 +128,8 @@
             kind, rest = self._split(key)
             if kind == "job":
                 self._swap_job(rest, None)
+            elif kind == "gang":
+                self.gangs.discard(rest)
             elif kind == "slice":
                 part, job, shard = self._split_slice(rest)
                 self._swap(part, job, shard, None)
@@ -265,7 +269,12 @@
     def _store(self, key: str, value: Any, stamp: int) -> None:
         kind, rest = self._split(key)
         if kind == "job":
-            self._swap_job(rest, Job.from_value(rest, value, stamp))
+            job = Job.from_value(rest, value, stamp)
+            self._swap_job(rest, job.as_gang() if rest in self.gangs else job)
+        elif kind == "gang":
+            self.gangs.add(rest)
+            if rest in self.jobs:
+                self._swap_job(rest, self.jobs[rest].as_gang())
         elif kind == "slice":
             part, job, shard = self._split_slice(rest)
             self._swap(part, job, shard, Slice.from_value(part, job, shard, value, stamp))
