--- a/roadbend/rental/policy.py
+++ b/roadbend/rental/policy.py
@@ -179,7 +179,8 @@
             most -= 1
             begin, _, line = rows.best()
             if begin > slack:
-                if at == 0 or option is not None:
+                # Of a gang the last task counts: machines are hired for all of it.
+                if at == 0 or option is not None or spec.gang:
                     count = min(left, wide)
                     if count not in chosen:
                         chosen[count] = _choose(timing, choices, part, boot_factor, count, slack, reach)
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -340,6 +340,24 @@
         self.refused[key] = Refusal(now + drawn(pause, self._rng), pause)
         log.info("refused", part=key[0], rig=key[1], spot=key[2], pause=pause.total_seconds())
 
+    def _kept_for_gangs(self, runtime: PartRuntime, idle: list[str]) -> set[str]:
+        """Empty machines that a waiting gang needs: it begins when the last one is up, and those that came up before
+        would be returned meanwhile, again and again."""
+        kept: set[str] = set()
+        for item in runtime.left:
+            places = item.count if item.job.spec.gang else 0
+            for name in idle:
+                if places <= 0:
+                    break
+                machine = runtime.machines[name]
+                rig = self._shared.rigs.get(machine.rig)
+                if rig is None or not placing.allowed(item.job, machine.rig, machine.zone, machine.spot):
+                    continue
+                option = policy.Option(rig, machine.spot, 0.0)
+                places -= policy.empty_room("", option, runtime.part).count(item.job.spec.need)
+                kept.add(name)
+        return kept
+
     async def _give_back(self, runtime: PartRuntime, now: datetime, model: Job | None, surplus: int) -> None:
         op = self._shared.op
         index = runtime.by_machine()
@@ -361,7 +379,8 @@
                         option = policy.Option(rig, machine.spot, 0.0)
                         places = policy.empty_room("", option, runtime.part).count(model.spec.need)
                 idle.append((machine.id, machine.empty_since, places))
-        back = policy.to_return(idle, now, op.idle_return, surplus)
+        kept = self._kept_for_gangs(runtime, [name for name, _, _ in sorted(idle, key=lambda row: row[1])])
+        back = policy.to_return([row for row in idle if row[0] not in kept], now, op.idle_return, surplus)
         names = sick + back
         if not names or len(names) < MOST_NAMES // 4 and now - self._returned.get(runtime.part, clock.ORIGIN) < GATHER:
             # A few at a time would take a call each.
