Upgrade: production's bytes as tests, rolls with troubles in memory, records split for values to come

Frames and records of, taken from that version, are written the same and read. Former controllers as stand-ins roll to the new version with a crash of an old one, an outage, a cut controller and late transactions in it; then the limits to come are in force and gangs run. A wide slice whose end did not fit a value any more would never have been written: its attempts go to shards of today's width in one transaction; one that four changes can't split waits until fewer of its tasks are left.

--- a/roadbend/placement/ends.py
+++ b/roadbend/placement/ends.py
@@ -58,6 +58,13 @@
                 done = ranges.union(done, ((leg, leg + 1),))
             touched[at] = replace(piece, run=run, done=done)
             ended.append((leg, fact))
+        # What a version with larger values wrote and is too large now is split as it is written.
+        plans = {n: split(rt, batch, work, piece) for n, piece in touched.items() if not batch.fits(piece)}
+        for n in [n for n, plan in plans.items() if not plan]:
+            # Not in one transaction of today's size: these ends wait until fewer of its tasks are left.
+            more = more or bool(batch.rows)
+            del plans[n], touched[n]
+            ended = [(leg, fact) for leg, fact in ended if work.shard_of(leg, rt.width) != n]
         if job is not None and job.spec.gang and any(fact.done for _, fact in ended):
             if not end_gang(batch, job, touched, [piece for n, piece in work.shards.items() if n not in touched]):
                 return True
@@ -78,6 +85,7 @@
             over = {n: p for n, p in idle.items() if not ranges.minus(within(rt, held, n), p.done)}
             over = over if len(over) >= FOLD else {}
         keys = [records.slice_key(part, name, n) for n in touched.keys() | over.keys()]
+        keys += [piece.key for plan in plans.values() for piece in plan]
         if job is not None and over:
             keys += [records.job_key(name), records.fin_key(name)]
         if not keys:
@@ -88,14 +96,17 @@
             # Wider than one transaction: some of it now, the rest in the next.
             some = sorted(over.keys() | touched.keys())[: max(1, batch.free - 2)]
             over = {n: p for n, p in over.items() if n in some}
-            touched = {n: p for n, p in touched.items() if n in some}
+            touched = {n: p for n, p in touched.items() if n in some and n not in plans}
             ended = [(leg, f) for leg, f in ended if work.shard_of(leg, rt.width) in some]
             whole, more = False, True
         for n, piece in touched.items():
-            if n not in over and not batch.set_slice(piece):
-                # Written by a version with larger values: its attempts move to where this one would write them.
-                if not spread(rt, batch, work, piece):
-                    return True
+            if n in plans:
+                for row in plans[n]:
+                    batch.set_slice(row)
+                log.info("split", part=part, job=name, shard=n, into=len(plans[n]))
+            elif n not in over:
+                # Fewer attempts never make the record larger than a range each.
+                batch.set_slice(piece)
         for piece in over.values():
             batch.drop_slice(piece)
         if job is not None and over:
@@ -127,25 +138,25 @@
     return True
 
 
-def spread(rt: PartRuntime, batch: Batch, work: Work, piece: Slice) -> bool:
-    """Splits a slice that is larger than values may be now, in one transaction: a task is in one record before and
-    after. Its attempts that a shard of today's width would hold elsewhere go there. Says whether all found room."""
+def split(rt: PartRuntime, batch: Batch, work: Work, piece: Slice) -> list[Slice]:
+    """A slice that is larger than values may be now, in pieces that one transaction takes: its attempts go where they
+    would be written today, so a task is in one record before and after. Empty where that can't be done yet."""
     homes: dict[int, dict[int, Attempt]] = {}
     for leg, attempt in piece.run.items():
         homes.setdefault(leg // rt.width, {})[leg] = attempt
-    away = {at: rows for at, rows in homes.items() if at != piece.shard}
-    pieces = [replace(piece, run=homes.get(piece.shard, {}))]
-    for at, rows in away.items():
+    kept, pieces = dict(piece.run), []
+    for at, rows in sorted(homes.items(), key=lambda row: -len(row[1])):
+        if batch.fits(replace(piece, run=kept)):
+            break
+        if at == piece.shard:
+            continue
         other = batch.slice(work.job, work.team, work.need, at)
-        pieces.append(replace(other, run={**other.run, **rows}))
-    if not away or not all(batch.fits(row) for row in pieces) or not batch.room_for(*(row.key for row in pieces)):
-        if not batch.rows:
-            log.error("record-full", part=rt.part, job=work.job, shard=piece.shard, tasks=len(piece.run))
-        return bool(not away)
-    for row in pieces:
-        batch.set_slice(row)
-    log.info("split", part=rt.part, job=work.job, shard=piece.shard, into=len(pieces))
-    return True
+        other = replace(other, run={**other.run, **rows})
+        if batch.fits(other):
+            pieces.append(other)
+            kept = {leg: attempt for leg, attempt in kept.items() if leg not in rows}
+    pieces.append(replace(piece, run=kept))
+    return pieces if batch.fits(pieces[-1]) and batch.room_for(*(row.key for row in pieces)) else []
 
 
 def within(rt: PartRuntime, held: Ranges, shard: int) -> Ranges:
--- /dev/null
+++ b/roadbend/standins/former.py
@@ -0,0 +1,52 @@
+"""A controller as the version in production is, for stories of an upgrade. It speaks and writes just what that version
+does (test_upgrade.py has its bytes): frames and records of the settings' present limits only, no word of gangs, and
+starts ordered by reports alone."""
+
+import random
+from dataclasses import replace
+
+from roadbend.http.net import Net
+from roadbend.http.server import Malformed, Request, Response, decode
+from roadbend.node import Node
+from roadbend.peers import frames
+from roadbend.settings import Operator, Settings
+from roadbend.store import records
+
+# The values and transactions that production's settings allow, where the stories' settings are those to come.
+VALUE_BYTES, TXN_OPS = 4096, 8
+
+
+class FormerNode(Node):
+    def __init__(self, settings: Settings, op: Operator, net: Net, rng: random.Random, boot: str | None = None):
+        old = replace(settings, value_bytes=VALUE_BYTES, txn_ops=TXN_OPS, state_write_rps_next=None)
+        super().__init__(old, op, net, rng, boot)
+        self.boot = self.ownership._boot = self.boot.removesuffix(frames.GANGS)
+        for kind in (frames.GANG_REQUEST, frames.GANG_INFORM):
+            del self.peers.handlers[kind]
+        self.fleet.order_now = None
+        # A job's record is read and written again without what this version does not know, and its gangs with it.
+        store, put = self.view._store, self.view.put
+
+        def forgetting(key: str, value, stamp: int) -> None:
+            if key.startswith("r/gang/"):
+                return
+            if key.startswith("r/job/") and isinstance(value, dict):
+                value = {k: v for k, v in value.items() if k != "g"}
+            store(key, value, stamp)
+
+        self.view._store, self.view.put = forgetting, put
+
+    async def handle(self, request: Request) -> Response:
+        if request.path == "/v1/jobs" and request.method == "POST":
+            try:
+                data = decode(request.body)
+            except Malformed:
+                data = None
+            if isinstance(data, dict) and data.get("shape") == "group":
+                return Response(400, {"error": "shape: expected batch or daemon"})
+        return await super().handle(request)
+
+
+def width() -> int:
+    """How many tasks share a record of that version."""
+    return records.shard_width(VALUE_BYTES)
--- a/roadbend/standins/state.py
+++ b/roadbend/standins/state.py
@@ -1,5 +1,6 @@
 """The state service's stand-in: keys, transactions, leases, the log."""
 
+import json
 import random
 from typing import Any
 from urllib.parse import parse_qs, unquote
@@ -30,6 +31,10 @@
         self.late_done: list[int] = []
         self.requests = 0
 
+    def limits(self, value_bytes: int, txn_ops: int) -> None:
+        """Other limits from now on; what is stored stays as it is."""
+        self._most = (value_bytes, txn_ops)
+
     def late_writes(self, share: float, rng: random.Random | None) -> None:
         self._late = (share, rng) if share and rng is not None else None
 
@@ -120,9 +125,11 @@
     def multi(self, body: dict) -> Response:
         """Also called by tests that deliver a transaction late."""
         apply = body.get("apply") or []
-        if len(apply) > self._most[1]:
-            raise ValueError("too many changes")
+        if len(apply) > self._most[1] or len(body.get("when") or []) > 4 * self._most[1]:
+            raise ValueError("too many changes or conditions")
         for row in apply:
+            if "write" in row and len(json.dumps(row["value"], separators=(",", ":"))) > self._most[0]:
+                raise ValueError(f"too large: {row['write']}")
             if row.get("permit") is not None and row["permit"] not in self.leases:
                 return Response(400, {"error": "no such lease"})
         failed = [w["path"] for w in body.get("when") or [] if self.keys.get(w["path"], (0, 0))[1] != w["stamp"]]
--- a/roadbend/standins/world.py
+++ b/roadbend/standins/world.py
@@ -14,6 +14,7 @@
 from roadbend.node import Node
 from roadbend.settings import Operator, Peer, Settings, Team
 from roadbend.standins.cloud import CloudStandIn
+from roadbend.standins.former import FormerNode
 from roadbend.standins.network import Network
 from roadbend.standins.rules import FIELDS, Rules
 from roadbend.standins.state import StateStandIn
@@ -291,12 +292,13 @@
             gang_wait_s=self._sample.gang_wait.total_seconds(), gang_peer_s=self._sample.gang_peer.total_seconds(),
         )  # fmt: skip
 
-    def start(self, at: int) -> Node:
+    def start(self, at: int, former: bool = False) -> Node:
         name = f"node-{at}"
         settings = settings_for(at, self.count, **self._changes)
         self._boots += 1
         boot = f"boot-{self._boots}"
-        node = Node(settings, self.op, self.network.port(name), random.Random(self._boots), boot)
+        make = FormerNode if former else Node
+        node = make(settings, self.op, self.network.port(name), random.Random(self._boots), boot)
         scope = trio.CancelScope()
         self.nodes[name], self._scopes[name] = node, scope
 
@@ -364,11 +366,13 @@
 
 
 @asynccontextmanager
-async def world(count: int = 3, capacity: int = 8, op: Operator | None = None, **changes) -> AsyncIterator[World]:
+async def world(
+    count: int = 3, capacity: int = 8, op: Operator | None = None, former: bool = False, **changes
+) -> AsyncIterator[World]:
     async with trio.open_nursery() as nursery:
         made = World(nursery, count, op or Operator(), capacity, changes)
         for at in range(count):
-            made.start(at)
+            made.start(at, former)
         assert await made.settled()
         yield made
         made.rules.look(*made.machines())
--- /dev/null
+++ b/roadbend/test_upgrade.py
@@ -0,0 +1,284 @@
+"""Old and new controllers side by side: the bytes of the version in production (`production` in deploy/service.toml),
+taken from it, and rolls with troubles in them."""
+
+import random
+from dataclasses import replace
+from datetime import UTC, datetime, timedelta
+from types import SimpleNamespace
+
+import cbor2
+import pytest
+import trio
+
+from roadbend.bidding import messages
+from roadbend.bidding.casa import Bid
+from roadbend.bidding.messages import Ask
+from roadbend.parts.ownership import Tenure
+from roadbend.peers import frames
+from roadbend.peers.pulse import Pulse
+from roadbend.placement import ends
+from roadbend.placement.batch import Batch
+from roadbend.settings import Operator, Team
+from roadbend.standins import former
+from roadbend.standins.world import World, job, settings_for, world
+from roadbend.store import ranges, records
+from roadbend.store.budget import Budget
+from roadbend.store.records import Attempt, Job, Need, Slice, Spec, Use
+from roadbend.store.view import View
+from roadbend.test_gangs import gang
+
+S = timedelta(seconds=1)
+FRAMES = {
+    "hello": ("0000000c0201000000006e6f64652d30"),
+    "ping": (
+        "0000005a020200000003000262310000000000002328ffffffff3fc000003e8000003f0000000000ea60000100046561"
+        "737400000000000000070001000477657374000200036d2d3100036d2d320002000572756e2d31000572756e2d32"
+    ),
+    "pong": ("0000002c028200000003000262320000000000002328000007d03fc000003e8000003f00000000000000000000000000"),
+    "request": (
+        "0000009f020300000004000572756e2d3100030000000900037265640005706c616e7300010000000940200000000000"
+        "003ff00000000000004045c000000000000002000267320007c3bc6d6c617574010004656173740001010005696d672d"
+        "3140190000000000004034000000000000403e0000000000004010000000000000408c2000000000000000bff0000000"
+        "00000000000000000000004000000000000000"
+    ),
+    "request-service": (
+        "0000008c020300000004000572756e2d320003000000040004626c756500046c69766501030000000440200000000000"
+        "003ff00000000000004044000000000000ffff000000000005696d672d323ff000000000000000000000000000000000"
+        "0000000000000000000000000000bff00000000000000000bff000000000000000000000000000000000000000000000"
+    ),
+    "inform": (
+        "000000a3020600000005000572756e2d3100030000000900037265640005706c616e7300010000000940200000000000"
+        "003ff00000000000004045c000000000000002000267320007c3bc6d6c617574010004656173740001010005696d672d"
+        "3140190000000000004034000000000000403e0000000000004010000000000000408c20000000000000046561737440"
+        "1c00000000000040080000000000004044000000000000"
+    ),
+    "bids": (
+        "00000036028300000004000100046561737400066e6f64652d30403400000000000040080000000000003ff000000000"
+        "0000000000040000000c"
+    ),
+    "assign": ("0000001a020400000006000572756e2d31000000000000004d00000001a0"),
+    "revoke": ("0000000d020500000000000572756e2d31"),
+}
+RECORDS = {
+    "r/job/run-1": (
+        "a461738f6372656465706c616e7300010983fb4020000000000000fb3ff0000000000000fb4045c00000000000826267"
+        "3267c3bc6d6c617574646561737400010165696d672d31fb401900000000000083fb4034000000000000fb403e000000"
+        "000000fb4010000000000000fb408c2000000000006261741b0000019b76daa8006161a2646561737482820003820509"
+        "647765737481820305616481820002"
+    ),
+    "r/job/run-2": (
+        "a261738f64626c7565646c69766501030483fb4020000000000000fb3ff0000000000000fb4044000000000000f6f600"
+        "000065696d672d32fb3ff000000000000083fb0000000000000000fb0000000000000000fb0000000000000000f66261"
+        "741b0000019b76daa800"
+    ),
+    "r/slice/east/run-1/0": (
+        "a4617463726564616e83fb4020000000000000fb3ff0000000000000fb4045c000000000006164818200026172828307"
+        "676d2d30303030318602056132050661338308686d2d30303030313483060160"
+    ),
+    "r/team/red": (
+        "a2646561737482fb4030000000000000fb4000000000000000647765737482fb4021000000000000fb3ff0000000000000"
+    ),
+    "fin/run-3": ("a2617364646f6e65616e09"),
+}
+SPEC = Spec(
+    "red", "plans", False, 1, 9, Need(8.0, 1.0, 43.5), ("g2", "ümlaut"), "east", False, True, True, "img-1", 6.25,
+    20 * S, 30 * S, 4 * S, 900 * S,
+)  # fmt: skip
+SERVICE = Spec(
+    "blue", "live", True, 3, 4, Need(8.0, 1.0, 40.0), None, None, False, False, False, "img-2", 1.0,
+    0 * S, 0 * S, 0 * S, None,
+)  # fmt: skip
+AT = datetime(2026, 1, 1, tzinfo=UTC)
+RUN = {2: Attempt(7 << 32 | 5, "m-000012"), 5: Attempt(7 << 32 | 6, "m-000013"), 6: Attempt(8 << 32 | 1, "m-000014")}
+JOB = Job("run-1", SPEC, AT, {"east": ((0, 3), (5, 9)), "west": ((3, 5),)}, ((0, 2),))
+SLICE = Slice("run-1", "east", "red", SPEC.need, ((0, 2),), RUN)
+PULSE = Pulse(
+    "b1", 9 * S, None, (1.5, 0.25, 0.5), {"east": 7}, {"west": ("m-1", "m-2")}, 60 * S, ("run-1", "run-2")
+)  # fmt: skip
+ASK = Ask("run-1", 3, 9, SPEC, waited=2 * S)
+AGAIN = Ask("run-1", 3, 9, SPEC, "east", 7 * S, 3 * S, 40 * S)
+BIDS = [Bid("east", "node-0", 20 * S, 3 * S, 1 * S, 4, 12)]
+
+
+def test_frames_are_written_as_production_writes_them_and_its_frames_are_read():
+    made = {
+        "hello": frames.pack(frames.HELLO, 0, b"node-0"),
+        "ping": frames.pack(frames.PING, 3, PULSE.pack()),
+        "pong": frames.pack(frames.PING | frames.REPLY, 3, Pulse("b2", 9 * S, 2 * S, (1.5, 0.25, 0.5)).pack()),
+        "request": frames.pack(frames.REQUEST, 4, ASK.pack()),
+        "request-service": frames.pack(frames.REQUEST, 4, Ask("run-2", 3, 4, SERVICE).pack()),
+        "inform": frames.pack(frames.INFORM, 5, AGAIN.pack()),
+        "bids": frames.pack(frames.REQUEST | frames.REPLY, 4, messages.pack_bids(BIDS)),
+        "assign": frames.pack(frames.ASSIGN, 6, messages.pack_assign("run-1", b"\xa0", 77)),
+        "revoke": frames.pack(frames.REVOKE, 0, messages.pack_revoke("run-1")),
+    }
+    assert {name: data.hex() for name, data in made.items()} == FRAMES
+    read = {name: next(iter(frames.Splitter().feed(bytes.fromhex(data))))[2] for name, data in FRAMES.items()}
+    assert Pulse.unpack(read["ping"]) == PULSE and Ask.unpack(read["request"]) == ASK
+    assert Ask.unpack(read["inform"]) == AGAIN and Ask.unpack(read["request-service"]).spec == SERVICE
+    assert messages.unpack_bids(read["bids"]) == BIDS and messages.unpack_assign(read["assign"]) == (
+        "run-1", b"\xa0", 77,
+    )  # fmt: skip
+    assert not read["ping"].endswith(b"+gangs")
+
+
+def test_records_are_written_as_production_writes_them_and_its_records_are_read():
+    made = {
+        records.job_key("run-1"): JOB.to_value(),
+        records.job_key("run-2"): Job("run-2", SERVICE, AT).to_value(),
+        SLICE.key: SLICE.to_value(),
+        records.team_key("red"): Use("red").with_part("east", 16.0, 2.0).with_part("west", 8.5, 1.0).to_value(),
+        records.fin_key("run-3"): records.fin_value("done", 9),
+    }
+    assert {key: cbor2.dumps(value).hex() for key, value in made.items()} == RECORDS
+    view = View()
+    for stamp, (key, data) in enumerate(RECORDS.items(), 1):
+        if key.startswith("r/"):
+            view.put(key, cbor2.loads(bytes.fromhex(data)), stamp)
+    assert view.jobs["run-1"].alloc == JOB.alloc and view.jobs["run-1"].spec == SPEC
+    assert view.jobs["run-2"].spec == SERVICE and view.slices["east"]["run-1"].run == RUN
+    assert view.teams["red"].parts == {"east": (16.0, 2.0), "west": (8.5, 1.0)}
+
+
+def test_a_gang_stays_one_when_a_version_before_gangs_has_written_its_record():
+    view, made = View(), Job("run-1", SPEC, AT).as_gang()
+    view.put(records.gang_key("run-1"), 1, 1)
+    view.put(records.job_key("run-1"), made.to_value(), 1)
+    assert view.jobs["run-1"].spec.gang
+    view.put(records.job_key("run-1"), {k: v for k, v in made.to_value().items() if k != "g"}, 2)
+    assert view.jobs["run-1"].spec.gang
+    # The job's record alone says so, too: it may come by an assignment before the other is read.
+    other = View()
+    other.put(records.job_key("run-1"), made.to_value(), 2)
+    assert other.jobs["run-1"].spec.gang
+
+
+def test_a_job_whose_ranges_outgrow_the_values_to_come_is_written_smaller_and_read_the_same():
+    rng = random.Random(4)
+    spec = Spec(
+        "red", "plans", False, 1, 100_000, Need(8.0, 1.0, 43.5), None, None, False, False, True, "img-1", 6.25,
+        20 * S, 30 * S, 4 * S, 900 * S,
+    )  # fmt: skip
+    numbers = sorted(rng.sample(range(100_000), 240))
+    pairs = ranges.normal(zip(numbers[::2], numbers[1::2], strict=True))
+    large = Job("run-1", spec, AT, {"east": pairs[::3], "west": pairs[1::3]}, pairs[2::3])
+    assert 2048 < records.weigh(large.to_value()) < 4096
+    small = large.to_small_value(2048)
+    assert records.weigh(small) <= 2048 and Job.from_value("run-1", small, 0) == large
+    assert JOB.to_small_value(2048) == JOB.to_value()
+
+
+async def test_the_rate_of_changes_falls_when_the_service_says_so_and_not_before():
+    budget = Budget(1000.0, 100.0, 1, 20.0)
+
+    async def count(seconds: float) -> int:
+        n, end = 0, trio.current_time() + seconds
+        while trio.current_time() < end:
+            await budget.take(1, urgent=False)
+            n += 1
+        return n
+
+    await count(5)
+    assert await count(10) > 800
+    budget.push_back(True)
+    await count(3)
+    assert 150 < await count(10) < 210
+    # It is tried out again after a long while only.
+    await trio.sleep(11 * 60)
+    budget.share([])
+    await count(3)
+    assert await count(10) > 800
+
+
+# Names in memory are short, so these are smaller than the users' for records of production to outgrow them.
+SMALL = dict(value_bytes=1200, txn_ops=4, state_write_rps=25.0, state_rps=80.0, state_write_rps_next=18.0)
+TEAMS = {"red": Team("red", 0, 0, 4, 200), "blue": Team("blue", 0, 0, 4, 60)}
+
+
+async def rolled(w: World, rng: random.Random, trouble) -> None:
+    """Each controller ends and comes back with the new version; one may die before its turn and come back old."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trouble, w, rng)
+        for at in rng.sample(range(3), 3):
+            w.crash(at)
+            await trio.sleep(rng.uniform(0.3, 5))
+            w.start(at)
+            await trio.sleep(rng.uniform(6, 14))
+
+
+async def nothing(w: World, rng: random.Random) -> None:
+    pass
+
+
+async def crash_of_an_old_one(w: World, rng: random.Random) -> None:
+    old = [at for at in range(3) if isinstance(w.nodes.get(f"node-{at}"), former.FormerNode)]
+    at = rng.choice(old)
+    w.crash(at)
+    await trio.sleep(rng.uniform(0.2, 0.9))
+    if f"node-{at}" not in w.nodes:
+        w.start(at, True)
+
+
+async def outage(w: World, rng: random.Random) -> None:
+    await trio.sleep(rng.uniform(0, 12))
+    await w.outage(rng.uniform(5, 30))
+
+
+async def cut(w: World, rng: random.Random) -> None:
+    await trio.sleep(rng.uniform(0, 8))
+    await w.cut_controller(rng.randrange(3), rng.uniform(8, 25))
+
+
+async def late(w: World, rng: random.Random) -> None:
+    w.state.late_writes(0.25, rng)
+    await trio.sleep(25)
+    w.state.late_writes(0.0, None)
+
+
+@pytest.mark.parametrize("trouble", [nothing, crash_of_an_old_one, outage, cut, late], ids=lambda t: t.__name__)
+async def test_a_roll_with_troubles_in_it_loses_nothing_and_the_limits_to_come_break_nothing(trouble):
+    rng = random.Random(trouble.__name__)
+    async with world(
+        capacity=40, former=True, teams=TEAMS, op=Operator(reoffer_every=2 * S), cancel_within=48 * S, **SMALL
+    ) as w:
+        w.state.limits(former.VALUE_BYTES, former.TXN_OPS)
+        assert await w.submit(0, job(1, shape="daemon", legs=6, apart=True, dueS=None, loaners=False), None) == 201
+        # Wide enough for records that the limits to come don't permit.
+        assert await w.submit(1, job(2, legs=120, yard="east", dueS=20.0, crew="red"), 110.0) == 201
+        assert await w.submit(2, job(3, legs=5, crew="blue", dueS=30.0), 60.0) == 201
+        assert await w.submit(2, job(4, shape="daemon", legs=2, crew="blue", dueS=None), None) == 201
+        assert await w.until(lambda: len(w.board.running("run-000002")) == 120, 90)
+        assert (await w.call(0, "POST", "/v1/jobs", gang(9)))[0] == 400
+        assert any(records.weigh(value) > 1200 for value in w.state.starting("r/slice/").values())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(rolled, w, rng, trouble)
+            await trio.sleep(rng.uniform(1, 20))
+            await w.withdrawn("run-000004", 120)
+            for n in range(10, 14):
+                await w.submit(n % 3, job(n, legs=2, crew="blue", dueS=30.0), 8.0)
+        assert await w.settled()
+        assert all(not isinstance(node, former.FormerNode) for node in w.nodes.values())
+        w.state.limits(1200, 4)
+        assert await w.submit(1, gang(20, 8, crew="blue"), 10.0) in (200, 201)
+        assert await w.submit(2, gang(21, 3, crew="blue"), 10.0) in (200, 201)
+        await w.over()
+        assert w.state.starting("r/gang/") == {}
+
+
+def test_a_slice_that_outgrew_the_values_is_split_so_that_each_task_is_in_one_record():
+    settings = settings_for(0, 1, value_bytes=1200, txn_ops=4)
+    view = View()
+    run = {n: Attempt(7 << 32 | n, f"m-{n:06d}") for n in range(102)}
+    large = Slice("run-1", "east", "red", SPEC.need, ((200, 210),), run)
+    view.put(large.key, large.to_value(), 5)
+    work = view.slices["east"]["run-1"]
+    rt = SimpleNamespace(width=settings.shard_width)
+    less = replace(large, run={leg: attempt for leg, attempt in run.items() if leg != 3}, stamp=5)
+    batch = Batch(view, "east", Tenure("east", 7, 1, AT), settings)
+    pieces = ends.split(rt, batch, work, less)
+    assert 1 < len(pieces) <= 4 and all(batch.fits(piece) for piece in pieces)
+    found = [(leg, attempt) for piece in pieces for leg, attempt in piece.run.items()]
+    assert sorted(found) == sorted(less.run.items()) and len(found) == len(dict(found)) == 101
+    # What no transaction of that size can split waits until fewer of its tasks are left.
+    wide = replace(large, run={n: Attempt(7 << 32 | n, f"m-{n:06d}") for n in range(400)})
+    assert ends.split(rt, Batch(view, "east", Tenure("east", 7, 1, AT), settings), work, wide) == []
