--- a/roadbend/test_meetings.py
+++ b/roadbend/test_meetings.py
@@ -371,3 +371,45 @@
             await story.gap(rng.uniform(0.3, 4.0))
         assert await w.settled()
         await w.over()
+
+
+@pytest.mark.parametrize("site", ["visa", "pet"])
+async def test_a_peer_that_began_anew_does_not_vouch_for_what_its_former_life_told(site):
+    """It confirmed a cancellation that nobody else heard of, ended, and came back inside the outage with an empty
+    list: the leader that can't read the records must not go on for its word."""
+    async with world(teams=TEAMS, **SITES[site]) as w:
+        body = job(1, shape="daemon", yard="east", dueS=None)
+        assert await w.submit(1, body, None) == 201
+        assert await w.until(lambda: w.board.running(name(1)), 60)
+        await trio.sleep(6)
+        cancel_s = SITES[site]["cancel_within"].total_seconds()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(w.refuse, 0, 30.0)
+            nursery.start_soon(w.cut_pairs, [("node-0", "node-1")], 5.0)
+            await trio.sleep(0.5)
+            status, answer = await w.call(1, "POST", f"/v1/jobs/{name(1)}/withdraw", {})
+            assert (status, answer["status"]) == (200, "aborted")
+            w.crash(1)
+            nursery.start_soon(w.outage, cancel_s + 20)
+            await trio.sleep(2)
+            w.start(1)
+        assert w.rules.cases[name(1)].aborted is not None
+        await w.over()
+
+
+async def test_owners_hear_of_a_cancellation_before_its_user_does():
+    """A start is recorded, and its order waits for the machine's next report; the owner is refused by the state service
+    at that moment, and another controller confirms that the job is cancelled."""
+    async with world(teams=TEAMS) as w:
+        assert await w.submit(1, job(1, shape="daemon", yard="east", dueS=None, loaners=False), None) == 201
+        assert await w.until(lambda: w.board.running(name(1)), 60)
+        await trio.sleep(5)
+        for n in range(30, 42):
+            keep = {"legs": 1, "yard": "east", "dueS": 5.0, "loaners": False, "vcpus": 2.0}
+            assert await w.submit(1, job(n, **keep), 60.0) == 201
+            assert await w.until(lambda n=n: f"r/slice/east/{name(n)}/0" in w.state.starting("r/slice/"), 3, 0.01)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(w.refuse, 0, 3.0)
+                await w.withdrawn(name(n))
+            await trio.sleep(2 + n * 0.37 % 2.5)
+        await w.over()
