--- a/roadbend/fleet/test_machines.py
+++ b/roadbend/fleet/test_machines.py
@@ -7,7 +7,7 @@
 
 from roadbend import clock
 from roadbend.fleet import machines, messages
-from roadbend.fleet.machines import Machine, Stop
+from roadbend.fleet.machines import Direct, Machine, Stop
 from roadbend.http.server import Malformed
 from roadbend.intake.messages import read_submission
 from roadbend.standins.world import job
@@ -54,6 +54,28 @@
     return [(o["verb"], o["leg"], o["try"]) for o in orders]
 
 
+def test_what_was_ordered_directly_is_gone_only_when_the_order_is_settled():
+    """A direct order may be carried out late; until it is known what became of it, absence proves nothing."""
+    machine = Machine("m-1", "m-1:1", "g2", "east", False)
+
+    def settled(seq: int, session: int = 1, current: bool = True) -> bool:
+        seen = report(seq=seq, session=session)
+        return machine.settled(KEY, 70, seen, current)
+
+    assert settled(5)
+    machine.direct[KEY] = Direct(70, 1)
+    assert not settled(5) and settled(1, session=2)
+    # Answered: what was sent before that answer proves nothing yet.
+    machine.direct[KEY].order = (1, 7)
+    assert not settled(6) and not settled(7) and settled(8)
+    # Never answered: the machine must show the higher token first.
+    machine.direct[KEY].order = None
+    life = machine.life
+    machine.fence()
+    assert machine.life == life + 1 and not machine.ours
+    assert settled(9) and not settled(9, current=False)
+
+
 def test_a_recorded_attempt_is_ordered_again_until_it_shows():
     desk = Desk()
     assert verbs(desk.take()) == [("run", "run-000001/0", 70)]
--- a/roadbend/standins/network.py
+++ b/roadbend/standins/network.py
@@ -21,6 +21,7 @@
         # Ways on which packets are held back, and what is held: it arrives in order once they are let go, even
         # where the sender has given up and closed meanwhile.
         self._holding: set[tuple[str, str]] = set()
+        self._holding_requests: set[tuple[str, str]] = set()
         self._held: list[tuple[tuple[str, str], trio.testing.MemorySendStream, Callable[[], None]]] = []
 
     def port(self, host: str) -> "Port":
@@ -46,11 +47,13 @@
         self.mute.add(host)
         self._break(lambda a, b: a == host)
 
-    def hold(self, sender: str, receiver: str) -> None:
-        self._holding.add((sender, receiver))
+    def hold(self, sender: str, receiver: str, requests: bool = False) -> None:
+        """`requests`: only on connections that the sender opened; its answers go through."""
+        (self._holding_requests if requests else self._holding).add((sender, receiver))
 
     def let_go(self, sender: str, receiver: str) -> None:
         self._holding.discard((sender, receiver))
+        self._holding_requests.discard((sender, receiver))
         rows, self._held = self._held, []
         for way, stream, pump in rows:
             if way == (sender, receiver):
@@ -79,19 +82,20 @@
             await trio.sleep(3600)
             raise ConnectionRefusedError(address)
         one, other = trio.testing.memory_stream_pair()
-        self._filter(one.send_stream, host, target[0])
-        self._filter(other.send_stream, target[0], host)
+        self._filter(one.send_stream, host, target[0], True)
+        self._filter(other.send_stream, target[0], host, False)
         self._streams.append((host, target[0], one, other))
         self._nursery.start_soon(self._accept, target[1], other, host)
         return one
 
-    def _filter(self, stream: trio.testing.MemorySendStream, sender: str, receiver: str) -> None:
+    def _filter(self, stream: trio.testing.MemorySendStream, sender: str, receiver: str, opened: bool) -> None:
         """Lets nothing through to a deaf host, and holds back what is to be held back; the connection stays as it
         is."""
         pump, finish, way = stream.send_all_hook, stream.close_hook, (sender, receiver)
 
         def waits() -> bool:
-            return way in self._holding or any(row[1] is stream for row in self._held)
+            held = way in self._holding or opened and way in self._holding_requests
+            return held or any(row[1] is stream for row in self._held)
 
         async def hook() -> None:
             if receiver in self.deaf:
--- a/roadbend/test_gangs.py
+++ b/roadbend/test_gangs.py
@@ -154,6 +154,31 @@
         await w.over()
 
 
+async def test_a_direct_order_that_arrives_late_is_refused():
+    """It was held up on its way; the machine got the same order with a report, the job was cancelled, its task ended
+    and was forgotten. Then the held order comes."""
+    async with world(count=1, teams=TEAMS) as w:
+        keep = job(50, shape="daemon", legs=2, yard="east", vcpus=8.0, dueS=None, loaners=False)
+        assert await w.submit(0, keep, None) == 201
+        assert await w.until(lambda: len(w.board.running("run-000050")) == 2, 60)
+        await trio.sleep(6)
+        machines = sorted({m for t in w.board.running("run-000050") for m in w.board.where[t]})
+        for machine in machines:
+            w.network.hold("node-0", machine, requests=True)
+        await begun(w, gang(1, 2, yard="east"), None)
+        await trio.sleep(4)
+        await w.withdrawn(NAME)
+        assert await w.until(lambda: not w.board.running(NAME), 10)
+        await trio.sleep(6)
+        for machine in machines:
+            w.network.let_go("node-0", machine)
+        await trio.sleep(5)
+        assert not w.board.running(NAME)
+        # The machines go on being used.
+        await begun(w, gang(2, 2, yard="east"), 5.0, within=6)
+        await w.over()
+
+
 async def _crash_all(w: World, rng: random.Random) -> None:
     for at in range(3):
         w.crash(at)
--- a/roadbend/test_meetings.py
+++ b/roadbend/test_meetings.py
@@ -410,6 +410,8 @@
             assert await w.until(lambda n=n: f"r/slice/east/{name(n)}/0" in w.state.starting("r/slice/"), 3, 0.01)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(w.refuse, 0, 3.0)
-                await w.withdrawn(name(n))
+                if n % 2:
+                    nursery.start_soon(w.cut_pairs, [("node-0", "node-1"), ("node-0", "node-2")], 3.0)
+                assert (await w.call(1, "POST", f"/v1/jobs/{name(n)}/withdraw", {}))[0] == 200
             await trio.sleep(2 + n * 0.37 % 2.5)
         await w.over()
