--- a/roadbend/bidding/casa.py
+++ b/roadbend/bidding/casa.py
@@ -50,8 +50,8 @@
     """The shadow queue: each promise counts one over the requests sent. Revocations get lost, so a
     promise also ends by itself."""
 
-    def __init__(self, life: timedelta, most: int = 4096):
-        self._life, self._most = life, most
+    def __init__(self, incarnation: timedelta, most: int = 4096):
+        self._life, self._most = incarnation, most
         self._rows: dict[str, tuple[float, datetime]] = {}
 
     def add(self, job: str, load: float, requests: int, now: datetime) -> None:
--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -25,15 +25,15 @@
 from roadbend.store.records import Job
 
 log = Log("bidding")
-MOST_QUEUED = 2048
-MOST_REOFFERED = 12
-MOST_REFUSED = 3
+MAX_QUEUED = 2048
+MAX_REOFFERED = 12
+MAX_REFUSED = 3
 # For how long it is remembered that nobody took a job.
 FORGET_REFUSALS = timedelta(seconds=60)
 # A job that has waited for so long goes to any part that could start it now.
 LONG_WAIT = timedelta(seconds=30)
 # Shards of one job from which tasks move at once; each is a condition of the transaction.
-MOST_SHARDS = 16
+MAX_SHARDS = 16
 
 
 class Exchange:
@@ -47,7 +47,7 @@
     ):
         self._shared, self._peers, self._runtimes, self._closed, self._rng = shared, peers, runtimes, closed, rng
         self._shadows: dict[str, Promises] = {}
-        self._send, self._receive = trio.open_memory_channel(MOST_QUEUED)
+        self._send, self._receive = trio.open_memory_channel(MAX_QUEUED)
         self._busy: set[str] = set()
         # When nobody took a job that was offered again.
         self._refused_at: dict[str, datetime] = {}
@@ -61,7 +61,7 @@
     # Bidding.
 
     def _bidder(self, part: str) -> Bidder:
-        shadow = self._shadows.setdefault(part, Promises(self._shared.op.promise_life))
+        shadow = self._shadows.setdefault(part, Promises(self._shared.operator.promise_life))
         runtime = self._runtimes[part]
         return Bidder(runtime, self._shared.settings.name, lambda: self._closed(part, clock.now()), shadow)
 
@@ -92,14 +92,14 @@
 
     def better(self, ask: Ask) -> list[Bid]:
         """Bids for a job that waits elsewhere: only under both tests of algorithm 5."""
-        op, now, out = self._shared.op, clock.now(), []
+        operator, now, out = self._shared.operator, clock.now(), []
         for bid in self.bids(ask):
             average = self._bidder(bid.part).average_queuing(now)
-            estimate = casa.response(bid, op.omega)
+            estimate = casa.response(bid, operator.omega)
             # A part that can start it now takes what has waited for long, whatever waits here for other machines:
             # by the averages alone a job can wait for ever beside room that fits it.
             if ask.theirs is not None and (
-                casa.accepts_reoffer(estimate, ask.theirs, average, ask.their_average, op.varpi)
+                casa.accepts_reoffer(estimate, ask.theirs, average, ask.their_average, operator.varpi)
                 or bid.now > 0
                 and ask.waited >= LONG_WAIT
             ):
@@ -110,17 +110,17 @@
 
     def _on_assign(self, sender: str, payload: bytes) -> bytes:
         """The record decides; the message brings it sooner."""
-        job, value, stamp = messages.unpack_assign(payload)
+        job, value, mod_revision = messages.unpack_assign(payload)
         for shadow in self._shadows.values():
             shadow.revoke(job)
         view = self._shared.view
-        if value and stamp > view.ledger:
+        if value and mod_revision > view.revision:
             try:
-                view.put(records.job_key(job), cbor2.loads(value), stamp)
+                view.put(records.job_key(job), cbor2.loads(value), mod_revision)
             except Exception as error:  # cbor2 raises many kinds on hostile input
                 raise BadFrame("assign") from error
         for runtime in self._runtimes.values():
-            runtime.kick.set()
+            runtime.wake_up.set()
         return b""
 
     def _on_revoke(self, sender: str, payload: bytes) -> None:
@@ -153,24 +153,24 @@
 
     async def run_rebid(self) -> None:
         """Any live controller offers a recorded job that nobody holds; the hash says who tries first."""
-        op = self._shared.op
+        operator = self._shared.operator
         waiting: dict[str, tuple[datetime, datetime]] = {}
         while True:
-            await clock.pause(op.rebid_every)
+            await clock.pause(operator.rebid_every)
             now = clock.now()
             names = [self._shared.settings.name, *self._peers.alive(now)]
             free = [job.id for job in self._shared.view.jobs.values() if job.free]
             waiting = {name: waiting.get(name, (now, now)) for name in free}
             for name, (since, due) in waiting.items():
                 mine = rendezvous(name, names) == self._shared.settings.name
-                if now >= due and (mine or now - since > op.rebid_every * 4):
+                if now >= due and (mine or now - since > operator.rebid_every * 4):
                     # The longer it has found nobody, the less often it asks: a burst must not be all bids.
-                    waiting[name] = (since, now + drawn(min((now - since) * 0.4, op.rebid_every * 4), self._rng))
+                    waiting[name] = (since, now + drawn(min((now - since) * 0.4, operator.rebid_every * 4), self._rng))
                     self.submit(name)
 
     async def _ask(self, link: Link, kind: int, payload: bytes, out: list[Bid]) -> None:
         try:
-            out += messages.unpack_bids(await link.call(kind, payload, self._shared.op.bid_wait))
+            out += messages.unpack_bids(await link.call(kind, payload, self._shared.operator.bid_wait))
         except NoReply:
             pass
         except BadFrame as error:
@@ -205,7 +205,7 @@
             job = view.jobs.get(name)
             if job is None:
                 return
-            shares = casa.allot(job, bids, self._shared.op.omega, self._rng, left=self._left(job))
+            shares = casa.allot(job, bids, self._shared.operator.omega, self._rng, left=self._left(job))
             if not shares:
                 log.debug("no-bid", job=name, bids=len(bids))
                 return
@@ -222,7 +222,7 @@
 
     async def run_reoffer(self) -> None:
         while True:
-            await clock.pause(self._shared.op.reoffer_every)
+            await clock.pause(self._shared.operator.reoffer_every)
             for runtime in list(self._runtimes.values()):
                 try:
                     await self._reoffer(runtime)
@@ -232,7 +232,7 @@
                     log.crash("reoffer-failed", part=runtime.part)
 
     async def _reoffer(self, runtime: PartRuntime) -> None:
-        op, now, part = self._shared.op, clock.now(), runtime.part
+        operator, now, part = self._shared.operator, clock.now(), runtime.part
         if not self._shared.ownership.may_start(now) or part not in self._runtimes:
             return
         bidder = self._bidder(part)
@@ -241,15 +241,15 @@
         for item in runtime.pending():
             since = runtime.queued.get(item.job.id)
             # A job that has just come cools down first, whatever the average; so it can't go to and fro.
-            if since is not None and now - since >= op.cool_down:
+            if since is not None and now - since >= operator.cool_down:
                 waits[item.job.id] = now - since
-        due = [name for name, wait in waits.items() if casa.relative_delay(wait, average) >= op.mu]
+        due = [name for name, wait in waits.items() if casa.relative_delay(wait, average) >= operator.mu]
         # What nobody took last time goes behind the rest: those that wait longest may fit nowhere, and what waits
         # behind them may.
         self._refused_at = {n: at for n, at in self._refused_at.items() if now - at < FORGET_REFUSALS}
         due.sort(key=lambda name: (self._refused_at.get(name, clock.ORIGIN), -waits[name]))
         refused = 0
-        for name in due[:MOST_REOFFERED]:
+        for name in due[:MAX_REOFFERED]:
             job = self._shared.view.jobs.get(name)
             if job is None or job.spec.zone is not None or self._runtimes.get(part) is not runtime:
                 continue
@@ -259,19 +259,19 @@
                 continue
             refused += 1
             self._refused_at[name] = clock.now()
-            if refused >= MOST_REFUSED:
+            if refused >= MAX_REFUSED:
                 break
 
     async def _offer_again(self, runtime: PartRuntime, bidder: Bidder, job: Job, average: timedelta) -> bool:
         """Says whether anybody bid."""
-        op, part, now = self._shared.op, runtime.part, clock.now()
-        loose = runtime.loose(job)
+        operator, part, now = self._shared.operator, runtime.part, clock.now()
+        unplaced = runtime.unplaced(job)
         whole = job.spec.together or job.spec.gang
-        if not loose or (whole and loose != job.alloc.get(part)):
+        if not unplaced or (whole and unplaced != job.alloc.get(part)):
             return True
         waited = max(clock.ZERO, clock.wall() - job.at)
         theirs = bidder.estimate(job, now)
-        ask = Ask(job.id, len(self._peers.links) + 1, ranges.size(loose), job.spec, part, theirs, average, waited)
+        ask = Ask(job.id, len(self._peers.links) + 1, ranges.size(unplaced), job.spec, part, theirs, average, waited)
         bids = await self.gather(ask)
         if not bids:
             return False
@@ -282,32 +282,32 @@
             return True
         view, width = self._shared.view, records.shard_width(self._shared.settings.value_bytes)
         # As many shards as conditions leave room for; the rest is offered next time.
-        loose = runtime.loose(job)
+        unplaced = runtime.unplaced(job)
         # Those that would begin here sooner than the best bidder could have them stay.
-        soonest = min(casa.response(bid, op.omega) for bid in bids) - job.spec.expected
+        soonest = min(casa.response(bid, operator.omega) for bid in bids) - job.spec.expected
         stay = sum(1 for start in bidder.starts(job) if start <= soonest.total_seconds())
         if job.spec.gang:
             # It begins with its last task, and goes as a whole.
-            stay = stay if stay == ranges.size(loose) else 0
-        loose = ranges.minus(loose, ranges.first(loose, stay))
+            stay = stay if stay == ranges.size(unplaced) else 0
+        unplaced = ranges.minus(unplaced, ranges.first(unplaced, stay))
         # Each is a condition of the transaction, beside the job's and the term's.
-        most = min(MOST_SHARDS, 4 * self._shared.settings.txn_ops - 2)
-        shards = sorted({n // width for low, high in loose for n in (*range(low, high, width), high - 1)})[:most]
-        loose = tuple(
+        most = min(MAX_SHARDS, 4 * self._shared.settings.txn_ops - 2)
+        shards = sorted({n // width for low, high in unplaced for n in (*range(low, high, width), high - 1)})[:most]
+        unplaced = tuple(
             (max(a, n * width), min(b, (n + 1) * width))
             for n in shards
-            for a, b in loose
+            for a, b in unplaced
             if a < (n + 1) * width and b > n * width
         )
-        loose = ranges.normal(loose)
-        also = {records.term_key(part): runtime.tenure.stamp}
+        unplaced = ranges.normal(unplaced)
+        also = {records.term_key(part): runtime.tenure.mod_revision}
         for n in shards:
             key = records.slice_key(part, job.id, n)
-            also[key] = view.stamp(key)
-        if not loose or job.spec.gang and ranges.size(loose) < job.spec.legs:
+            also[key] = view.mod_revision(key)
+        if not unplaced or job.spec.gang and ranges.size(unplaced) < job.spec.task_count:
             return True
-        without = job.with_part(part, ranges.minus(job.alloc.get(part, ()), loose))
-        shares = casa.allot(without, bids, op.omega, self._rng, left=self._left(job))
+        without = job.with_part(part, ranges.minus(job.alloc.get(part, ()), unplaced))
+        shares = casa.allot(without, bids, operator.omega, self._rng, left=self._left(job))
         shares.pop(part, None)
         if not shares:
             return True
@@ -326,21 +326,21 @@
         view, key = self._shared.view, records.job_key(job.id)
         value = fresh.to_small_value(int(self._shared.settings.value_bytes * 0.95))
         rows = [put(key, value)]
-        when = {key: job.stamp, **also}
+        when = {key: job.mod_revision, **also}
         try:
-            ledger = await commit(self._shared.state, when, rows, within=timedelta(seconds=3))
+            revision = await commit(self._shared.state, when, rows, within=timedelta(seconds=3))
         except Conflict:
             with trio.move_on_after(1):
                 await self._shared.reader.sync()
             return False
-        view.applied(rows, ledger)
+        view.applied(rows, revision)
         log.debug(
             "assigned", job=job.id, to=",".join(f"{p}:{ranges.size(fresh.alloc.get(p, ()))}" for p in sorted(chosen)),
-            bids=" ".join(f"{b.part}:{casa.response(b, self._shared.op.omega).total_seconds():.1f}/{b.now}/{b.room}"
+            bids=" ".join(f"{b.part}:{casa.response(b, self._shared.operator.omega).total_seconds():.1f}/{b.now}/{b.room}"
                           for b in bids),
         )  # fmt: skip
         tell = {bid.node for bid in bids if bid.part in chosen}
-        body = messages.pack_assign(job.id, cbor2.dumps(value), ledger)
+        body = messages.pack_assign(job.id, cbor2.dumps(value), revision)
         revoke = messages.pack_revoke(job.id)
         for shadow in self._shadows.values():
             shadow.revoke(job.id)
@@ -351,14 +351,14 @@
                 else:
                     nursery.start_soon(self._say, link, frames.REVOKE, revoke)
         for runtime in self._runtimes.values():
-            runtime.kick.set()
+            runtime.wake_up.set()
         return True
 
     async def _say(self, link: Link, kind: int, payload: bytes) -> None:
         # An assign is answered (the paper's receipt); a revoke is not, and may get lost.
         try:
             if kind == frames.ASSIGN:
-                await link.call(kind, payload, self._shared.op.bid_wait)
+                await link.call(kind, payload, self._shared.operator.bid_wait)
             else:
                 await link.cast(kind, payload)
         except NoReply:
--- a/roadbend/bidding/messages.py
+++ b/roadbend/bidding/messages.py
@@ -26,11 +26,11 @@
     def pack(self) -> bytes:
         s = self.spec
         out = Writer().text(self.job).put("HI", self.requests, self.free)
-        out.text(s.team).text(s.lane).put("?BI", s.service, s.priority, s.legs)
+        out.text(s.team).text(s.job_class).put("?BI", s.service, s.priority, s.task_count)
         out.put("ddd", s.need.cpus, s.need.gpus, s.need.memory)
-        out.put("h", -1 if s.rigs is None else len(s.rigs))
-        for rig in s.rigs or ():
-            out.text(rig)
+        out.put("h", -1 if s.machine_types is None else len(s.machine_types))
+        for machine_type in s.machine_types or ():
+            out.text(machine_type)
         out.maybe(s.zone).put("???", s.together, s.apart, s.spot).text(s.image).put("d", s.image_gb)
         out.put("ddd", *(x.total_seconds() for x in (s.expected, s.checkpoint, s.save)))
         out.put("d", -1.0 if s.due is None else s.due.total_seconds())
@@ -49,10 +49,10 @@
     def unpack(data: bytes) -> "Ask":
         scan = Scanner(data)
         job, (requests, free) = scan.text(), scan.get("HI")
-        team, lane, (service, priority, legs) = scan.text(), scan.text(), scan.get("?BI")
+        team, job_class, (service, priority, task_count) = scan.text(), scan.text(), scan.get("?BI")
         need = Need(*(finite(x) for x in scan.get("ddd")))
         count = scan.one("h")
-        rigs = None if count < 0 else tuple(scan.text() for _ in range(count))
+        machine_types = None if count < 0 else tuple(scan.text() for _ in range(count))
         zone, (together, apart, spot) = scan.maybe(), scan.get("???")
         image, image_gb = scan.text(), finite(scan.one("d"))
         expected, checkpoint, save = (_span(x) for x in scan.get("ddd"))
@@ -60,7 +60,7 @@
         part, (theirs, average, waited) = scan.text(), scan.get("ddd")
         scan.end()
         spec = Spec(
-            team, lane, service, priority, legs, need, rigs, zone, together, apart, spot, image, image_gb,
+            team, job_class, service, priority, task_count, need, machine_types, zone, together, apart, spot, image, image_gb,
             expected, checkpoint, save, None if due < 0 else _span(due),
         )  # fmt: skip
         theirs = None if theirs < 0 else _span(theirs)
@@ -92,14 +92,14 @@
     return bids
 
 
-def pack_assign(job: str, value: bytes, stamp: int) -> bytes:
-    return Writer().text(job).put("QI", stamp, len(value)).bytes() + value
+def pack_assign(job: str, value: bytes, mod_revision: int) -> bytes:
+    return Writer().text(job).put("QI", mod_revision, len(value)).bytes() + value
 
 
 def unpack_assign(data: bytes) -> tuple[str, bytes, int]:
     scan = Scanner(data)
-    job, (stamp, length) = scan.text(), scan.get("QI")
-    return job, data[len(data) - length :] if length else b"", stamp
+    job, (mod_revision, length) = scan.text(), scan.get("QI")
+    return job, data[len(data) - length :] if length else b"", mod_revision
 
 
 def pack_revoke(job: str) -> bytes:
--- a/roadbend/bidding/offers.py
+++ b/roadbend/bidding/offers.py
@@ -11,7 +11,7 @@
 from roadbend.placement.policy import Room
 from roadbend.placement.runtime import PartRuntime
 from roadbend.rental import policy as renting
-from roadbend.rental.cloud import MOST_HIRED, Rig
+from roadbend.rental.cloud import MAX_HIRED, MachineType
 from roadbend.store import ranges
 from roadbend.store.records import Job, Spec
 
@@ -27,8 +27,8 @@
     return spec.need.cpus * length(spec).total_seconds() * tasks
 
 
-def fetch_time(spec: Spec, rig: Rig | None) -> timedelta:
-    return timedelta(seconds=spec.image_gb / rig.pull) if rig else clock.ZERO
+def fetch_time(spec: Spec, machine_type: MachineType | None) -> timedelta:
+    return timedelta(seconds=spec.image_gb / machine_type.pull) if machine_type else clock.ZERO
 
 
 class Bidder:
@@ -53,29 +53,29 @@
         now_count = self._fit(job, ready)
         if spec.gang:
             # All of it at once on machines' real free room, or it can't start now.
-            now_count = now_count if now_count >= spec.legs else 0
+            now_count = now_count if now_count >= spec.task_count else 0
         room = now_count + self._fit(job, [line.room for line in lines if line.room.ready_in > 0])
         wait, line = (0.0, None) if now_count else forecast.earliest(job, lines)
-        could_hire = self._hire(job, ask, dear)
-        if could_hire is not None:
+        could_rent = self._rent(job, ask, dear)
+        if could_rent is not None:
             # What waits here and found no place calls for machines first.
             waits = sum(item.count for item in queue) - sum(len(rows) for rows in layout.starts.values())
-            room += max(0, could_hire[1] - waits)
-            if could_hire[0] < wait:
-                wait, line = could_hire[0], None
+            room += max(0, could_rent[1] - waits)
+            if could_rent[0] < wait:
+                wait, line = could_rent[0], None
         if wait == forecast.NEVER:
             return None
         # Slices fit the free room: what the team's limit or our own queue keeps waiting is not asked for,
         # or a huge array would pile up here range by range.
         # A gang is held whole by one part, and queues there while its team is at its limit.
-        left = spec.legs if spec.gang else self._team_left(job) - own
+        left = spec.task_count if spec.gang else self._team_left(job) - own
         now_count, room = min(now_count, left), min(max(room, 0 if own else 1), left)
-        if room <= 0 or spec.gang and room < spec.legs:
+        if room <= 0 or spec.gang and room < spec.task_count:
             return None
         if line is not None:
             fetch = timedelta(seconds=line.room.fetch(spec.image, spec.image_gb))
-        elif could_hire is not None and not now_count:
-            fetch = fetch_time(spec, could_hire[2])
+        elif could_rent is not None and not now_count:
+            fetch = fetch_time(spec, could_rent[2])
         else:
             fetch = clock.ZERO if self._cached(job, ready) else fetch_time(spec, self._fastest(job, ready))
         load = sum(job_load(item.job.spec, item.count) for item in queue)
@@ -103,17 +103,17 @@
         runtime = self._runtime
         starts = self.starts(job)
         start = starts[-1] if starts else forecast.NEVER
-        choices = renting.options(runtime.shared.rigs.values(), runtime.part, self._closed())
-        option = renting.cheapest(placing.Pending(job, ((0, 1),), False), choices, runtime.part, job.spec.legs)
+        choices = renting.options(runtime.shared.machine_types.values(), runtime.part, self._closed())
+        option = renting.cheapest(placing.Pending(job, ((0, 1),), False), choices, runtime.part, job.spec.task_count)
         if option is not None:
-            start = min(start, option.rig.startup.total_seconds())
+            start = min(start, option.machine_type.startup.total_seconds())
         return job.spec.expected + timedelta(seconds=min(start, 3600.0))
 
     def starts(self, job: Job) -> list[float]:
         """When the tasks that wait here would begin, in seconds; never, for those beyond the forecast."""
         runtime = self._runtime
         starts = runtime.layout(0, frozenset()).starts.get(job.id, [])
-        return sorted(starts) + [forecast.NEVER] * (ranges.size(runtime.loose(job)) - len(starts))
+        return sorted(starts) + [forecast.NEVER] * (ranges.size(runtime.unplaced(job)) - len(starts))
 
     def _team_left(self, job: Job) -> int:
         left = self._runtime.shared.room_left(job.spec, self._runtime.part)
@@ -126,45 +126,53 @@
         if not job.spec.service:
             return set()
         shared = self._runtime.shared
-        boot = max((rig.startup for rig in shared.rigs.values()), default=clock.ZERO)
+        boot = max((machine_type.startup for machine_type in shared.machine_types.values()), default=clock.ZERO)
         if ask.waited >= shared.patience(job.spec, boot):
             return set()
-        return renting.dear_rigs(job, shared.rigs.values(), shared.op.dear, self._runtime.part)
+        return renting.expensive_machine_types(
+            job, shared.machine_types.values(), shared.operator.dear, self._runtime.part
+        )
 
     def _fit(self, job: Job, rooms: list[Room]) -> int:
         return sum(
             room.count(job.spec.need)
             for room in rooms
-            if placing.allowed(job, room.rig, room.zone, room.spot)
+            if placing.allowed(job, room.machine_type, room.zone, room.spot)
             and room.id not in self._runtime.avoid.get(job.id, ())
         )
 
     def _cached(self, job: Job, rooms: list[Room]) -> bool:
         return any(job.spec.image in room.images and self._fit(job, [room]) for room in rooms)
 
-    def _hire(self, job: Job, ask: Ask, dear: set[str]) -> tuple[float, int, Rig] | None:
+    def _rent(self, job: Job, ask: Ask, dear: set[str]) -> tuple[float, int, MachineType] | None:
         """Boot time, places and type of the cheapest machine that we believe we can hire.
 
         A part that could only hire dearly leaves a job to those who can do it cheaply, for as long as
         the job can wait: the paper's acceptance takes the responder's own preferences into account."""
-        runtime, op = self._runtime, self._runtime.shared.op
-        rigs = runtime.shared.rigs.values()
-        choices = [o for o in renting.options(rigs, runtime.part, self._closed()) if o.rig.name not in dear]
+        runtime, operator = self._runtime, self._runtime.shared.operator
+        machine_types = runtime.shared.machine_types.values()
+        choices = [
+            o for o in renting.options(machine_types, runtime.part, self._closed()) if o.machine_type.name not in dear
+        ]
         item = placing.Pending(job, ((0, 1),), False)
         option = renting.cheapest(item, choices, runtime.part, ask.free)
         if option is None:
             return None
         price = renting.cost(item, option, runtime.part, ask.free)
-        least = renting.least_cost(item, rigs, ask.free)
-        if price > least * op.dear and ask.waited < op.dear_wait:
+        least = renting.least_cost(item, machine_types, ask.free)
+        if price > least * operator.dear and ask.waited < operator.dear_wait:
             return None
         places = renting.empty_room("", option, runtime.part).count(job.spec.need)
         # As many as one request hires; where the cloud has fewer, it says so and the type is closed here.
-        return option.rig.startup.total_seconds(), places * MOST_HIRED, option.rig
+        return option.machine_type.startup.total_seconds(), places * MAX_HIRED, option.machine_type
 
-    def _fastest(self, job: Job, rooms: list[Room]) -> Rig | None:
-        rigs = self._runtime.shared.rigs
-        fitting = [rigs[r.rig] for r in rooms if r.rig in rigs and self._fit(job, [r])]
+    def _fastest(self, job: Job, rooms: list[Room]) -> MachineType | None:
+        machine_types = self._runtime.shared.machine_types
+        fitting = [
+            machine_types[r.machine_type] for r in rooms if r.machine_type in machine_types and self._fit(job, [r])
+        ]
         if not fitting:
-            fitting = [rig for rig in rigs.values() if self._runtime.part in rig.zones]
-        return max(fitting, key=lambda rig: rig.pull, default=None)
+            fitting = [
+                machine_type for machine_type in machine_types.values() if self._runtime.part in machine_type.zones
+            ]
+        return max(fitting, key=lambda machine_type: machine_type.pull, default=None)
--- a/roadbend/bidding/test_casa.py
+++ b/roadbend/bidding/test_casa.py
@@ -7,8 +7,8 @@
 from roadbend import clock
 from roadbend.bidding import casa, messages
 from roadbend.bidding.casa import Bid, Promises
+from roadbend.fakes.world import job
 from roadbend.intake.messages import read_submission
-from roadbend.standins.world import job
 from roadbend.store import ranges
 from roadbend.store.records import Job
 
@@ -47,10 +47,10 @@
 
 def test_no_zone_ever_gets_more_than_half_of_a_job_that_is_to_be_apart():
     for seed in range(50):
-        for legs in (1, 2, 3, 9):
+        for tasks in (1, 2, 3, 9):
             bids = [bid("a", 1, now=9), bid("b", 100), bid("c", 100)]
-            shares = casa.allot(made(legs=legs, apart=True), bids, 1.0, random.Random(seed))
-            assert all(ranges.size(r) <= (legs + 1) // 2 for r in shares.values())
+            shares = casa.allot(made(legs=tasks, apart=True), bids, 1.0, random.Random(seed))
+            assert all(ranges.size(r) <= (tasks + 1) // 2 for r in shares.values())
     # With one zone bidding the other half waits.
     shares = casa.allot(made(legs=9, apart=True), [bid("a", 1, now=9)], 1.0, random.Random(1))
     assert ranges.size(shares["a"]) == 5
--- a/roadbend/standins/__main__.py
+++ b/roadbend/fakes/__main__.py
@@ -7,15 +7,15 @@
 import trio
 
 from roadbend import clock
+from roadbend.fakes.cloud import FakeCloud
+from roadbend.fakes.rules import Rules
+from roadbend.fakes.state import FakeStateService
+from roadbend.fakes.worker import Board, FakeWorker
 from roadbend.http.net import Net
 from roadbend.http.server import Request, Response, Server, decode
-from roadbend.standins.cloud import CloudStandIn
-from roadbend.standins.rules import Rules
-from roadbend.standins.state import StateStandIn
-from roadbend.standins.worker import Board, WorkerStandIn
 
 ZONES = ("east", "north", "west")
-RIG = {
+MACHINE_TYPE = {
     "name": "g2", "vcpus": 24.0, "gpus": 2.0, "memoryGb": 144.0, "cacheGb": 100.0, "pullGbPerS": 1.0,
     "price": 6.0, "lowPrice": 2.0, "startupS": 3.0, "yards": list(ZONES),
 }  # fmt: skip
@@ -69,18 +69,18 @@
 
 
 async def serve(directory: Path) -> None:
-    rules = Rules([RIG], (), 0.0, trio.current_time)
-    net, board, state = Net(), Board(rules), StateStandIn()
+    rules = Rules([MACHINE_TYPE], (), 0.0, trio.current_time)
+    net, board, state = Net(), Board(rules), FakeStateService()
     nodes = {f"node-{n}": f"{HOST}:{18080 + n}" for n in range(3)}
     ports = iter(range(19000, 20000))
 
     async with trio.open_nursery() as nursery:
 
-        def make(machine: str, rig: str, zone: str, spot: bool) -> WorkerStandIn:
+        def make(machine: str, machine_type: str, zone: str, spot: bool) -> FakeWorker:
             address = f"{HOST}:{next(ports)}"
             print(f"{clock.now():%H:%M:%S} machine {machine} is up in {zone}", flush=True)
-            return WorkerStandIn(
-                net, board, nodes, machine=machine, address=address, rig=rig, zone=zone, spot=spot
+            return FakeWorker(
+                net, board, nodes, machine=machine, address=address, machine_type=machine_type, zone=zone, spot=spot
             )  # fmt: skip
 
         async def upload(request: Request) -> Response:
@@ -89,7 +89,7 @@
             board.lengths[body["id"]] = body["seconds"]
             return Response(200, {})
 
-        cloud = CloudStandIn(nursery, [RIG], 8, make)
+        cloud = FakeCloud(nursery, [MACHINE_TYPE], 8, make)
         await nursery.start(net.listen, STATE, Server(state.handle, most=256).serve)
         await nursery.start(net.listen, CLOUD, Server(cloud.handle, most=256).serve)
         await nursery.start(net.listen, LENGTHS, Server(upload, most=64).serve)
--- a/roadbend/standins/cloud.py
+++ b/roadbend/fakes/cloud.py
@@ -13,20 +13,20 @@
 @dataclass
 class Rented:
     id: str
-    rig: str
+    machine_type: str
     zone: str
     spot: bool
     since: float
     status: str = "booting"
     worker: Any = None
     scope: trio.CancelScope | None = None
-    life: trio.CancelScope | None = None
+    incarnation: trio.CancelScope | None = None
 
 
-class CloudStandIn:
-    def __init__(self, nursery: trio.Nursery, rigs: list[dict], capacity: int, make: Callable[..., Any]):
+class FakeCloud:
+    def __init__(self, nursery: trio.Nursery, machine_types: list[dict], capacity: int, make: Callable[..., Any]):
         """`make(machine id, rig, zone, spot)` gives a worker with a `run` method and an `address`."""
-        self._nursery, self._rigs, self._capacity, self._make = nursery, rigs, capacity, make
+        self._nursery, self._rigs, self._capacity, self._make = nursery, machine_types, capacity, make
         self.machines: dict[str, Rented] = {}
         self._hires: dict[str, list[str]] = {}
         self._count = 0
@@ -34,21 +34,21 @@
         self.refuse_deletion = False
         self.names: list[str] = []
 
-    def _boot_s(self, rig: str) -> float:
-        return next(row["startupS"] for row in self._rigs if row["name"] == rig)
+    def _boot_s(self, machine_type: str) -> float:
+        return next(row["startupS"] for row in self._rigs if row["name"] == machine_type)
 
     async def _boot(self, machine: Rented) -> None:
         with trio.CancelScope() as machine.scope:
-            await trio.sleep(self._boot_s(machine.rig))
+            await trio.sleep(self._boot_s(machine.machine_type))
             machine.status = "running"
             while True:
-                machine.worker = self._make(machine.id, machine.rig, machine.zone, machine.spot)
-                with trio.CancelScope() as machine.life:
+                machine.worker = self._make(machine.id, machine.machine_type, machine.zone, machine.spot)
+                with trio.CancelScope() as machine.incarnation:
                     await machine.worker.run()
 
     def reboot(self, name: str) -> None:
         """The machine stops and is back at once, holding nothing; its counts begin anew."""
-        self.machines[name].life.cancel()
+        self.machines[name].incarnation.cancel()
 
     def kill(self, name: str) -> None:
         """The machine dies with all that is on it."""
@@ -63,7 +63,7 @@
         if request.path == "/catalog":
             return Response(200, {"rigs": self._rigs})
         if request.path == "/machines" and request.method == "POST":
-            return self._hire(decode(request.body))
+            return self._rent(decode(request.body))
         if request.path == "/machines/delete":
             if self.refuse_deletion:
                 return Response(503, {"error": "trouble"})
@@ -78,7 +78,7 @@
             now = trio.current_time()
             listed = [
                 {
-                    "id": m.id, "address": m.worker.address if m.worker else "", "rig": m.rig, "yard": m.zone,
+                    "id": m.id, "address": m.worker.address if m.worker else "", "rig": m.machine_type, "yard": m.zone,
                     "loaners": m.spot, "status": m.status, "ageS": now - m.since,
                 }
                 for m in rows[:500]
@@ -86,14 +86,14 @@
             return Response(200, {"hitches": listed, "more": len(rows) > 500})
         return Response(404, {"error": "no such path"})
 
-    def _hire(self, body: dict) -> Response:
+    def _rent(self, body: dict) -> Response:
         name = body["hire"]
         if name in self._hires:
             return Response(200, {"hitches": self._hires[name]})
         alike = sum(
             1
             for m in self.machines.values()
-            if (m.rig, m.zone, m.spot) == (body["rig"], body["yard"], body["loaners"]) and m.status != "failed"
+            if (m.machine_type, m.zone, m.spot) == (body["rig"], body["yard"], body["loaners"]) and m.status != "failed"
         )
         free = self._capacity - alike
         if free <= 0:
--- a/roadbend/standins/former.py
+++ b/roadbend/fakes/previous_version.py
@@ -16,10 +16,10 @@
 VALUE_BYTES, TXN_OPS = 4096, 8
 
 
-class FormerNode(Node):
-    def __init__(self, settings: Settings, op: Operator, net: Net, rng: random.Random, boot: str | None = None):
+class PreviousVersionNode(Node):
+    def __init__(self, settings: Settings, operator: Operator, net: Net, rng: random.Random, boot: str | None = None):
         old = replace(settings, value_bytes=VALUE_BYTES, txn_ops=TXN_OPS, state_write_rps_next=None)
-        super().__init__(old, op, net, rng, boot)
+        super().__init__(old, operator, net, rng, boot)
         self.boot = self.ownership._boot = self.boot.removesuffix(frames.GANGS)
         for kind in (frames.GANG_REQUEST, frames.GANG_INFORM):
             del self.peers.handlers[kind]
@@ -27,12 +27,12 @@
         # A job's record is read and written again without what this version does not know, and its gangs with it.
         store, put = self.view._store, self.view.put
 
-        def forgetting(key: str, value, stamp: int) -> None:
+        def forgetting(key: str, value, mod_revision: int) -> None:
             if key.startswith("r/gang/"):
                 return
             if key.startswith("r/job/") and isinstance(value, dict):
                 value = {k: v for k, v in value.items() if k != "g"}
-            store(key, value, stamp)
+            store(key, value, mod_revision)
 
         self.view._store, self.view.put = forgetting, put
 
--- a/roadbend/standins/rules.py
+++ b/roadbend/fakes/rules.py
@@ -22,7 +22,7 @@
     """A machine: what it is, and what it has."""
 
     machine: str
-    rig: str
+    machine_type: str
     zone: str
     spot: bool
 
@@ -61,8 +61,8 @@
 class Rules:
     """`rigs` and `teams` as the platform gives them; `now` is the world's clock."""
 
-    def __init__(self, rigs: list[dict], teams: Iterable[Any], cancel_s: float, now: Callable[[], float]):
-        self._rigs = {row["name"]: row for row in rigs}
+    def __init__(self, machine_types: list[dict], teams: Iterable[Any], cancel_s: float, now: Callable[[], float]):
+        self._rigs = {row["name"]: row for row in machine_types}
         self._teams = {team.name: (team.cpus_max or EPS + 1e18, team.gpus_max or EPS + 1e18) for team in teams}
         self._cancel_s, self._now = cancel_s, now
         self.cases: dict[str, Case] = {}
@@ -90,18 +90,22 @@
         count = body["legs"] if body["shape"] != "batch" else 1
         if any(count * need > limit + EPS for need, limit in zip(self._need(body)[:2], most, strict=True)):
             return False
-        return any(self._allows(body, rig, zone) for rig in self._rigs.values() for zone in rig["yards"])
+        return any(
+            self._allows(body, machine_type, zone)
+            for machine_type in self._rigs.values()
+            for zone in machine_type["yards"]
+        )
 
     @staticmethod
     def _need(body: dict) -> tuple[float, float, float]:
         return body["vcpus"], body["gpus"], body["memoryGb"]
 
-    def _allows(self, body: dict, rig: dict, zone: str) -> bool:
+    def _allows(self, body: dict, machine_type: dict, zone: str) -> bool:
         return (
-            (body.get("rigs") is None or rig["name"] in body["rigs"])
+            (body.get("rigs") is None or machine_type["name"] in body["rigs"])
             and body.get("yard") in (None, zone)
             and all(
-                need <= rig[name] + EPS
+                need <= machine_type[name] + EPS
                 for need, name in zip(self._need(body), ("vcpus", "gpus", "memoryGb"), strict=True)
             )
         )
@@ -197,8 +201,8 @@
             case.completed.add(task)
 
     def _check_place(self, case: Case, task: str, place: Place) -> None:
-        body, rig = case.body, self._rigs[place.rig]
-        if not self._allows(body, rig, place.zone) or place.spot and not body["loaners"]:
+        body, machine_type = case.body, self._rigs[place.machine_type]
+        if not self._allows(body, machine_type, place.zone) or place.spot and not body["loaners"]:
             self._break("wrong_place", task, "on", place)
         others = self._zones(case, task)
         if body["together"] and others - {place.zone}:
@@ -274,7 +278,7 @@
             return False
         zones = self._zones(case, waiting[0])
         for place, free in rooms:
-            if not self._allows(body, self._rigs[place.rig], place.zone) or place.spot and not body["loaners"]:
+            if not self._allows(body, self._rigs[place.machine_type], place.zone) or place.spot and not body["loaners"]:
                 continue
             if body["together"] and zones - {place.zone} or any(f < n - EPS for f, n in zip(free, case.need)):  # noqa: B905
                 continue
--- a/roadbend/standins/state.py
+++ b/roadbend/fakes/state.py
@@ -10,12 +10,12 @@
 from roadbend.http.server import Malformed, Request, Response, decode
 
 
-class StateStandIn:
+class FakeStateService:
     def __init__(self, clock=trio.current_time, value_bytes: int = 32 * 1024, txn_ops: int = 16):
         self._now = clock
         self._most = (value_bytes, txn_ops)
         self.keys: dict[str, tuple[Any, int, int | None]] = {}
-        self.ledger = 0
+        self.revision = 0
         self.log: list[tuple[str, dict]] = []
         self.leases: dict[int, tuple[float, float]] = {}
         self._next_lease = 0
@@ -48,17 +48,17 @@
                 self.late_done.append(400)
 
     def _expire(self) -> None:
-        for permit in [p for p, (_, end) in self.leases.items() if end <= self._now()]:
-            self._end(permit)
+        for lease_id in [p for p, (_, end) in self.leases.items() if end <= self._now()]:
+            self._end(lease_id)
 
-    def _end(self, permit: int) -> None:
-        del self.leases[permit]
-        gone = [key for key, row in self.keys.items() if row[2] == permit]
+    def _end(self, lease_id: int) -> None:
+        del self.leases[lease_id]
+        gone = [key for key, row in self.keys.items() if row[2] == lease_id]
         if gone:
-            self.ledger += 1
+            self.revision += 1
             for key in gone:
                 del self.keys[key]
-                self.log.append((key, {"delete": key, "stamp": self.ledger}))
+                self.log.append((key, {"delete": key, "stamp": self.revision}))
 
     def restore(self) -> None:
         """After an outage every lease has its full time again."""
@@ -92,13 +92,13 @@
             rows = sorted(k for k in self.keys if k.startswith(query["starts"]) and k > query.get("after", ""))
             most = min(1000, int(query.get("most", 1000)))
             page = [{"path": k, "value": self.keys[k][0], "stamp": self.keys[k][1]} for k in rows[:most]]
-            return Response(200, {"entries": page, "more": len(rows) > most, "ledger": self.ledger})
+            return Response(200, {"entries": page, "more": len(rows) > most, "ledger": self.revision})
         if path.startswith("/keys/"):
             key = unquote(path[len("/keys/") :])
             if key not in self.keys:
-                return Response(404, {"ledger": self.ledger})
-            value, stamp, permit = self.keys[key]
-            return Response(200, {"path": key, "value": value, "stamp": stamp, "permit": permit})
+                return Response(404, {"ledger": self.revision})
+            value, mod_revision, lease_id = self.keys[key]
+            return Response(200, {"path": key, "value": value, "stamp": mod_revision, "permit": lease_id})
         if path == "/multi":
             return self.multi(decode(request.body))
         if path == "/leases":
@@ -107,19 +107,19 @@
             self.leases[self._next_lease] = (ttl, self._now() + ttl)
             return Response(200, {"permit": self._next_lease})
         if path.startswith("/leases/"):
-            permit = int(path.split("/")[2])
-            if permit not in self.leases:
+            lease_id = int(path.split("/")[2])
+            if lease_id not in self.leases:
                 return Response(404, {"error": "no such lease"})
             if method == "DELETE":
-                self._end(permit)
+                self._end(lease_id)
             else:
-                ttl = self.leases[permit][0]
-                self.leases[permit] = (ttl, self._now() + ttl)
+                ttl = self.leases[lease_id][0]
+                self.leases[lease_id] = (ttl, self._now() + ttl)
             return Response(200, {})
         if path == "/follow":
             after = int(query["after"])
             rows = [e for k, e in self.log if e["stamp"] > after and k.startswith(query["starts"])]
-            return Response(200, {"ledger": self.ledger, "log": rows})
+            return Response(200, {"ledger": self.revision, "log": rows})
         return Response(404, {"error": "no such path"})
 
     def multi(self, body: dict) -> Response:
@@ -134,18 +134,18 @@
                 return Response(400, {"error": "no such lease"})
         failed = [w["path"] for w in body.get("when") or [] if self.keys.get(w["path"], (0, 0))[1] != w["stamp"]]
         if failed:
-            return Response(409, {"failed": failed, "ledger": self.ledger})
+            return Response(409, {"failed": failed, "ledger": self.revision})
         if apply:
-            self.ledger += 1
+            self.revision += 1
         for row in apply:
             if "write" in row:
                 key = row["write"]
-                self.keys[key] = (row["value"], self.ledger, row.get("permit"))
-                self.log.append((key, {"write": key, "value": row["value"], "stamp": self.ledger}))
+                self.keys[key] = (row["value"], self.revision, row.get("permit"))
+                self.log.append((key, {"write": key, "value": row["value"], "stamp": self.revision}))
             elif row["delete"] in self.keys:
                 del self.keys[row["delete"]]
-                self.log.append((row["delete"], {"delete": row["delete"], "stamp": self.ledger}))
-        return Response(200, {"ledger": self.ledger})
+                self.log.append((row["delete"], {"delete": row["delete"], "stamp": self.revision}))
+        return Response(200, {"ledger": self.revision})
 
     def value(self, key: str) -> Any:
         return self.keys[key][0] if key in self.keys else None
--- a/roadbend/standins/test_standins.py
+++ b/roadbend/fakes/test_fakes.py
@@ -6,12 +6,12 @@
 import pytest
 import trio
 
+from roadbend.fakes.network import Network
+from roadbend.fakes.rules import Place, Rules
+from roadbend.fakes.state import FakeStateService
+from roadbend.fakes.world import MACHINE_TYPE, World, job, world
 from roadbend.http.client import Client, NoAnswer
 from roadbend.settings import Team
-from roadbend.standins.network import Network
-from roadbend.standins.rules import Place, Rules
-from roadbend.standins.state import StateStandIn
-from roadbend.standins.world import RIG, World, job, world
 
 EAST, WEST = Place("m-1", "g2", "east", False), Place("m-2", "g2", "west", False)
 NAME, PATH = "run-000001", "/v1/jobs/run-000001"
@@ -23,7 +23,7 @@
     def __init__(self, **changes):
         self.now = 0.0
         teams = [Team("red", 0, 0, 4, 6), Team("blue", 0, 0, 4, 12)]
-        self.rules = Rules([RIG], teams, 38.0, lambda: self.now)
+        self.rules = Rules([MACHINE_TYPE], teams, 38.0, lambda: self.now)
         self.body = job(1, **changes)
         self.submit(self.body, 201)
 
@@ -210,7 +210,7 @@
 
 
 async def test_a_late_transaction_comes_after_newer_ones_and_fails_on_its_conditions():
-    state, body = StateStandIn(), {"when": [{"path": "a", "stamp": 0}], "apply": [{"write": "a", "value": 1}]}
+    state, body = FakeStateService(), {"when": [{"path": "a", "stamp": 0}], "apply": [{"write": "a", "value": 1}]}
     async with trio.open_nursery() as nursery:
         network = Network(nursery)
         w = Serving(network, state)
@@ -247,7 +247,7 @@
 
 
 async def test_what_is_held_back_arrives_after_its_sender_has_given_up():
-    state = StateStandIn()
+    state = FakeStateService()
     async with trio.open_nursery() as nursery:
         network = Network(nursery)
         w = Serving(network, state)
@@ -319,14 +319,14 @@
 async def test_copies_of_reports_arrive_again_and_are_nobodys_news():
     async with world(count=1) as w:
         machine, worker = await started(w)
-        seen, real = [], w.nodes["node-0"].fleet.hello
+        seen, real = [], w.nodes["node-0"].fleet.handle_report
 
-        async def hello(request):
+        async def handle_report(request):
             answer = await real(request)
             seen.append(answer.status)
             return answer
 
-        w.nodes["node-0"].fleet.hello = hello
+        w.nodes["node-0"].fleet.handle_report = handle_report
         await w.late_reports(1.0, 20, random.Random(2))
         await trio.sleep(45)
         assert seen.count(503) >= 5 and w.board.running(NAME) == [f"{NAME}/0"] and len(w.board.starts) == 1
--- a/roadbend/standins/user.py
+++ b/roadbend/fakes/user.py
@@ -6,9 +6,9 @@
 
 import trio
 
+from roadbend.fakes.__main__ import LENGTHS
 from roadbend.http.client import Client, NoAnswer
 from roadbend.http.net import Net
-from roadbend.standins.__main__ import LENGTHS
 
 
 def submission(arguments: argparse.Namespace) -> dict:
--- a/roadbend/standins/worker.py
+++ b/roadbend/fakes/worker.py
@@ -6,9 +6,9 @@
 
 import trio
 
+from roadbend.fakes.rules import Place, Rules
 from roadbend.http.client import Client, NoAnswer
 from roadbend.http.server import Request, Response, Server, decode
-from roadbend.standins.rules import Place, Rules
 
 
 @dataclass
@@ -46,7 +46,7 @@
         return case.body if case is not None else {}
 
     def gang(self, task: "_Task") -> Gang | None:
-        job = task.leg.rpartition("/")[0]
+        job = task.task_index.rpartition("/")[0]
         body = self.body(job)
         if body.get("shape") != "group":
             return None
@@ -79,7 +79,7 @@
 
 @dataclass
 class _Task:
-    leg: str
+    task_index: str
     attempt: int
     state: str = "fetching"
     cause: str | None = None
@@ -90,7 +90,7 @@
     changed: trio.Event = field(default_factory=trio.Event)
 
 
-class WorkerStandIn:
+class FakeWorker:
     def __init__(
         self,
         net,
@@ -99,7 +99,7 @@
         *,
         machine: str,
         address: str,
-        rig: str,
+        machine_type: str,
         zone: str,
         spot: bool = False,
         report_s: float = 2.5,
@@ -111,7 +111,7 @@
     ):
         self._gang_wait_s, self._gang_peer_s = gang_wait_s, gang_peer_s
         self._net, self._board, self._nodes = net, board, nodes
-        self.machine, self.address, self.rig, self.zone, self.spot = machine, address, rig, zone, spot
+        self.machine, self.address, self.machine_type, self.zone, self.spot = machine, address, machine_type, zone, spot
         self._report_s, self._lease_s, self._fetch_s, self._broken = report_s, lease_s, fetch_s, broken
         self.session, self.seq, self.token = 1, 0, 0
         self.tasks: dict[tuple[str, int], _Task] = {}
@@ -121,7 +121,7 @@
         self._nursery: trio.Nursery | None = None
         self._at = sorted(nodes)[0] if nodes else ""
         self.orders: list[dict] = []
-        self.place = Place(machine, rig, zone, spot)
+        self.place = Place(machine, machine_type, zone, spot)
         # Set while the machine runs; while it hangs it does nothing at all, and goes on where it stood.
         self._awake = trio.Event()
         self._awake.set()
@@ -149,14 +149,14 @@
         self.seq += 1
         rows = []
         for task in self.tasks.values():
-            row = {"leg": task.leg, "try": task.attempt, "status": task.state}
+            row = {"leg": task.task_index, "try": task.attempt, "status": task.state}
             if task.cause:
                 row["cause"] = task.cause
             if task.saved:
                 row["saved"] = True
             rows.append(row)
         return {
-            "hitch": self.machine, "address": self.address, "rig": self.rig, "yard": self.zone,
+            "hitch": self.machine, "address": self.address, "rig": self.machine_type, "yard": self.zone,
             "loaners": self.spot, "stint": self.session, "tick": self.seq, "baton": self.token,
             "recallS": self.recall, "legs": rows,
         }  # fmt: skip
@@ -167,9 +167,9 @@
         if task.scope is not None:
             task.scope.cancel()
         if task.began is not None:
-            self._board.leave(task.leg, self.machine)
+            self._board.leave(task.task_index, self.machine)
         if cause == "done":
-            self._board.complete(task.leg)
+            self._board.complete(task.task_index)
         task.state, task.cause = "ended", cause
         self._changed.set()
 
@@ -187,14 +187,14 @@
                 await self._live_in(gang, task)
                 return
             task.state, task.began = "running", trio.current_time()
-            self._board.enter(task.leg, self.place)
+            self._board.enter(task.task_index, self.place)
             self._changed.set()
             if self._broken:
                 await trio.sleep(0.5)
                 self._end(task, "error")
                 return
             lengths = self._board.lengths
-            length = lengths.get(task.leg, lengths.get(task.leg.rpartition("/")[0]))
+            length = lengths.get(task.task_index, lengths.get(task.task_index.rpartition("/")[0]))
             await trio.sleep(float("inf") if length is None else length)
             await self._up()
             self._end(task, "done")
@@ -202,11 +202,11 @@
     async def _live_in(self, gang: Gang, task: _Task) -> None:
         """A gang's task, by the page: it waits for the others, runs with them, notices when one is gone, saves with
         them, and completes with them."""
-        board, job = self._board, task.leg.rpartition("/")[0]
+        board, job = self._board, task.task_index.rpartition("/")[0]
         body, since = board.body(job), trio.current_time()
         task.state, task.began = "gathering", since
-        board.enter(task.leg, self.place)
-        gang.members[task.leg] = task
+        board.enter(task.task_index, self.place)
+        gang.members[task.task_index] = task
         self._changed.set()
         while gang.began is None:
             if len([m for m in gang.members.values() if m.state == "gathering"]) == gang.size:
@@ -254,9 +254,9 @@
             task.state = "flushing"
             self._changed.set()
         if now - gang.stopping >= body["stowS"]:
-            gang.saved.add(task.leg)
+            gang.saved.add(task.task_index)
         if len(gang.saved) == gang.size:
-            job = task.leg.rpartition("/")[0]
+            job = task.task_index.rpartition("/")[0]
             made = gang.base + gang.stopping - (gang.began or now)
             self._board.progress[job] = max(self._board.progress.get(job, 0.0), made)
             task.saved = True
@@ -265,7 +265,7 @@
             self._end(task, "peers")
 
     def _kill(self, task: _Task, grace: float) -> None:
-        gang, body = self._board.gang(task), self._board.body(task.leg.rpartition("/")[0])
+        gang, body = self._board.gang(task), self._board.body(task.task_index.rpartition("/")[0])
         saves = gang is not None and task.state == "running" and body["milestoneS"] > 0 and grace >= body["stowS"]
         if saves:
             gang.stopping = trio.current_time() if gang.stopping is None else gang.stopping
@@ -325,7 +325,7 @@
         finally:
             for task in self.tasks.values():
                 if task.began is not None:
-                    self._board.leave(task.leg, self.machine)
+                    self._board.leave(task.task_index, self.machine)
 
     async def _lease(self) -> None:
         while True:
--- a/roadbend/standins/world.py
+++ b/roadbend/fakes/world.py
@@ -9,19 +9,19 @@
 import trio
 
 from roadbend import clock
+from roadbend.fakes.cloud import FakeCloud
+from roadbend.fakes.network import Network
+from roadbend.fakes.previous_version import PreviousVersionNode
+from roadbend.fakes.rules import FIELDS, Rules
+from roadbend.fakes.state import FakeStateService
+from roadbend.fakes.worker import Board, FakeWorker
 from roadbend.http.client import Client, NoAnswer
 from roadbend.http.server import Server
 from roadbend.node import Node
 from roadbend.settings import Operator, Peer, Settings, Team
-from roadbend.standins.cloud import CloudStandIn
-from roadbend.standins.former import FormerNode
-from roadbend.standins.network import Network
-from roadbend.standins.rules import FIELDS, Rules
-from roadbend.standins.state import StateStandIn
-from roadbend.standins.worker import Board, WorkerStandIn
 
 ZONES = ("east", "north", "west")
-RIG = {
+MACHINE_TYPE = {
     "name": "g2", "vcpus": 24.0, "gpus": 2.0, "memoryGb": 144.0, "cacheGb": 100.0, "pullGbPerS": 1.0,
     "price": 6.0, "lowPrice": 2.0, "startupS": 10.0, "yards": list(ZONES),
 }  # fmt: skip
@@ -65,16 +65,18 @@
 
 
 class World:
-    def __init__(self, nursery: trio.Nursery, count: int, op: Operator, capacity: int, changes: dict):
-        self.nursery, self.count, self.op, self._changes = nursery, count, op, changes
+    def __init__(self, nursery: trio.Nursery, count: int, operator: Operator, capacity: int, changes: dict):
+        self.nursery, self.count, self.operator, self._changes = nursery, count, operator, changes
         self.network = Network(nursery)
         sample = settings_for(0, count, **changes)
-        self.state = StateStandIn(value_bytes=sample.value_bytes, txn_ops=sample.txn_ops)
-        self.rules = Rules([RIG], sample.teams.values(), sample.cancel_within.total_seconds(), trio.current_time)
+        self.state = FakeStateService(value_bytes=sample.value_bytes, txn_ops=sample.txn_ops)
+        self.rules = Rules(
+            [MACHINE_TYPE], sample.teams.values(), sample.cancel_within.total_seconds(), trio.current_time
+        )
         self.board = Board(self.rules)
         self._sample = sample
         self.broken_machines: set[str] = set()
-        self.cloud = CloudStandIn(nursery, [RIG], capacity, self._worker)
+        self.cloud = FakeCloud(nursery, [MACHINE_TYPE], capacity, self._worker)
         self.nodes: dict[str, Node] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self.addresses = {f"node-{n}": f"node-{n}:80" for n in range(count)}
@@ -98,9 +100,9 @@
             if worker.hung:
                 hung.add(machine.id)
                 continue
-            free = [RIG["vcpus"], RIG["gpus"], RIG["memoryGb"]]
+            free = [MACHINE_TYPE["vcpus"], MACHINE_TYPE["gpus"], MACHINE_TYPE["memoryGb"]]
             for task in worker.tasks.values():
-                case = self.rules.cases.get(task.leg.rpartition("/")[0])
+                case = self.rules.cases.get(task.task_index.rpartition("/")[0])
                 if task.state != "ended" and case is not None:
                     free = [f - n for f, n in zip(free, case.need, strict=True)]
             if worker.place.machine not in self.broken_machines:
@@ -109,7 +111,7 @@
 
     # Troubles; each ends what it began.
 
-    def workers(self) -> list[WorkerStandIn]:
+    def workers(self) -> list[FakeWorker]:
         return [m.worker for m in self.cloud.machines.values() if m.worker is not None and m.status == "running"]
 
     async def outage(self, length: float) -> None:
@@ -284,21 +286,21 @@
 
         self.network.register(f"{host}:1", host, accept)
 
-    def _worker(self, machine: str, rig: str, zone: str, spot: bool) -> WorkerStandIn:
-        return WorkerStandIn(
+    def _worker(self, machine: str, machine_type: str, zone: str, spot: bool) -> FakeWorker:
+        return FakeWorker(
             self.network.port(machine), self.board, self.addresses, machine=machine, address=f"{machine}:1",
-            rig=rig, zone=zone, spot=spot, broken=machine in self.broken_machines,
+            machine_type=machine_type, zone=zone, spot=spot, broken=machine in self.broken_machines,
             report_s=self._sample.report_every.total_seconds(), lease_s=self._sample.lease.total_seconds(),
             gang_wait_s=self._sample.gang_wait.total_seconds(), gang_peer_s=self._sample.gang_peer.total_seconds(),
         )  # fmt: skip
 
-    def start(self, at: int, former: bool = False) -> Node:
+    def start(self, at: int, previous_version: bool = False) -> Node:
         name = f"node-{at}"
         settings = settings_for(at, self.count, **self._changes)
         self._boots += 1
         boot = f"boot-{self._boots}"
-        make = FormerNode if former else Node
-        node = make(settings, self.op, self.network.port(name), random.Random(self._boots), boot)
+        make = PreviousVersionNode if previous_version else Node
+        node = make(settings, self.operator, self.network.port(name), random.Random(self._boots), boot)
         scope = trio.CancelScope()
         self.nodes[name], self._scopes[name] = node, scope
 
@@ -367,12 +369,12 @@
 
 @asynccontextmanager
 async def world(
-    count: int = 3, capacity: int = 8, op: Operator | None = None, former: bool = False, **changes
+    count: int = 3, capacity: int = 8, operator: Operator | None = None, previous_version: bool = False, **changes
 ) -> AsyncIterator[World]:
     async with trio.open_nursery() as nursery:
-        made = World(nursery, count, op or Operator(), capacity, changes)
+        made = World(nursery, count, operator or Operator(), capacity, changes)
         for at in range(count):
-            made.start(at, former)
+            made.start(at, previous_version)
         assert await made.settled()
         yield made
         made.rules.look(*made.machines())
--- a/roadbend/fleet/machines.py
+++ b/roadbend/fleet/machines.py
@@ -41,7 +41,7 @@
 class Machine:
     id: str
     address: str
-    rig: str
+    machine_type: str
     zone: str
     spot: bool
     order: tuple[int, int] = (0, -1)
@@ -56,7 +56,7 @@
     # Hired in this term and not seen before: it takes work from its first report on.
     expected: bool = False
     # How often the machine was seen to begin anew; part of its token, so that lives are told apart.
-    life: int = 0
+    incarnation: int = 0
     # A report came that was not newer than the last: a late copy, or a machine that began anew.
     doubted: bool = False
     # The tasks as the last report had them, and the count of recorded changes then, if all was in order.
@@ -96,14 +96,14 @@
     def fence(self) -> None:
         """Nobody knows what became of a direct order: from now on a higher token goes out, and nothing more is started
         here before the machine shows it."""
-        self.life += 1
+        self.incarnation += 1
         self.ours = self.expected = False
         self.rows = self.calm = None
         for row in self.direct.values():
             row.fenced = True
 
     def begin_anew(self, order: tuple[int, int]) -> None:
-        self.order, self.life = order, self.life + 1
+        self.order, self.incarnation = order, self.incarnation + 1
         self.ours = self.expected = self.doubted = False
         for row in self.direct.values():
             row.fenced, row.session = True, 1 << 64
@@ -162,16 +162,16 @@
     seen: dict[Key, Seen] = {}
     machine.foreign = 0
     for task in report.tasks:
-        key = (task.job, task.leg)
+        key = (task.job, task.task_index)
         entry = recorded.get(key)
         ended = task.state == "ended"
         if entry is None or entry[1].number != task.attempt:
             # Not in the records (any more): its end has been recorded, or it never should have been.
             if ended:
-                orders.append(messages.forget(task.job, task.leg, task.attempt))
+                orders.append(messages.forget(task.job, task.task_index, task.attempt))
             else:
                 machine.foreign += 1
-                orders.append(messages.kill(task.job, task.leg, task.attempt, 0))
+                orders.append(messages.kill(task.job, task.task_index, task.attempt, 0))
             continue
         before = machine.tasks.get(key)
         known = before if before and before.attempt == task.attempt else None
@@ -194,7 +194,7 @@
             # A task that saves for longer than it was given is ended by a kill without grace.
             stuck = task.state == "flushing" and now - seen[key].since > stop.grace + timedelta(seconds=1)
             grace = 0.0 if stuck else stop.grace.total_seconds()
-            orders.append(messages.kill(task.job, task.leg, task.attempt, grace))
+            orders.append(messages.kill(task.job, task.task_index, task.attempt, grace))
     for key, (work, attempt) in recorded.items():
         if key in seen:
             continue
--- a/roadbend/fleet/messages.py
+++ b/roadbend/fleet/messages.py
@@ -7,12 +7,12 @@
 from roadbend.http.server import Malformed
 
 # A notice of more than a month says nothing.
-MOST_NOTICE = 30 * 86400.0
+MAX_NOTICE = 30 * 86400.0
 
 
 class TaskReport(NamedTuple):
     job: str
-    leg: int
+    task_index: int
     attempt: int
     state: str
     cause: str | None
@@ -23,7 +23,7 @@
 class Report:
     machine: str
     address: str
-    rig: str
+    machine_type: str
     zone: str
     spot: bool
     session: int
@@ -70,10 +70,10 @@
 
 
 def split_task(name: str) -> tuple[str, int]:
-    job, slash, leg = name.rpartition("/")
-    if not slash or not job or not leg.isascii() or not leg.isdigit() or len(leg) > 7:
+    job, slash, task_index = name.rpartition("/")
+    if not slash or not job or not task_index.isascii() or not task_index.isdigit() or len(task_index) > 7:
         raise Malformed("leg: expected job/number")
-    return job, int(leg)
+    return job, int(task_index)
 
 
 def read_report(data: Any) -> Report:
@@ -88,12 +88,12 @@
     for row in rows:
         if not isinstance(row, dict):
             raise Malformed("legs: expected maps")
-        job, leg = split_task(text(row.get("leg"), "leg"))
+        job, task_index = split_task(text(row.get("leg"), "leg"))
         cause = row.get("cause")
         tasks.append(
             TaskReport(
                 job,
-                leg,
+                task_index,
                 whole(row.get("try"), "try"),
                 text(row.get("status"), "status"),
                 None if cause is None else text(cause, "cause"),
@@ -110,19 +110,19 @@
         whole(data.get("stint"), "stint"),
         whole(data.get("tick"), "tick"),
         whole(data.get("baton"), "baton"),
-        None if notice is None else min(number(notice, "recallS"), MOST_NOTICE),
+        None if notice is None else min(number(notice, "recallS"), MAX_NOTICE),
         tuple(tasks),
         rows,
     )
 
 
-def run(job: str, leg: int, attempt: int) -> dict:
-    return {"verb": "run", "leg": f"{job}/{leg}", "try": attempt}
+def run(job: str, task_index: int, attempt: int) -> dict:
+    return {"verb": "run", "leg": f"{job}/{task_index}", "try": attempt}
 
 
-def kill(job: str, leg: int, attempt: int, grace_s: float) -> dict:
-    return {"verb": "kill", "leg": f"{job}/{leg}", "try": attempt, "windDownS": grace_s}
+def kill(job: str, task_index: int, attempt: int, grace_s: float) -> dict:
+    return {"verb": "kill", "leg": f"{job}/{task_index}", "try": attempt, "windDownS": grace_s}
 
 
-def forget(job: str, leg: int, attempt: int) -> dict:
-    return {"verb": "forget", "leg": f"{job}/{leg}", "try": attempt}
+def forget(job: str, task_index: int, attempt: int) -> dict:
+    return {"verb": "forget", "leg": f"{job}/{task_index}", "try": attempt}
--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -17,26 +17,26 @@
 from roadbend.peers.links import Peers
 from roadbend.placement.runtime import PartRuntime
 from roadbend.placement.shared import Shared
-from roadbend.rental.cloud import MOST_NAMES, Busy, Cloud, Listed, NoCapacity
+from roadbend.rental.cloud import MAX_NAMES, Busy, Cloud, Listed, NoCapacity
 from roadbend.store import records
 from roadbend.store.records import Attempt
 
 log = Log("fleet")
 # Bytes of names of machines that we tell their owner we hear, and reports of strangers that we remember.
-MOST_HEARD = 64 * 1024
-MOST_STRANGERS = 4096
+MAX_HEARD = 64 * 1024
+MAX_STRANGERS = 4096
 # Machines looked into at once; each takes a connection.
-MOST_PROBES = 48
+MAX_PROBES = 48
 # How long a direct order to start may go without an answer, and how many of its lives a token can number.
 DIRECT_WITHIN = timedelta(seconds=1.5)
-MOST_LIVES = (1 << records.LIFE_BITS) - 2
+MAX_INCARNATIONS = (1 << records.INCARNATION_BITS) - 2
 # How long looking into a machine, or gathering deletions, may take; more says that we ourselves stood still.
 PROBE_WITHIN = timedelta(seconds=3)
 # For how many of the workers' leases machines of a zone that can't be reached are kept.
 CUT_LEASES = 6
 
 
-class _Wave:
+class _DeletionBatch:
     """Deletions that go out in one call."""
 
     def __init__(self):
@@ -52,10 +52,10 @@
         self._peers = peers
         self._shared, self._net, self._cloud, self._runtimes = shared, net, cloud, runtimes
         # Reports of parts that we don't own, lately: part -> machine -> when, and which it was.
-        self._strangers: dict[str, OrderedDict[str, tuple[datetime, tuple[int, int]]]] = {}
+        self._foreign_reports: dict[str, OrderedDict[str, tuple[datetime, tuple[int, int]]]] = {}
         self.listed: dict[str, Listed] = {}
         self._was_listed: set[str] = set()
-        self._wave: _Wave | None = None
+        self._deletion_batch: _DeletionBatch | None = None
         self._probing: set[tuple[str, str]] = set()
         # By part: machines silent, machines known, and whether the silent ones are only spot machines.
         self._quiet: dict[str, tuple[int, int, bool]] = {}
@@ -75,7 +75,7 @@
 
     # Workers.
 
-    async def hello(self, request: Request) -> Response:
+    async def handle_report(self, request: Request) -> Response:
         now = clock.now()
         ownership = self._shared.ownership
         try:
@@ -100,13 +100,13 @@
             return Response(200, {"baton": answer[0], "orders": answer[1]})
         if report.zone not in ownership.parts():
             return Response(503, {"error": "no such part"})
-        heard = self._strangers.setdefault(report.zone, OrderedDict())
+        heard = self._foreign_reports.setdefault(report.zone, OrderedDict())
         last = heard.get(report.machine)
         # A late copy is no sign of life, here or in what the owner is told.
         if last is None or report.order > last[1]:
             heard[report.machine] = (now, report.order)
             heard.move_to_end(report.machine)
-        while len(heard) > MOST_STRANGERS:
+        while len(heard) > MAX_STRANGERS:
             heard.popitem(last=False)
         owner = ownership.holder(report.zone)
         if owner is None or owner == self._shared.settings.name:
@@ -115,17 +115,17 @@
 
     def heard(self, now: datetime) -> dict[str, tuple[str, ...]]:
         out = {}
-        for part, rows in self._strangers.items():
+        for part, rows in self._foreign_reports.items():
             names = [name for name, (at, _) in rows.items() if now - at < timedelta(seconds=6)]
             if names and part not in self._runtimes:
                 # The latest; those beyond are taken for silent a little sooner.
                 sizes = accumulate(len(name) + 2 for name in reversed(names))
-                out[part] = tuple(names[-sum(1 for size in sizes if size <= MOST_HEARD) :])
+                out[part] = tuple(names[-sum(1 for size in sizes if size <= MAX_HEARD) :])
         return out
 
     def _heard_elsewhere(self, part: str, machine: str, now: datetime) -> bool:
         return any(
-            link.alive(now) and link.known.pulse is not None and machine in link.known.pulse.heard.get(part, ())
+            link.alive(now) and link.known.heartbeat is not None and machine in link.known.heartbeat.heard.get(part, ())
             for link in self._peers.links.values()
         )
 
@@ -157,7 +157,7 @@
         """Starts that must not wait for the machine's next report. Once each; where no answer says what became of
         it, the machine's token is raised, so that the order is refused should it arrive later (`machines.Direct`)."""
         machine = runtime.machines.get(name)
-        if machine is None or machine.life >= MOST_LIVES:
+        if machine is None or machine.incarnation >= MAX_INCARNATIONS:
             return
         async with self._direct:
             now, recorded = clock.now(), runtime.by_machine().get(name, {})
@@ -259,7 +259,7 @@
 
     def _look(self, runtime: PartRuntime, nursery: trio.Nursery) -> None:
         now = clock.now()
-        op, settings = self._shared.op, self._shared.settings
+        operator, settings = self._shared.operator, self._shared.settings
         since = runtime.tenure.since
         index = runtime.by_machine()
         silent = []
@@ -268,9 +268,9 @@
             # What counts is not that it reports, but that it hears us.
             last = machine.heard_us if machine is not None else None
             if last is None:
-                overdue = self._silence(since, now) > op.find_owner
+                overdue = self._silence(since, now) > operator.find_owner
             else:
-                overdue = self._silence(last, now) > settings.report_every * op.silent_reports
+                overdue = self._silence(last, now) > settings.report_every * operator.silent_reports
             listed = self.listed.get(name)
             if listed is not None and listed.status == "failed":
                 overdue = True
@@ -283,7 +283,7 @@
         # The longest silent first, and only so many at once.
         ages = {name: m.heard_us or since if (m := runtime.machines.get(name)) else since for name in silent}
         for name in sorted(silent, key=ages.__getitem__):
-            if len(self._probing) >= MOST_PROBES:
+            if len(self._probing) >= MAX_PROBES:
                 break
             if (runtime.part, name) not in self._probing:
                 self._probing.add((runtime.part, name))
@@ -297,7 +297,7 @@
         report, known = self._shared.settings.report_every, runtime.machines.keys() | recorded | before
         silent = known - {m.id for m in runtime.machines.values() if m.fresh(now, report * 2.2)}
         settled = now - runtime.tenure.since > report * 3
-        if settled and len(known) >= 3 and len(silent) > self._shared.op.fence_share * len(known):
+        if settled and len(known) >= 3 and len(silent) > self._shared.operator.fence_share * len(known):
             self._cut[runtime.part] = (since, frozenset(silent))
         else:
             self._cut.pop(runtime.part, None)
@@ -319,11 +319,11 @@
 
         Deleting machines that are only cut off costs more than waiting. Told apart are waves in which the
         cloud takes spot machines back: only spot machines are silent, or they have left the list."""
-        op, s = self._shared.op, self._shared.settings
+        operator, s = self._shared.operator, self._shared.settings
         quiet, known, only_spot = self._quiet.get(runtime.part) or self._count_quiet(runtime, now)
         if self.cut_off(runtime.part, now):
             return True
-        if quiet >= 2 and quiet > op.fence_share * known and runtime.part not in self._cut:
+        if quiet >= 2 and quiet > operator.fence_share * known and runtime.part not in self._cut:
             return True
         mine = runtime.machines.get(name)
         if mine is None or mine.heard_us is None or now - mine.heard_us > s.lease * 1.3:
@@ -331,7 +331,7 @@
             return False
         if name in self._was_listed and name not in self.listed:
             return False
-        if quiet < 3 or quiet < op.common_share * known:
+        if quiet < 3 or quiet < operator.common_share * known:
             return False
         return not only_spot
 
@@ -347,7 +347,7 @@
         """Asks the machine itself. Its answer is newer than all that it said before we asked; if it counts
         from further back, or shows a lower token than it has carried, it has begun anew."""
         machine = runtime.machines.get(name)
-        before = (machine.order, machine.life, machine.ours) if machine is not None else None
+        before = (machine.order, machine.incarnation, machine.ours) if machine is not None else None
         client = Client(self._net, address, most=1, keep=0)
         for _ in range(2):
             try:
@@ -357,10 +357,10 @@
                 continue
             if report is None or report.machine != name:
                 continue
-            if machine is not None and runtime.machines.get(name) is machine and machine.life == before[1]:
+            if machine is not None and runtime.machines.get(name) is machine and machine.incarnation == before[1]:
                 machine.doubted = False
                 if report.order <= before[0] or before[2] and report.token < runtime.token(machine):
-                    runtime.rebirth(machine, report.order)
+                    runtime.begin_incarnation(machine, report.order)
             return True
         return False
 
@@ -422,30 +422,32 @@
 
     async def _delete(self, name: str) -> None:
         """Machines fall silent together; they go in one call, for the cloud's calls are few."""
-        wave = self._wave
-        if wave is not None and len(wave.names) < MOST_NAMES:
-            wave.names.append(name)
-            await wave.done.wait()
-            if wave.error is not None:
-                raise wave.error
+        deletion_batch = self._deletion_batch
+        if deletion_batch is not None and len(deletion_batch.names) < MAX_NAMES:
+            deletion_batch.names.append(name)
+            await deletion_batch.done.wait()
+            if deletion_batch.error is not None:
+                raise deletion_batch.error
             return
-        wave = self._wave = _Wave()
-        wave.names.append(name)
+        deletion_batch = self._deletion_batch = _DeletionBatch()
+        deletion_batch.names.append(name)
         await clock.pause(timedelta(milliseconds=150))
-        if self._wave is wave:
-            self._wave = None
+        if self._deletion_batch is deletion_batch:
+            self._deletion_batch = None
         try:
-            await self._cloud.delete(wave.names, urgent=True, still=lambda: clock.now() - wave.began < PROBE_WITHIN)
-            wave.error = None
+            await self._cloud.delete(
+                deletion_batch.names, urgent=True, still=lambda: clock.now() - deletion_batch.began < PROBE_WITHIN
+            )
+            deletion_batch.error = None
         except (NoAnswer, Busy, NoCapacity) as error:
-            wave.error = error
+            deletion_batch.error = error
             raise
         finally:
-            wave.done.set()
+            deletion_batch.done.set()
 
     def _expire(self, runtime: PartRuntime, name: str) -> None:
         """No deletion to be had: the worker's own lease is the proof, where it is one."""
-        now, s, margin = clock.now(), self._shared.settings, self._shared.op.state_margin
+        now, s, margin = clock.now(), self._shared.settings, self._shared.operator.state_margin
         machine = runtime.machines.get(name)
         if machine is not None and machine.ours:
             # It has carried our token, so nobody else's answer counts; ours last did at `answered`.
--- a/roadbend/fleet/test_lives.py
+++ b/roadbend/fleet/test_lives.py
@@ -5,8 +5,8 @@
 
 import trio
 
+from roadbend.fakes.world import job, world
 from roadbend.settings import Operator
-from roadbend.standins.world import job, world
 from roadbend.store import records
 
 SERVICE = {"shape": "daemon", "expectedS": 0.0, "dueS": None, "loaners": False}
@@ -60,11 +60,11 @@
         fleet = w.nodes["node-1"].fleet
         for body in (copies[2], copies[2], copies[0], copies[1]):
             assert (await w.call(1, "POST", "/hello", body))[0] == 421
-            at = fleet._strangers["east"][name]
+            at = fleet._foreign_reports["east"][name]
             await trio.sleep(1)
         assert at[1] == (copies[2]["stint"], copies[2]["tick"])
         await trio.sleep(3)
-        assert w.nodes["node-1"].fleet.heard(fleet._strangers["east"][name][0] + timedelta(seconds=7)) == {}
+        assert w.nodes["node-1"].fleet.heard(fleet._foreign_reports["east"][name][0] + timedelta(seconds=7)) == {}
         assert w.board.running("run-000002") and len(w.board.starts) == 1
 
 
@@ -75,11 +75,11 @@
         name = machine_of(w, "run-000003/0")
         await trio.sleep(10)
         runtime = w.nodes["node-0"].runtimes["east"]
-        former = [w.cloud.machines[name].worker.report() for _ in range(30)]
+        previous_version = [w.cloud.machines[name].worker.report() for _ in range(30)]
         # What it held a moment ago: nothing, under the token that it had; the task was not there yet.
-        copies = [{**body, "legs": []} for body in former]
+        copies = [{**body, "legs": []} for body in previous_version]
         w.cloud.reboot(name)
-        assert await w.until(lambda: runtime.machines[name].life == 1 and runtime.machines[name].ours, 20)
+        assert await w.until(lambda: runtime.machines[name].incarnation == 1 and runtime.machines[name].ours, 20)
         for body in copies:
             assert (await w.call(0, "POST", "/hello", body))[0] == 503
         # The same attempt goes on where it was; nobody else was given the task meanwhile.
@@ -87,7 +87,7 @@
         assert {home for _, _, home in w.board.starts} == {name}
         await trio.sleep(30)
         assert w.board.running("run-000003") and name in w.cloud.machines
-        assert runtime.machines[name].life <= 2, "copies must not make it look anew for ever"
+        assert runtime.machines[name].incarnation <= 2, "copies must not make it look anew for ever"
 
 
 async def test_a_deaf_machine_gets_nothing_new_and_is_replaced_on_proof():
@@ -137,10 +137,10 @@
     once in the middle of an election, the state service is out for a moment."""
     for seed in range(3):
         rng = random.Random(seed)
-        async with world(op=Operator(reoffer_every=timedelta(seconds=2))) as w:
+        async with world(operator=Operator(reoffer_every=timedelta(seconds=2))) as w:
             for n in range(10, 16):
-                legs = rng.randint(1, 3)
-                assert await w.submit(n % 3, job(n, legs=legs, dueS=60.0, crew="blue"), 15.0) == 201
+                tasks = rng.randint(1, 3)
+                assert await w.submit(n % 3, job(n, legs=tasks, dueS=60.0, crew="blue"), 15.0) == 201
             assert await w.submit(0, job(20, legs=2, **SERVICE), None) == 201
             copies = []
             for _ in range(60):
--- a/roadbend/fleet/test_machines.py
+++ b/roadbend/fleet/test_machines.py
@@ -6,11 +6,11 @@
 import pytest
 
 from roadbend import clock
+from roadbend.fakes.world import job
 from roadbend.fleet import machines, messages
 from roadbend.fleet.machines import Direct, Machine, Stop
 from roadbend.http.server import Malformed
 from roadbend.intake.messages import read_submission
-from roadbend.standins.world import job
 from roadbend.store.records import Attempt, Job, Need
 from roadbend.store.view import Work
 
@@ -21,8 +21,8 @@
 
 def report(token=TERM, seq=5, session=1, tasks=(), **more):
     rows = [
-        {"leg": leg, "try": attempt, "status": state, "cause": cause, "colour": "ignored"}
-        for leg, attempt, state, cause in tasks
+        {"leg": task_index, "try": attempt, "status": state, "cause": cause, "colour": "ignored"}
+        for task_index, attempt, state, cause in tasks
     ]
     body = {
         "hitch": "m-1", "address": "m-1:1", "rig": "g2", "yard": "east", "loaners": False,
@@ -70,9 +70,9 @@
     assert not settled(6) and not settled(7) and settled(8)
     # Never answered: the machine must show the higher token first.
     machine.direct[KEY].order = None
-    life = machine.life
+    incarnation = machine.incarnation
     machine.fence()
-    assert machine.life == life + 1 and not machine.ours
+    assert machine.incarnation == incarnation + 1 and not machine.ours
     assert settled(9) and not settled(9, current=False)
 
 
--- a/roadbend/fleet/test_standing_still.py
+++ b/roadbend/fleet/test_standing_still.py
@@ -3,9 +3,9 @@
 import pytest
 import trio
 
+from roadbend.fakes.world import job, world
 from roadbend.rental.cloud import Busy
 from roadbend.settings import Team
-from roadbend.standins.world import job, world
 
 
 async def test_a_controller_that_stood_still_takes_no_machine_for_silent():
@@ -44,7 +44,7 @@
         assert still()
         node.ownership._forget("east", "for the story")
         assert not still()
-        for call in (node.cloud.delete([machine], still=still), node.cloud.hire("h-1", "g2", "east", False, 1, still)):
+        for call in (node.cloud.delete([machine], still=still), node.cloud.rent("h-1", "g2", "east", False, 1, still)):
             with pytest.raises(Busy):
                 await call
         assert list(w.cloud.machines) == [machine]
--- a/roadbend/http/server.py
+++ b/roadbend/http/server.py
@@ -20,8 +20,8 @@
 # How often all connections are looked at for that.
 SWEEP_S = 1.0
 # Heads of requests and of answers that are remembered, and how long one may be.
-MOST_HEADS = 4096
-MOST_HEAD = 512
+MAX_HEADS = 4096
+MAX_HEAD = 512
 
 
 @dataclass(frozen=True)
@@ -199,8 +199,8 @@
         end = data.find(b"\r\n\r\n") + 4
         plain = request.method in ("GET", "POST") and head.http_version == b"1.1" and conn.their_state is h11.DONE
         odd = any(name in (b"transfer-encoding", b"expect", b"upgrade") for name, _ in head.headers)
-        if plain and not odd and 4 <= end <= MOST_HEAD and data[end:] == request.body and not conn.trailing_data[0]:
-            if len(self._heads) >= MOST_HEADS:
+        if plain and not odd and 4 <= end <= MAX_HEAD and data[end:] == request.body and not conn.trailing_data[0]:
+            if len(self._heads) >= MAX_HEADS:
                 self._heads.clear()
             self._heads[data[:end]] = (request.method, request.path, request.query, len(request.body))
 
@@ -250,7 +250,7 @@
             conn.receive_data(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
             while conn.next_event() is not h11.NEED_DATA and conn.their_state is not h11.DONE:
                 pass
-            if len(self._answers) >= MOST_HEADS:
+            if len(self._answers) >= MAX_HEADS:
                 self._answers.clear()
             found = self._answers[key] = conn.send(self._answer(status, size, more, close))
         return found
--- a/roadbend/intake/messages.py
+++ b/roadbend/intake/messages.py
@@ -6,16 +6,16 @@
 
 from roadbend.fleet.messages import flag, number, text, whole
 from roadbend.http.server import Malformed
-from roadbend.rental.cloud import Rig
+from roadbend.rental.cloud import MachineType
 from roadbend.settings import Team
 from roadbend.store.records import PRIORITY, Need, Spec
 
 ID = re.compile(r"run-[0-9]{1,20}\Z")
-MOST_TASKS = 100_000
+MAX_TASKS = 100_000
 # A name this long has no use, and a record with several of them would outgrow its value.
-MOST_NAME = 120
-MOST_RIGS = 32
-MOST_SECONDS = 1e9
+MAX_NAME = 120
+MAX_RIGS = 32
+MAX_SECONDS = 1e9
 
 STATUS_PENDING, STATUS_RUNNING, STATUS_DONE, STATUS_ABORTED = "pending", "running", "done", "aborted"
 
@@ -29,7 +29,7 @@
 
 
 def _seconds(value: Any, name: str) -> timedelta:
-    return timedelta(seconds=_amount(value, name, MOST_SECONDS))
+    return timedelta(seconds=_amount(value, name, MAX_SECONDS))
 
 
 def _amount(value: Any, name: str, most: float = 1e9) -> float:
@@ -56,8 +56,8 @@
     rank = data.get("rank")
     if not isinstance(rank, str) or rank not in PRIORITY:
         raise Malformed("rank: expected production, high, normal or best_effort")
-    legs = whole(data.get("legs"), "legs")
-    if not 1 <= legs <= MOST_TASKS:
+    task_count = whole(data.get("legs"), "legs")
+    if not 1 <= task_count <= MAX_TASKS:
         raise Malformed("legs: out of range")
     need = Need(
         _amount(data.get("vcpus"), "vcpus"),
@@ -66,26 +66,26 @@
     )
     if need.cpus <= 0 and need.gpus <= 0 and need.memory <= 0:
         raise Malformed("vcpus: a task that takes nothing")
-    rigs = data.get("rigs")
-    if rigs is not None:
-        if not isinstance(rigs, list) or not rigs or len(rigs) > MOST_RIGS:
+    machine_types = data.get("rigs")
+    if machine_types is not None:
+        if not isinstance(machine_types, list) or not machine_types or len(machine_types) > MAX_RIGS:
             raise Malformed("rigs: expected a list of names")
-        rigs = tuple(text(rig, "rigs", MOST_NAME) for rig in rigs)
+        machine_types = tuple(text(machine_type, "rigs", MAX_NAME) for machine_type in machine_types)
     yard = data.get("yard")
     due = data.get("dueS")
     return job, Spec(
-        team=text(data.get("crew"), "crew", MOST_NAME),
-        lane=text(data.get("lane"), "lane", MOST_NAME),
+        team=text(data.get("crew"), "crew", MAX_NAME),
+        job_class=text(data.get("lane"), "lane", MAX_NAME),
         service=shape == "daemon",
         priority=PRIORITY[rank],
-        legs=legs,
+        task_count=task_count,
         need=need,
-        rigs=rigs,
-        zone=None if yard is None else text(yard, "yard", MOST_NAME),
+        machine_types=machine_types,
+        zone=None if yard is None else text(yard, "yard", MAX_NAME),
         together=flag(data.get("together"), "together"),
         apart=flag(data.get("apart"), "apart"),
         spot=flag(data.get("loaners"), "loaners"),
-        image=text(data.get("bundle"), "bundle", MOST_NAME),
+        image=text(data.get("bundle"), "bundle", MAX_NAME),
         image_gb=_amount(data.get("imageGb"), "imageGb"),
         expected=_seconds(data.get("expectedS"), "expectedS"),
         checkpoint=_seconds(data.get("milestoneS"), "milestoneS"),
@@ -95,29 +95,29 @@
     )
 
 
-def can_run(spec: Spec, teams: dict[str, Team], rigs: dict[str, Rig]) -> None:
+def can_run(spec: Spec, teams: dict[str, Team], machine_types: dict[str, MachineType]) -> None:
     team = teams.get(spec.team)
     if team is None:
         raise NeverRuns("unknown team")
     # A service and a gang need all of their tasks at once, an array one at a time.
-    total = spec.need.times(spec.legs if spec.service or spec.gang else 1)
+    total = spec.need.times(spec.task_count if spec.service or spec.gang else 1)
     for want, most, name in ((total.cpus, team.cpus_max, "vcpus"), (total.gpus, team.gpus_max, "gpus")):
         if 0 < most < want - 1e-9:
             raise NeverRuns(f"more {name} than the team's limit")
     fits = [
-        rig
-        for rig in rigs.values()
-        if (spec.rigs is None or rig.name in spec.rigs)
-        and (spec.zone is None or spec.zone in rig.zones)
-        and spec.need.cpus <= rig.room.cpus + 1e-9
-        and spec.need.gpus <= rig.room.gpus + 1e-9
-        and spec.need.memory <= rig.room.memory + 1e-9
+        machine_type
+        for machine_type in machine_types.values()
+        if (spec.machine_types is None or machine_type.name in spec.machine_types)
+        and (spec.zone is None or spec.zone in machine_type.zones)
+        and spec.need.cpus <= machine_type.room.cpus + 1e-9
+        and spec.need.gpus <= machine_type.room.gpus + 1e-9
+        and spec.need.memory <= machine_type.room.memory + 1e-9
     ]
     if not fits:
         raise NeverRuns("a task fits no allowed machine type")
-    zones = {zone for rig in fits for zone in rig.zones if spec.zone in (None, zone)}
-    if spec.apart and spec.legs > 1 and (len(zones) < 2 or spec.together):
+    zones = {zone for machine_type in fits for zone in machine_type.zones if spec.zone in (None, zone)}
+    if spec.apart and spec.task_count > 1 and (len(zones) < 2 or spec.together):
         raise NeverRuns("apart leaves no zone for the other half")
-    if spec.gang and spec.apart and spec.legs > 1:
+    if spec.gang and spec.apart and spec.task_count > 1:
         # One part owns a gang whole, and a part is a zone.
         raise NeverRuns("a gang that is to be apart is not served")
--- a/roadbend/intake/test_intake.py
+++ b/roadbend/intake/test_intake.py
@@ -5,11 +5,11 @@
 import pytest
 import trio
 
+from roadbend.fakes.world import MACHINE_TYPE, job, settings_for, world
 from roadbend.http.server import Malformed
 from roadbend.intake.limit import Limit
 from roadbend.intake.messages import NeverRuns, can_run, read_submission
-from roadbend.rental.cloud import read_rigs
-from roadbend.standins.world import RIG, job, settings_for, world
+from roadbend.rental.cloud import read_machine_types
 
 NAN, INF = float("nan"), float("inf")
 
@@ -67,10 +67,10 @@
      {"legs": 2, "apart": True, "yard": "east"}],
 )  # fmt: skip
 def test_what_can_never_run_is_said_so(change):
-    settings, rigs = settings_for(0, 3), read_rigs([RIG])
-    can_run(read_submission(job(1))[1], settings.teams, rigs)
+    settings, machine_types = settings_for(0, 3), read_machine_types([MACHINE_TYPE])
+    can_run(read_submission(job(1))[1], settings.teams, machine_types)
     with pytest.raises(NeverRuns):
-        can_run(read_submission(job(1, **change))[1], settings.teams, rigs)
+        can_run(read_submission(job(1, **change))[1], settings.teams, machine_types)
 
 
 async def test_the_interface_answers_what_it_cannot_take():
--- a/roadbend/intake/users.py
+++ b/roadbend/intake/users.py
@@ -25,7 +25,7 @@
 from roadbend.store.records import Job
 
 log = Log("intake")
-MOST_ENDS = 20_000
+MAX_ENDS = 20_000
 # How much of a value a job's record may take before any of its tasks is held by a part.
 LARGEST = 0.7
 SUBMIT_SHARE, POLL_SHARE = 0.7, 1.0
@@ -36,7 +36,7 @@
 class Ends:
     """Final states, which never change: a bounded cache before the state service."""
 
-    def __init__(self, most: int = MOST_ENDS):
+    def __init__(self, most: int = MAX_ENDS):
         self._most = most
         self._rows: OrderedDict[str, tuple[str, int]] = OrderedDict()
 
@@ -60,10 +60,15 @@
         submit: Callable[[str], None],
         told: Callable[[str], None],
         spread: Callable[[], Awaitable[None]],
-        aside: Callable[[datetime], bool],
+        state_refuses_only_us: Callable[[datetime], bool],
         limit: Limit,
     ):
-        self._shared, self._submit, self._told, self._aside = shared, submit, told, aside
+        self._shared, self._submit, self._told, self._state_refuses_only_us = (
+            shared,
+            submit,
+            told,
+            state_refuses_only_us,
+        )
         self._spread = spread
         self.limit = limit
         self.ends = Ends()
@@ -134,18 +139,18 @@
             return self._later("no state")
         if not self._fresh(clock.now()):
             return self._later("no state")
-        if not shared.rigs:
+        if not shared.machine_types:
             # Not decided yet: the machine types are not known.
             return self._later("starting")
         try:
-            messages.can_run(spec, shared.settings.teams, shared.rigs)
+            messages.can_run(spec, shared.settings.teams, shared.machine_types)
         except NeverRuns as error:
             return await self._refuse(name, 422, str(error))
         job = Job(name, spec, clock.wall())
         value = job.to_value()
         if records.weigh(value) > shared.settings.value_bytes * LARGEST:
             return await self._refuse(name, 400, "rigs: more names than a record holds")
-        if spec.gang and spec.legs > shared.settings.widest_gang:
+        if spec.gang and spec.task_count > shared.settings.widest_gang:
             # All of its tasks must be recorded in one transaction.
             return await self._refuse(name, 422, "wider than any gang that can start")
         rows = [put(records.job_key(name), value)]
@@ -153,7 +158,7 @@
             rows.insert(0, put(records.gang_key(name), 1))
         when = {records.job_key(name): 0, records.fin_key(name): 0}
         try:
-            ledger = await commit(shared.state, when, rows, within=timedelta(seconds=2.5))
+            revision = await commit(shared.state, when, rows, within=timedelta(seconds=2.5))
         except Conflict:
             # Known already, by an earlier try or by our own unanswered one.
             with trio.move_on_after(2):
@@ -162,9 +167,9 @@
                     self._submit(name)
                 return await self._state(name, 200)
             return self._later("no state")
-        shared.view.applied(rows, ledger)
+        shared.view.applied(rows, revision)
         log.info(
-            "accepted", job=name, team=spec.team, tasks=spec.legs, service=spec.service,
+            "accepted", job=name, team=spec.team, tasks=spec.task_count, service=spec.service,
             expected=spec.expected.total_seconds(), due=None if spec.due is None else spec.due.total_seconds(),
             image=f"{spec.image}:{spec.image_gb:.1f}",
         )  # fmt: skip
@@ -232,7 +237,7 @@
     def _later(self, why: str) -> Response:
         """Where the state service refuses us alone, the connection is closed too: the next try reaches a
         controller that it serves, instead of this one again."""
-        return Response(503, {"error": why}, wait_header(1), close=self._aside(clock.now()))
+        return Response(503, {"error": why}, wait_header(1), close=self._state_refuses_only_us(clock.now()))
 
     async def _withdraw(self, name: str) -> Response:
         if not messages.valid_id(name):
@@ -259,14 +264,14 @@
                 ]
                 if job.spec.gang:
                     rows.append(delete(records.gang_key(name)))
-                when = {records.job_key(name): job.stamp, records.fin_key(name): 0}
+                when = {records.job_key(name): job.mod_revision, records.fin_key(name): 0}
                 try:
-                    ledger = await commit(shared.state, when, rows, within=timedelta(seconds=2.5), urgent=True)
+                    revision = await commit(shared.state, when, rows, within=timedelta(seconds=2.5), urgent=True)
                 except Conflict:
                     await shared.reader.sync()
                     continue
                 # Recorded before it is told. Owners stop the tasks of a job that is no longer live.
-                shared.view.applied(rows, ledger)
+                shared.view.applied(rows, revision)
                 log.info("cancelled", job=name)
                 return await self._told_all(name, (STATUS_ABORTED, done))
         return self._later("no state")
--- a/roadbend/node.py
+++ b/roadbend/node.py
@@ -18,8 +18,8 @@
 from roadbend.log import Log
 from roadbend.parts.ownership import START_FRESH, Ownership
 from roadbend.peers import frames
+from roadbend.peers.heartbeat import Heartbeat
 from roadbend.peers.links import Link, Peers
-from roadbend.peers.pulse import Pulse
 from roadbend.placement.runtime import PartRuntime
 from roadbend.placement.shared import Shared
 from roadbend.rental.cloud import Cloud
@@ -30,15 +30,15 @@
 from roadbend.store.view import Reader, View
 
 log = Log("node")
-MOST_TOLD = 256
+MAX_TOLD = 256
 # Sockets kept for what we open ourselves (the state service 16, the cloud 6, machines asked and told 64, peers),
 # for peers' connections to us, and for connections that are just being closed.
 OWN_SOCKETS = 200
 
 
 class Node:
-    def __init__(self, settings: Settings, op: Operator, net: Net, rng: random.Random, boot: str | None = None):
-        self.settings, self.op, self.net = settings, op, net
+    def __init__(self, settings: Settings, operator: Operator, net: Net, rng: random.Random, boot: str | None = None):
+        self.settings, self.operator, self.net = settings, operator, net
         # The id of this life of the process ends with what it understands beyond version 2 of the frames.
         self.boot = (boot or secrets.token_hex(6)) + frames.GANGS
         self.began = clock.now()
@@ -48,16 +48,21 @@
         self.state = StateClient(Client(net, settings.state, most=16, keep=8), self.budget, rng=rng)
         self.cloud = Cloud(Client(net, settings.cloud, most=6, keep=2), settings.cloud_rps, settings.controllers)
         self.view = View()
-        self.reader = Reader(self.view, self.state, op)
+        self.reader = Reader(self.view, self.state, operator)
         self.peers = Peers(net, settings.name, settings.peers, rng)
-        self.ownership = Ownership(settings, op, self.boot, self.state, self.view, self.reader, self.peers)
-        self.shared = Shared(settings, op, self.state, self.view, self.reader, self.ownership)
+        self.ownership = Ownership(settings, operator, self.boot, self.state, self.view, self.reader, self.peers)
+        self.shared = Shared(settings, operator, self.state, self.view, self.reader, self.ownership)
         self.runtimes: dict[str, PartRuntime] = {}
         self.fleet = Fleet(self.shared, net, self.cloud, self.peers, self.runtimes)
         self.rental = Rental(self.shared, self.cloud, self.fleet, self.runtimes, rng)
         self.exchange = Exchange(self.shared, self.peers, self.runtimes, self.rental.closed, rng)
         self.users = Users(
-            self.shared, self.exchange.submit, self._tell, self.spread, self.aside, Limit(ceiling=op.users_at_once)
+            self.shared,
+            self.exchange.submit,
+            self._tell,
+            self.spread,
+            self.state_refuses_only_us,
+            Limit(ceiling=operator.users_at_once),
         )
         self.told: OrderedDict[str, datetime] = OrderedDict()
         # Workers' connections are kept from storms of users, until a living worker would have reported twice.
@@ -81,7 +86,7 @@
         if path == "/hello":
             if request.method != "POST":
                 return Response(405, {"error": "POST"}, (("allow", "POST"),))
-            return await self.fleet.hello(request)
+            return await self.fleet.handle_report(request)
         if path == "/up":
             if request.method != "GET":
                 return Response(405, {"error": "GET"}, (("allow", "GET"),))
@@ -94,35 +99,35 @@
     def up(self, now: datetime) -> bool:
         """Not up while the state service refuses us and serves a peer; in a common outage all stay up
         and answer 503 quickly."""
-        if self.reader.contact is None or not self.shared.rigs:
+        if self.reader.contact is None or not self.shared.machine_types:
             return False
-        return not self.aside(now)
+        return not self.state_refuses_only_us(now)
 
-    def aside(self, now: datetime) -> bool:
+    def state_refuses_only_us(self, now: datetime) -> bool:
         """Whether the state service does without us alone."""
         contact = self.reader.contact
         if contact is not None and now - contact < timedelta(seconds=2):
             return False
         for link in self.peers.links.values():
-            pulse, at = link.known.pulse, link.known.heard_at
-            if pulse is None or at is None or now - at > timedelta(seconds=3):
+            heartbeat, at = link.known.heartbeat, link.known.heard_at
+            if heartbeat is None or at is None or now - at > timedelta(seconds=3):
                 continue
-            if pulse.contact_age is not None and pulse.contact_age < timedelta(seconds=1.5):
+            if heartbeat.contact_age is not None and heartbeat.contact_age < timedelta(seconds=1.5):
                 return True
         return False
 
     # Pulses.
 
-    def pulse(self) -> Pulse:
+    def heartbeat(self) -> Heartbeat:
         now = clock.now()
         contact = self.reader.contact
         span = self.settings.cancel_within * 3
         while self.told and now - next(iter(self.told.values())) > span:
             self.told.popitem(last=False)
-        told = list(self.told.items())[-MOST_TOLD:]
+        told = list(self.told.items())[-MAX_TOLD:]
         if len(told) < len(self.told):
             span = now - told[0][1]
-        return Pulse(
+        return Heartbeat(
             self.boot,
             now - self.began,
             None if contact is None else now - contact,
@@ -134,17 +139,17 @@
         )
 
     def _on_ping(self, sender: str, payload: bytes) -> bytes:
-        self._learn(Pulse.unpack(payload))
-        return self.pulse().pack()
+        self._learn(Heartbeat.unpack(payload))
+        return self.heartbeat().pack()
 
-    def _took(self, link: Link, pulse: Pulse, asked: datetime) -> None:
-        link.known.take(pulse, asked, clock.now(), self.reader.contact)
-        self._learn(pulse)
+    def _took(self, link: Link, heartbeat: Heartbeat, asked: datetime) -> None:
+        link.known.take(heartbeat, asked, clock.now(), self.reader.contact)
+        self._learn(heartbeat)
 
-    def _learn(self, pulse: Pulse) -> None:
-        for part, term in pulse.owned.items():
+    def _learn(self, heartbeat: Heartbeat) -> None:
+        for part, term in heartbeat.owned.items():
             self.ownership.superseded(part, term)
-        if self.shared.cancel(pulse.told):
+        if self.shared.cancel(heartbeat.told):
             # A calm report is answered at a look: what is to be stopped must be marked before the next one comes.
             for runtime in self.runtimes.values():
                 runtime.stop_dead(clock.now())
@@ -153,7 +158,7 @@
         """A user learns from us that its job is cancelled; peers hear of it without the records."""
         if job not in self.told:
             self.told[job] = clock.now()
-            while len(self.told) > 4 * MOST_TOLD:
+            while len(self.told) > 4 * MAX_TOLD:
                 self.told.popitem(last=False)
 
     async def spread(self) -> None:
@@ -163,7 +168,7 @@
         most = START_FRESH * (1 + 2 * clock.DRIFT)
 
         async def tell(link: Link) -> None:
-            while not await link.beat(self.pulse, self._took):
+            while not await link.beat(self.heartbeat, self._took):
                 await clock.pause(timedelta(milliseconds=200))
             heard.add(link.peer.name)
 
@@ -193,11 +198,11 @@
             name = key.removeprefix("r/job/")
             for part, runtime in self.runtimes.items():
                 if name in self.view.held.get(part, ()) or name in runtime.works():
-                    runtime.kick.set()
+                    runtime.wake_up.set()
         elif key.startswith("r/team/"):
             for runtime in self.runtimes.values():
                 if runtime.left:
-                    runtime.kick.set()
+                    runtime.wake_up.set()
 
     def _on_ownership(self, part: str) -> None:
         tenure = self.ownership.tenure(part)
@@ -222,7 +227,7 @@
             for part, runtime in list(self.runtimes.items()):
                 last = max((m.reported for m in runtime.machines.values() if m.reported), default=runtime.tenure.since)
                 heard = any(
-                    link.alive(now) and link.known.pulse and link.known.pulse.heard.get(part)
+                    link.alive(now) and link.known.heartbeat and link.known.heartbeat.heard.get(part)
                     for link in self.peers.links.values()
                 )
                 quiet = now - max(last, runtime.tenure.since) > self.settings.report_every * 2.5
@@ -242,7 +247,9 @@
             await clock.pause(timedelta(seconds=1))
             now = clock.now()
             others = [
-                link.known.pulse.used for link in self.peers.links.values() if link.alive(now) and link.known.pulse
+                link.known.heartbeat.used
+                for link in self.peers.links.values()
+                if link.alive(now) and link.known.heartbeat
             ]
             self.budget.share([used[:2] for used in others])
             self.cloud.share([used[2] for used in others])
@@ -256,7 +263,7 @@
             await nursery.start(self.net.listen, self.settings.listen, self.server.serve)
             await nursery.start(self.net.listen, self.settings.back, self.peers.serve)
             for link in self.peers.links.values():
-                nursery.start_soon(link.run, self.pulse, self._took)
+                nursery.start_soon(link.run, self.heartbeat, self._took)
             nursery.start_soon(self.server.sweep)
             nursery.start_soon(self.reader.run)
             nursery.start_soon(self.ownership.run)
--- a/roadbend/parts/ownership.py
+++ b/roadbend/parts/ownership.py
@@ -45,7 +45,7 @@
 
     part: str
     term: int
-    stamp: int
+    mod_revision: int
     since: datetime
 
 
@@ -61,15 +61,15 @@
         peers: Peers,
     ):
         self.lock = threading.RLock()
-        self._settings, self._op, self._boot = settings, operator, boot
+        self._settings, self._operator, self._boot = settings, operator, boot
         self._state, self._view, self._reader, self._peers = state, view, reader, peers
         self._zones = {settings.name: settings.zone, **{p.name: p.zone for p in settings.peers}}
-        self._permit: int | None = None
+        self._lease_id: int | None = None
         self._valid: datetime | None = None
         self._renewed: datetime | None = None
         self._absent: dict[str, datetime] = {}
         self._alive_since: dict[str, datetime] = {}
-        self._aloof: dict[str, datetime] = {}
+        self._declining_until: dict[str, datetime] = {}
         self.tenures: dict[str, Tenure] = {}
         self.changed: list[Callable[[str], None]] = []
 
@@ -79,7 +79,7 @@
         zones = set(self._settings.zones) | set(self._zones.values())
         catalog = self._view.catalog
         if isinstance(catalog, list):
-            zones.update(z for rig in catalog for z in rig.get("yards", ()))
+            zones.update(z for machine_type in catalog for z in machine_type.get("yards", ()))
         return sorted(zones)
 
     def tenure(self, part: str) -> Tenure | None:
@@ -97,7 +97,7 @@
             [link.known for link in self._peers.links.values()],
             s.cancel_within,
             s.lease,
-            self._op.state_margin,
+            self._operator.state_margin,
         )
         return until is not None and now < until
 
@@ -141,7 +141,7 @@
             try:
                 if self._view.loaded:
                     await self._keep_lease()
-                    if self._permit is not None:
+                    if self._lease_id is not None:
                         await self._consider()
             except (Refused, NoAnswer, Unavailable):
                 pass
@@ -150,21 +150,21 @@
             await clock.pause(timedelta(milliseconds=300))
 
     async def _keep_lease(self) -> None:
-        ttl = self._op.own_lease
+        ttl = self._operator.own_lease
         now = clock.now()
-        if self._permit is not None and self._renewed is not None and now - self._renewed < ttl / 3:
+        if self._lease_id is not None and self._renewed is not None and now - self._renewed < ttl / 3:
             return
         try:
-            if self._permit is None:
-                permit = await self._state.lease(ttl)
-                await self._announce(permit)
-                self._permit = permit
+            if self._lease_id is None:
+                lease_id = await self._state.lease(ttl)
+                await self._announce(lease_id)
+                self._lease_id = lease_id
             else:
-                await self._state.renew(self._permit)
+                await self._state.renew(self._lease_id)
                 mine = self._view.nodes.get(self._settings.name)
                 if mine is None or mine.boot != self._boot:
                     # A late transaction of a former life, or of a lease that we gave up, took it away.
-                    await self._announce(self._permit)
+                    await self._announce(self._lease_id)
         except Conflict:
             # Somebody of this name wrote it meanwhile, or our own unanswered try went through; that may hang on
             # a lease that nobody renews. It is written anew on what is there now, under a lease that we renew.
@@ -172,20 +172,22 @@
             return
         except NoLease:
             # Our keys are gone with it; what we owned may already be someone else's.
-            self._permit = self._valid = self._renewed = None
+            self._lease_id = self._valid = self._renewed = None
             self._drop_all("lease ended")
             return
         # Counted from before the renewal was sent, shortened for drift.
         self._renewed = now
         self._valid = now + ttl * (1 - 2 * clock.DRIFT) - timedelta(milliseconds=200)
 
-    async def _announce(self, permit: int) -> None:
+    async def _announce(self, lease_id: int) -> None:
         """Our name among the live ones. A former life may still have the same transaction on its way: with what
         was there as the condition, it can't come after ours."""
         key = records.node_key(self._settings.name)
-        rows = [put(key, {"boot": self._boot}, permit)]
-        when = {key: self._view.stamp(key)}
-        self._view.applied(rows, await commit(self._state, when, rows, within=self._op.own_lease / 2, urgent=True))
+        rows = [put(key, {"boot": self._boot}, lease_id)]
+        when = {key: self._view.mod_revision(key)}
+        self._view.applied(
+            rows, await commit(self._state, when, rows, within=self._operator.own_lease / 2, urgent=True)
+        )
 
     async def _read(self) -> bool:
         """Waits for a read that begins now; says whether it came in time."""
@@ -215,21 +217,21 @@
                 since = self._absent.setdefault(part, now)
                 if mine is not None:
                     self._forget(part, "key gone")
-                if now < self._aloof.get(part, now) and len(live) > 1:
+                if now < self._declining_until.get(part, now) and len(live) > 1:
                     continue
-                first = policy.preferred(part, self._zones, live - self._shy(part, now))
-                grace = clock.ZERO if first == me else self._op.takeover_grace * 2
+                first = policy.preferred(part, self._zones, live - self._declining(part, now))
+                grace = clock.ZERO if first == me else self._operator.takeover_grace * 2
                 local = self._zones.get(me) == part
                 if not local and not any(self._zones.get(n) == part for n in live):
                     # Its own controller is not up: at the start it is likely on its way.
-                    grace += self._op.takeover_grace
+                    grace += self._operator.takeover_grace
                 if now - since >= grace:
                     await self._take(part, 0, now)
                 continue
             self._absent.pop(part, None)
             if own.node == me and own.boot != self._boot:
                 # Ours from before a restart: back at once, under a new term.
-                await self._take(part, own.stamp, now)
+                await self._take(part, own.mod_revision, now)
             elif own.node == me and mine is None:
                 await self._release(part)
             elif mine is not None and own.node != me:
@@ -237,9 +239,9 @@
             elif mine is not None:
                 await self._maybe_hand_over(part, mine, live, now)
 
-    def _shy(self, part: str, now: datetime) -> set[str]:
+    def _declining(self, part: str, now: datetime) -> set[str]:
         me = self._settings.name
-        return {me} if now < self._aloof.get(part, now) else set()
+        return {me} if now < self._declining_until.get(part, now) else set()
 
     def _forget(self, part: str, why: str) -> None:
         with self.lock:
@@ -248,17 +250,17 @@
             log.info("lost", part=part, why=why)
             self._tell(part)
 
-    async def _take(self, part: str, own_stamp: int, now: datetime) -> None:
+    async def _take(self, part: str, own_mod_revision: int, now: datetime) -> None:
         old = self._view.terms.get(part)
         number = (old.number if old else 0) + 1
         me = self._settings.name
         rows = [
             put(records.term_key(part), {"n": number, "node": me}),
-            put(records.own_key(part), {"node": me, "boot": self._boot, "term": number}, self._permit),
+            put(records.own_key(part), {"node": me, "boot": self._boot, "term": number}, self._lease_id),
         ]
-        when = {records.term_key(part): old.stamp if old else 0, records.own_key(part): own_stamp}
+        when = {records.term_key(part): old.mod_revision if old else 0, records.own_key(part): own_mod_revision}
         try:
-            ledger = await commit(self._state, when, rows, within=self._op.own_lease / 2, urgent=True)
+            revision = await commit(self._state, when, rows, within=self._operator.own_lease / 2, urgent=True)
         except Conflict:
             # Somebody was faster, or an unanswered try of our own went through: the records tell.
             if not await self._read():
@@ -266,12 +268,12 @@
             own, term = self._view.owns.get(part), self._view.terms.get(part)
             if not (own and term and own.boot == self._boot and own.node == me and own.term == term.number):
                 return
-            ledger, number = term.stamp, term.number
+            revision, number = term.mod_revision, term.number
         except NoLease:
-            self._permit = None
+            self._lease_id = None
             self._drop_all("lease ended")
             return
-        self._view.applied(rows, ledger)
+        self._view.applied(rows, revision)
         # Whatever was written before our term must be in the view before we act on it. Where it can't be had, the
         # part is not ours: the key that we wrote is given up as soon as the records are back.
         if not await self._read():
@@ -282,9 +284,9 @@
         # If its own controller is alive and still left it to us, it is not handed back at once.
         for name, zone in self._zones.items():
             if zone == part and name != me and name in self._view.nodes:
-                self._aloof[f"{part}>{name}"] = now + timedelta(seconds=25)
+                self._declining_until[f"{part}>{name}"] = now + timedelta(seconds=25)
         with self.lock:
-            self.tenures[part] = Tenure(part, number, term.stamp, clock.now())
+            self.tenures[part] = Tenure(part, number, term.mod_revision, clock.now())
         log.info("took", part=part, term=number)
         self._tell(part)
 
@@ -294,37 +296,37 @@
             return
         rows = [delete(records.own_key(part))]
         try:
-            ledger = await commit(
-                self._state, {records.own_key(part): own.stamp}, rows, within=timedelta(seconds=2), urgent=True
+            revision = await commit(
+                self._state, {records.own_key(part): own.mod_revision}, rows, within=timedelta(seconds=2), urgent=True
             )
-            self._view.applied(rows, ledger)
+            self._view.applied(rows, revision)
         except Conflict:
             await self._read()
 
     async def _maybe_hand_over(self, part: str, mine: Tenure, live: set[str], now: datetime) -> None:
         me = self._settings.name
         first = policy.preferred(part, self._zones, live)
-        if first == me or first is None or now - mine.since < self._op.hand_back_after:
+        if first == me or first is None or now - mine.since < self._operator.hand_back_after:
             return
         if self._zones.get(first) != part or self._zones.get(me) == part:
             return
         link = self._peers.links.get(first)
-        if link is None or not link.alive(now) or now - self._alive_since[first] < self._op.hand_back_after:
+        if link is None or not link.alive(now) or now - self._alive_since[first] < self._operator.hand_back_after:
             return
-        pulse = link.known.pulse
-        if pulse is None or pulse.contact_age is None or pulse.contact_age > timedelta(seconds=2):
+        heartbeat = link.known.heartbeat
+        if heartbeat is None or heartbeat.contact_age is None or heartbeat.contact_age > timedelta(seconds=2):
             return
-        if now < self._aloof.get(f"{part}>{first}", now):
+        if now < self._declining_until.get(f"{part}>{first}", now):
             return
         log.info("hand-back", part=part, to=first)
-        self._aloof[part] = now + self._op.takeover_grace * 4
-        self._aloof[f"{part}>{first}"] = now + timedelta(seconds=30)
+        self._declining_until[part] = now + self._operator.takeover_grace * 4
+        self._declining_until[f"{part}>{first}"] = now + timedelta(seconds=30)
         self._forget(part, "handed back")
         await self._release(part)
 
     async def hand_over_deaf(self, part: str) -> None:
         """Our part's workers reach others but not us."""
         now = clock.now()
-        self._aloof[part] = now + timedelta(seconds=20)
+        self._declining_until[part] = now + timedelta(seconds=20)
         self._forget(part, "deaf to its workers")
         await self._release(part)
--- a/roadbend/parts/policy.py
+++ b/roadbend/parts/policy.py
@@ -5,7 +5,7 @@
 from datetime import datetime, timedelta
 
 from roadbend.clock import DRIFT
-from roadbend.peers.pulse import Known
+from roadbend.peers.heartbeat import PeerState
 
 
 def rendezvous(key: str, names: Iterable[str]) -> str | None:
@@ -25,7 +25,7 @@
 
 def renew_until(
     contact: datetime | None,
-    peers: Iterable[Known],
+    peers: Iterable[PeerState],
     cancel_within: timedelta,
     lease: timedelta,
     margin: timedelta,
--- a/roadbend/parts/test_parts.py
+++ b/roadbend/parts/test_parts.py
@@ -5,17 +5,17 @@
 import trio
 
 from roadbend import clock
+from roadbend.fakes.world import job, world
 from roadbend.parts import policy
-from roadbend.peers.pulse import Known
-from roadbend.standins.world import job, world
+from roadbend.peers.heartbeat import PeerState
 from roadbend.store import records
 
 S = timedelta(seconds=1)
 T = clock.ORIGIN + 1000 * S
 
 
-def until(contact, *covered):
-    peers = [Known(covered=at) for at in covered]
+def until(contact, *vouched_until):
+    peers = [PeerState(vouched_until=at) for at in vouched_until]
     return policy.renew_until(contact, peers, 38 * S, 18 * S, 2 * S)
 
 
@@ -46,9 +46,9 @@
 async def test_a_former_owners_late_transaction_fails():
     async with world() as w:
         node = w.nodes["node-0"]
-        stamp = node.ownership.tenure("east").stamp
+        mod_revision = node.ownership.tenure("east").mod_revision
         late = {
-            "when": [{"path": records.term_key("east"), "stamp": stamp}],
+            "when": [{"path": records.term_key("east"), "stamp": mod_revision}],
             "apply": [{"write": "r/slice/east/run-9", "value": {}}],
         }
         w.crash(0)
--- a/roadbend/peers/pulse.py
+++ b/roadbend/peers/heartbeat.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True)
-class Pulse:
+class Heartbeat:
     boot: str
     uptime: timedelta
     # Age of the last answered read of the state service; None: none since the process began.
@@ -44,7 +44,7 @@
         return out.bytes()
 
     @staticmethod
-    def unpack(data: bytes) -> "Pulse":
+    def unpack(data: bytes) -> "Heartbeat":
         scan = Scanner(data)
         boot, uptime, contact = scan.text(), scan.one("Q"), scan.one("I")
         calls, writes, cloud, span = scan.get("fffI")
@@ -59,7 +59,7 @@
         told = tuple(scan.text() for _ in range(scan.one("H")))
         scan.end()
         age = None if contact == _NEVER else timedelta(milliseconds=contact)
-        return Pulse(
+        return Heartbeat(
             boot, timedelta(milliseconds=uptime), age, (calls, writes, cloud), owned, heard,
             timedelta(milliseconds=span), told,
         )  # fmt: skip
@@ -70,29 +70,29 @@
 
 
 @dataclass
-class Known:
+class PeerState:
     """What we know of a peer. `covered`: all cancellations that it told users of before that instant
     are known to us, from the records or from its own word."""
 
-    pulse: Pulse | None = None
+    heartbeat: Heartbeat | None = None
     asked: datetime | None = None
     heard_at: datetime | None = None
-    covered: datetime | None = None
+    vouched_until: datetime | None = None
 
-    def take(self, pulse: Pulse, asked: datetime, now: datetime, contact: datetime | None) -> None:
+    def take(self, heartbeat: Heartbeat, asked: datetime, now: datetime, contact: datetime | None) -> None:
         base = self.reach(contact)
         # Its list closes the gap only if it goes back to what we had, in one life of that process: what a former
         # process told its users, this one can't know. The peer counted back from when it answered, which may
         # have been as late as now, on a clock that may run faster than ours.
-        back = min(pulse.uptime, pulse.span) * (1 - DRIFT) - _ROUNDING
+        back = min(heartbeat.uptime, heartbeat.span) * (1 - DRIFT) - _ROUNDING
         if base is not None and now - back <= base:
-            self.covered = max(base, asked)
-        self.pulse, self.asked, self.heard_at = pulse, asked, now
+            self.vouched_until = max(base, asked)
+        self.heartbeat, self.asked, self.heard_at = heartbeat, asked, now
 
     def speaks(self, dialect: str) -> bool:
         """Whether the peer understands what came after version 2 of the frames; one that we have not heard may not."""
-        return self.pulse is not None and self.pulse.boot.endswith(dialect)
+        return self.heartbeat is not None and self.heartbeat.boot.endswith(dialect)
 
     def reach(self, contact: datetime | None) -> datetime | None:
-        known = [at for at in (self.covered, contact) if at is not None]
+        known = [at for at in (self.vouched_until, contact) if at is not None]
         return max(known) if known else None
--- a/roadbend/peers/links.py
+++ b/roadbend/peers/links.py
@@ -12,16 +12,16 @@
 from roadbend.log import Log
 from roadbend.peers import frames
 from roadbend.peers.frames import BadFrame, Splitter
-from roadbend.peers.pulse import Known, Pulse
+from roadbend.peers.heartbeat import Heartbeat, PeerState
 from roadbend.retry import Backoff
 from roadbend.settings import Peer
 
 log = Log("peers")
-PULSE_EVERY = timedelta(seconds=1)
-PULSE_WITHIN = timedelta(seconds=1.5)
+HEARTBEAT_INTERVAL = timedelta(seconds=1)
+HEARTBEAT_TIMEOUT = timedelta(seconds=1.5)
 ALIVE_FOR = timedelta(seconds=3.5)
-MOST_INCOMING = 32
-MOST_WAITING = 256
+MAX_INCOMING = 32
+MAX_WAITING = 256
 
 # A handler gets the sender's name and the payload, and gives the reply's payload (None: no reply).
 Handler = Callable[[str, bytes], bytes | None]
@@ -35,7 +35,7 @@
     def __init__(self, net: Net, peer: Peer, me: str, rng: random.Random):
         self.peer = peer
         self._rng = rng
-        self.known = Known()
+        self.known = PeerState()
         self._net = net
         self._me = me
         self._stream: trio.abc.Stream | None = None
@@ -47,7 +47,7 @@
         return self.known.heard_at is not None and now - self.known.heard_at < ALIVE_FOR
 
     async def call(self, kind: int, payload: bytes, within: timedelta) -> bytes:
-        if self._stream is None or len(self._waiting) >= MOST_WAITING:
+        if self._stream is None or len(self._waiting) >= MAX_WAITING:
             raise NoReply(self.peer.name)
         self._number = (self._number + 1) & 0xFFFFFFFF
         number = self._number
@@ -85,7 +85,9 @@
                     self._stream = None
                     await trio.aclose_forcefully(stream)
 
-    async def run(self, pulse: Callable[[], Pulse], took: Callable[["Link", Pulse, datetime], None]) -> None:
+    async def run(
+        self, heartbeat: Callable[[], Heartbeat], took: Callable[["Link", Heartbeat, datetime], None]
+    ) -> None:
         waits = Backoff(timedelta(milliseconds=200), timedelta(seconds=1), self._rng)
         while True:
             try:
@@ -97,7 +99,7 @@
                     waits.reset()
                     async with trio.open_nursery() as nursery:
                         nursery.start_soon(self._read, stream, nursery.cancel_scope)
-                        nursery.start_soon(self._beat, pulse, took, nursery.cancel_scope)
+                        nursery.start_soon(self._beat, heartbeat, took, nursery.cancel_scope)
                 finally:
                     self._stream = None
                     await trio.aclose_forcefully(stream)
@@ -109,27 +111,29 @@
                 send.close()
             await clock.pause(waits.next())
 
-    async def beat(self, pulse: Callable[[], Pulse], took: Callable[["Link", Pulse, datetime], None]) -> bool:
+    async def beat(
+        self, heartbeat: Callable[[], Heartbeat], took: Callable[["Link", Heartbeat, datetime], None]
+    ) -> bool:
         """Exchanges pulses once; says whether the peer has taken ours."""
         asked = clock.now()
         try:
-            reply = await self.call(frames.PING, pulse().pack(), PULSE_WITHIN)
-            took(self, Pulse.unpack(reply), asked)
+            reply = await self.call(frames.PING, heartbeat().pack(), HEARTBEAT_TIMEOUT)
+            took(self, Heartbeat.unpack(reply), asked)
             return True
         except (NoReply, BadFrame):
             return False
 
-    async def _beat(self, pulse, took, scope) -> None:
+    async def _beat(self, heartbeat, took, scope) -> None:
         missed = 0
         while True:
-            if await self.beat(pulse, took):
+            if await self.beat(heartbeat, took):
                 missed = 0
             else:
                 missed += 1
                 if missed >= 2:
                     log.debug("link-silent", peer=self.peer.name)
                     scope.cancel()
-            await clock.pause(PULSE_EVERY)
+            await clock.pause(HEARTBEAT_INTERVAL)
 
     async def _read(self, stream, scope) -> None:
         splitter = Splitter()
@@ -163,7 +167,7 @@
         return [name for name, link in self.links.items() if link.alive(now)]
 
     async def serve(self, stream: trio.abc.Stream) -> None:
-        if self._incoming >= MOST_INCOMING:
+        if self._incoming >= MAX_INCOMING:
             await trio.aclose_forcefully(stream)
             return
         self._incoming += 1
--- a/roadbend/peers/test_peers.py
+++ b/roadbend/peers/test_peers.py
@@ -9,8 +9,8 @@
 from roadbend import clock
 from roadbend.peers import frames
 from roadbend.peers.frames import BadFrame, Splitter
+from roadbend.peers.heartbeat import Heartbeat, PeerState
 from roadbend.peers.links import Peers
-from roadbend.peers.pulse import Known, Pulse
 from roadbend.settings import Peer
 
 S = timedelta(seconds=1)
@@ -45,35 +45,35 @@
 
 
 def test_a_pulse_comes_back_as_it_went():
-    pulse = Pulse(
+    heartbeat = Heartbeat(
         "b1", 9 * S, None, (1.5, 0.25, 0.5), {"east": 7}, {"west": ("m-1", "m-2")}, 60 * S, ("run-1", "run-2")
     )
-    assert Pulse.unpack(pulse.pack()) == pulse
+    assert Heartbeat.unpack(heartbeat.pack()) == heartbeat
 
 
-def known(pulse, asked, contact, waited=0 * S):
-    row = Known()
-    row.take(pulse, asked, asked + waited, contact)
+def known(heartbeat, asked, contact, waited=0 * S):
+    row = PeerState()
+    row.take(heartbeat, asked, asked + waited, contact)
     return row
 
 
 def test_a_peers_list_of_cancellations_covers_only_an_unbroken_life():
     t = clock.ORIGIN + 1000 * S
-    alive = Pulse("b1", 500 * S, 20 * S, (0, 0), span=100 * S)
+    alive = Heartbeat("b1", 500 * S, 20 * S, (0, 0), span=100 * S)
     assert known(alive, t, t - 20 * S).reach(t - 20 * S) == t
     # It restarted after our last contact: what its former process told users is unknown.
-    newborn = Pulse("b2", 5 * S, None, (0, 0), span=100 * S)
+    newborn = Heartbeat("b2", 5 * S, None, (0, 0), span=100 * S)
     assert known(newborn, t, t - 20 * S).reach(t - 20 * S) == t - 20 * S
     # Its list does not go back far enough.
-    short = Pulse("b1", 500 * S, 20 * S, (0, 0), span=10 * S)
+    short = Heartbeat("b1", 500 * S, 20 * S, (0, 0), span=10 * S)
     assert known(short, t, t - 20 * S).reach(t - 20 * S) == t - 20 * S
     # It may have counted back from when its answer came, not from when it was asked: it restarted just after our
     # last contact, and its answer took 1.4 s.
-    slow = Pulse("b2", 1.2 * S, None, (0, 0), span=100 * S)
+    slow = Heartbeat("b2", 1.2 * S, None, (0, 0), span=100 * S)
     assert known(slow, t, t - 1 * S, 1.4 * S).reach(t - 1 * S) == t - 1 * S
     assert known(slow, t, t - 1.3 * S, 1.4 * S).reach(t - 1.3 * S) == t - 1.3 * S
     # Its clock may run fast, and what it told at the very edge of its list may have been cut off.
-    edge = Pulse("b1", 500 * S, 20 * S, (0, 0), span=20 * S)
+    edge = Heartbeat("b1", 500 * S, 20 * S, (0, 0), span=20 * S)
     assert known(edge, t, t - 20 * S).reach(t - 20 * S) == t - 20 * S
     # Without any contact of our own there is nothing to build on.
     assert known(alive, t, None).reach(None) is None
--- a/roadbend/placement/batch.py
+++ b/roadbend/placement/batch.py
@@ -12,7 +12,7 @@
 from roadbend.store.view import View
 
 # Bytes that a transaction's values may have in all; the protocol allows 64 KiB, conditions included.
-MOST_BODY = 56 * 1024
+MAX_BODY = 56 * 1024
 
 
 class Batch:
@@ -21,7 +21,7 @@
     def __init__(self, view: View, part: str, tenure: Tenure, settings: Settings, most: int | None = None):
         self._view, self._part, self._most = view, part, min(settings.txn_ops, most or settings.txn_ops)
         self._value = settings.value_bytes
-        self.when: dict[str, int] = {records.term_key(part): tenure.stamp}
+        self.when: dict[str, int] = {records.term_key(part): tenure.mod_revision}
         self.rows: dict[str, dict] = {}
         self.slices: dict[str, Slice] = {}
         self.teams: dict[str, Use] = {}
@@ -37,7 +37,7 @@
 
     def room_for(self, *keys: str) -> bool:
         fresh = sum(1 for key in keys if key not in self.rows)
-        return len(self.rows) + fresh <= self._most and sum(self._sizes.values()) < MOST_BODY - self._value
+        return len(self.rows) + fresh <= self._most and sum(self._sizes.values()) < MAX_BODY - self._value
 
     def slice(self, job: str, team: str, need: Need, shard: int) -> Slice:
         key = records.slice_key(self._part, job, shard)
@@ -61,7 +61,7 @@
         self.change[team] = (cpus + tasks * need.cpus, gpus + tasks * need.gpus)
 
     def need_job(self, job: Job) -> None:
-        self.when[records.job_key(job.id)] = job.stamp
+        self.when[records.job_key(job.id)] = job.mod_revision
 
     def _put(self, key: str, value: Any, size: int | None = None) -> None:
         self.rows[key] = put(key, value)
@@ -76,18 +76,18 @@
         size = weigh(value)
         if size > self._value * 0.95:
             return False
-        self.when.setdefault(key, self._view.stamp(key))
+        self.when.setdefault(key, self._view.mod_revision(key))
         self.slices[key] = piece
         self._put(key, value, size)
         return True
 
     def drop_slice(self, piece: Slice) -> None:
-        self.when.setdefault(piece.key, self._view.stamp(piece.key))
+        self.when.setdefault(piece.key, self._view.mod_revision(piece.key))
         self.rows[piece.key] = delete(piece.key)
 
     def set_team(self, use: Use) -> None:
         key = records.team_key(use.team)
-        self.when.setdefault(key, self._view.stamp(key))
+        self.when.setdefault(key, self._view.mod_revision(key))
         self.teams[use.team] = use
         self._put(key, use.to_value())
 
--- a/roadbend/placement/ends.py
+++ b/roadbend/placement/ends.py
@@ -28,50 +28,50 @@
 BACKOFF_MOST = timedelta(seconds=24)
 
 
-def record_ends(rt: PartRuntime, batch: Batch, now: datetime) -> bool:
+def record_ends(runtime: PartRuntime, batch: Batch, now: datetime) -> bool:
     """Ends into the records, and slices and jobs that are over out of them."""
-    view, part = rt.shared.view, rt.part
+    view, part = runtime.shared.view, runtime.part
     by_job: dict[str, list[tuple[int, Fact]]] = {}
-    for (job, leg), fact in rt.facts.items():
-        by_job.setdefault(job, []).append((leg, fact))
+    for (job, task_index), fact in runtime.facts.items():
+        by_job.setdefault(job, []).append((task_index, fact))
     # Slices of cancelled jobs with nothing left, and slices all done, also end here.
-    for name, work in rt.works().items():
+    for name, work in runtime.works().items():
         if not work.run:
             by_job.setdefault(name, [])
     more = False
     for name, facts in by_job.items():
-        work = rt.works().get(name)
+        work = runtime.works().get(name)
         if work is None:
             continue
         job = view.jobs.get(name)
         touched: dict[int, Slice] = {}
         ended: list[tuple[int, Fact]] = []
-        for leg, fact in facts:
-            attempt = work.run.get(leg)
+        for task_index, fact in facts:
+            attempt = work.run.get(task_index)
             if attempt is None or attempt.number != fact.attempt:
                 continue
-            at = work.shard_of(leg, rt.width)
+            at = work.shard_of(task_index, runtime.width)
             piece = touched.get(at) or batch.slice(name, work.team, work.need, at)
-            run = {n: a for n, a in piece.run.items() if n != leg}
+            run = {n: a for n, a in piece.run.items() if n != task_index}
             done = piece.done
             if fact.done and job is not None and not job.spec.service and not job.spec.gang:
-                done = ranges.union(done, ((leg, leg + 1),))
+                done = ranges.union(done, ((task_index, task_index + 1),))
             touched[at] = replace(piece, run=run, done=done)
-            ended.append((leg, fact))
+            ended.append((task_index, fact))
         # What a version with larger values wrote and is too large now is split as it is written.
-        plans = {n: split(rt, batch, work, piece) for n, piece in touched.items() if not batch.fits(piece)}
+        plans = {n: split(runtime, batch, work, piece) for n, piece in touched.items() if not batch.fits(piece)}
         for n in [n for n, plan in plans.items() if not plan]:
             # Not in one transaction of today's size: these ends wait until fewer of its tasks are left.
             more = more or bool(batch.rows)
             del plans[n], touched[n]
-            ended = [(leg, fact) for leg, fact in ended if work.shard_of(leg, rt.width) != n]
+            ended = [(task_index, fact) for task_index, fact in ended if work.shard_of(task_index, runtime.width) != n]
         if job is not None and job.spec.gang and any(fact.done for _, fact in ended):
             if not end_gang(batch, job, touched, [piece for n, piece in work.shards.items() if n not in touched]):
                 return True
-            for leg, fact in ended:
-                batch.ended.add((name, leg))
+            for task_index, fact in ended:
+                batch.ended.add((name, task_index))
                 batch.charge(work.team, work.need, -1)
-                batch.after.append(partial(note_end, rt, name, leg, fact, now))
+                batch.after.append(partial(note_end, runtime, name, task_index, fact, now))
             continue
         shards = {**work.shards, **touched}
         done = ranges.normal(pair for piece in shards.values() for pair in piece.done)
@@ -82,7 +82,7 @@
             over = idle
         else:
             # A wide array's shards leave the records a few at a time, not one by one.
-            over = {n: p for n, p in idle.items() if not ranges.minus(within(rt, held, n), p.done)}
+            over = {n: p for n, p in idle.items() if not ranges.minus(within(runtime, held, n), p.done)}
             over = over if len(over) >= FOLD else {}
         keys = [records.slice_key(part, name, n) for n in touched.keys() | over.keys()]
         keys += [piece.key for plan in plans.values() for piece in plan]
@@ -97,7 +97,7 @@
             some = sorted(over.keys() | touched.keys())[: max(1, batch.free - 2)]
             over = {n: p for n, p in over.items() if n in some}
             touched = {n: p for n, p in touched.items() if n in some and n not in plans}
-            ended = [(leg, f) for leg, f in ended if work.shard_of(leg, rt.width) in some]
+            ended = [(task_index, f) for task_index, f in ended if work.shard_of(task_index, runtime.width) in some]
             whole, more = False, True
         for n, piece in touched.items():
             if n in plans:
@@ -111,14 +111,14 @@
             batch.drop_slice(piece)
         if job is not None and over:
             all_done = ranges.normal([*job.done, *(pair for piece in over.values() for pair in piece.done)])
-            if whole and ranges.size(all_done) >= job.spec.legs:
-                batch.end_job(job, "done", job.spec.legs)
+            if whole and ranges.size(all_done) >= job.spec.task_count:
+                batch.end_job(job, "done", job.spec.task_count)
             else:
                 batch.set_job(replace(job.with_part(part, ranges.minus(held, all_done)), done=all_done))
-        for leg, fact in ended:
-            batch.ended.add((name, leg))
+        for task_index, fact in ended:
+            batch.ended.add((name, task_index))
             batch.charge(work.team, work.need, -1)
-            batch.after.append(partial(note_end, rt, name, leg, fact, now))
+            batch.after.append(partial(note_end, runtime, name, task_index, fact, now))
     return more
 
 
@@ -134,16 +134,16 @@
             batch.drop_slice(piece)
         elif piece in touched.values():
             batch.set_slice(piece)
-    batch.end_job(job, "done", job.spec.legs)
+    batch.end_job(job, "done", job.spec.task_count)
     return True
 
 
-def split(rt: PartRuntime, batch: Batch, work: Work, piece: Slice) -> list[Slice]:
+def split(runtime: PartRuntime, batch: Batch, work: Work, piece: Slice) -> list[Slice]:
     """A slice that is larger than values may be now, in pieces that one transaction takes: its attempts go where they
     would be written today, so a task is in one record before and after. Empty where that can't be done yet."""
     homes: dict[int, dict[int, Attempt]] = {}
-    for leg, attempt in piece.run.items():
-        homes.setdefault(leg // rt.width, {})[leg] = attempt
+    for task_index, attempt in piece.run.items():
+        homes.setdefault(task_index // runtime.width, {})[task_index] = attempt
     kept, pieces = dict(piece.run), []
     for at, rows in sorted(homes.items(), key=lambda row: -len(row[1])):
         if batch.fits(replace(piece, run=kept)):
@@ -154,41 +154,41 @@
         other = replace(other, run={**other.run, **rows})
         if batch.fits(other):
             pieces.append(other)
-            kept = {leg: attempt for leg, attempt in kept.items() if leg not in rows}
+            kept = {task_index: attempt for task_index, attempt in kept.items() if task_index not in rows}
     pieces.append(replace(piece, run=kept))
     return pieces if batch.fits(pieces[-1]) and batch.room_for(*(row.key for row in pieces)) else []
 
 
-def within(rt: PartRuntime, held: Ranges, shard: int) -> Ranges:
+def within(runtime: PartRuntime, held: Ranges, shard: int) -> Ranges:
     """The held tasks whose attempts are written into this shard."""
     if shard < 0:
         return held
-    low, high = shard * rt.width, (shard + 1) * rt.width
+    low, high = shard * runtime.width, (shard + 1) * runtime.width
     return tuple((max(a, low), min(b, high)) for a, b in held if a < high and b > low)
 
 
-def note_end(rt: PartRuntime, job: str, leg: int, fact: Fact, now: datetime) -> None:
-    log.debug("ended", part=rt.part, task=f"{job}/{leg}", machine=fact.machine, cause=fact.cause)
-    if fact.cause in gangs.REPLACED and (known := rt.live(job)) is not None and known.spec.gang:
-        attempt, machines = rt.lost_on.get(job, (0, set()))
-        rt.lost_on[job] = (fact.attempt, {fact.machine, *(machines if attempt == fact.attempt else ())})
+def note_end(runtime: PartRuntime, job: str, task_index: int, fact: Fact, now: datetime) -> None:
+    log.debug("ended", part=runtime.part, task=f"{job}/{task_index}", machine=fact.machine, cause=fact.cause)
+    if fact.cause in gangs.REPLACED and (known := runtime.live(job)) is not None and known.spec.gang:
+        attempt, machines = runtime.lost_on.get(job, (0, set()))
+        runtime.lost_on[job] = (fact.attempt, {fact.machine, *(machines if attempt == fact.attempt else ())})
     if fact.cause == "done":
-        machine = rt.machines.get(fact.machine)
+        machine = runtime.machines.get(fact.machine)
         if machine is not None:
             machine.failures.clear()
-            seen, known = machine.tasks.get((job, leg)), rt.shared.view.jobs.get(job)
+            seen, known = machine.tasks.get((job, task_index)), runtime.shared.view.jobs.get(job)
             if known is not None and seen is not None and seen.running_since is not None:
-                rt.shared.learn(known, seen.since - seen.running_since)
-        rt.backoff.pop(job, None)
+                runtime.shared.learn(known, seen.since - seen.running_since)
+        runtime.backoff.pop(job, None)
     elif fact.cause in ("error", "unknown", "no_room", "busy"):
         pause = AVOID if fact.cause == "error" else AVOID / 5
-        rt.avoid.setdefault(job, {})[fact.machine] = now + pause
+        runtime.avoid.setdefault(job, {})[fact.machine] = now + pause
         if fact.cause == "error":
-            machine = rt.machines.get(fact.machine)
+            machine = runtime.machines.get(fact.machine)
             if machine is not None:
                 machine.failures[job] = now
-            times = rt.backoff.get(job, (0, now))[0] + 1
+            times = runtime.backoff.get(job, (0, now))[0] + 1
             # A job that fails everywhere comes back ever more slowly and waits for its user.
             pause = min(BACKOFF_MOST, timedelta(seconds=0.5 * 2 ** min(times, 8))) if times > 3 else clock.ZERO
-            rt.backoff[job] = (times, now + pause)
-            log.info("task-error", part=rt.part, task=f"{job}/{leg}", machine=fact.machine, times=times)
+            runtime.backoff[job] = (times, now + pause)
+            log.info("task-error", part=runtime.part, task=f"{job}/{task_index}", machine=fact.machine, times=times)
--- a/roadbend/placement/forecast.py
+++ b/roadbend/placement/forecast.py
@@ -85,8 +85,8 @@
     """Where tasks of one job would begin to run, the soonest first, as they are laid on the lines one by
     one. Lines are looked at once a job, not once a task, and only as far as a sooner place may be found."""
 
-    def __init__(self, job: Job, board: Board, rigs: Container[str] = ()):
-        self._job, self._board, self._rigs = job, board, rigs
+    def __init__(self, job: Job, board: Board, machine_types: Container[str] = ()):
+        self._job, self._board, self._rigs = job, board, machine_types
         self._rows: list[tuple[float, bool, int, float, Line]] = []
         # The last line that was looked at in the board's order; those before it, and some that were there
         # when they were looked at and have come later since, are known here.
@@ -108,7 +108,7 @@
             if n not in self._known:
                 self._known.add(n)
                 room = lines[n].room
-                if room.rig not in self._rigs and allowed(self._job, room.rig, room.zone, room.spot):
+                if room.machine_type not in self._rigs and allowed(self._job, room.machine_type, room.zone, room.spot):
                     self._push(n, lines[n])
 
     def _push(self, n: int, line: Line) -> None:
@@ -149,7 +149,7 @@
     for line in lines:
         room = line.room
         start = line.earliest(spec.need)
-        if start <= best[0] and start < NEVER and allowed(job, room.rig, room.zone, room.spot):
+        if start <= best[0] and start < NEVER and allowed(job, room.machine_type, room.zone, room.spot):
             runs = (round(start + room.fetch(spec.image, spec.image_gb), 6), spec.spot and not room.spot)
             if runs < best:
                 best, found = runs, (start, line)
--- a/roadbend/placement/gangs.py
+++ b/roadbend/placement/gangs.py
@@ -27,97 +27,102 @@
 NOT_BEGUN = ("fetching", "gathering")
 
 
-def seen(rt: PartRuntime, job: str, leg: int, attempt: Attempt) -> Seen | None:
+def seen(runtime: PartRuntime, job: str, task_index: int, attempt: Attempt) -> Seen | None:
     """How the machine last showed a task of this attempt."""
-    machine = rt.machines.get(attempt.machine)
-    row = machine.tasks.get((job, leg)) if machine is not None else None
+    machine = runtime.machines.get(attempt.machine)
+    row = machine.tasks.get((job, task_index)) if machine is not None else None
     return row if row is not None and row.attempt == attempt.number else None
 
 
-def gathers(rt: PartRuntime, job: Job, work: Work) -> bool:
+def gathers(runtime: PartRuntime, job: Job, work: Work) -> bool:
     """Whether what is left of a gang surely still waits for the rest, so that a task may join it: every task was
     shown waiting, none is being stopped, and there is time for another fetch."""
     now = clock.now()
     if len({attempt.number for attempt in work.run.values()}) != 1:
         return False
-    for leg, attempt in work.run.items():
-        row = seen(rt, job.id, leg, attempt)
-        if row is None or row.state not in NOT_BEGUN or (job.id, leg) in rt.stops or (job.id, leg) in rt.facts:
+    for task_index, attempt in work.run.items():
+        row = seen(runtime, job.id, task_index, attempt)
+        if (
+            row is None
+            or row.state not in NOT_BEGUN
+            or (job.id, task_index) in runtime.stops
+            or (job.id, task_index) in runtime.facts
+        ):
             return False
-        if row.state == "gathering" and now - row.since > rt.shared.settings.gang_wait * JOIN:
+        if row.state == "gathering" and now - row.since > runtime.shared.settings.gang_wait * JOIN:
             return False
     return True
 
 
-def waiting(rt: PartRuntime, job: Job, loose: Ranges) -> Pending | None:
+def waiting(runtime: PartRuntime, job: Job, unplaced: Ranges) -> Pending | None:
     """What of a gang may be placed: all of it, once nothing of an earlier attempt is recorded any more; or what is
     missing of one that still gathers."""
-    if ranges.size(loose) == job.spec.legs:
-        return Pending(job, loose, False)
-    work = rt.works().get(job.id)
-    if work is None or not work.run or loose_here(job, work) != loose or not gathers(rt, job, work):
+    if ranges.size(unplaced) == job.spec.task_count:
+        return Pending(job, unplaced, False)
+    work = runtime.works().get(job.id)
+    if work is None or not work.run or unplaced_here(job, work) != unplaced or not gathers(runtime, job, work):
         return None
-    return Pending(job, loose, False)
+    return Pending(job, unplaced, False)
 
 
-def loose_here(job: Job, work: Work) -> Ranges:
-    return ranges.minus(((0, job.spec.legs),), ranges.of(work.run))
+def unplaced_here(job: Job, work: Work) -> Ranges:
+    return ranges.minus(((0, job.spec.task_count),), ranges.of(work.run))
 
 
-def number(rt: PartRuntime, job: str) -> int | None:
+def number(runtime: PartRuntime, job: str) -> int | None:
     """The attempt that a task joins."""
-    work = rt.works().get(job)
+    work = runtime.works().get(job)
     return next((attempt.number for attempt in work.run.values()), None) if work is not None else None
 
 
-def stop_whole(rt: PartRuntime, job: Job, why: str, now: datetime, grace: timedelta | None = None) -> None:
+def stop_whole(runtime: PartRuntime, job: Job, why: str, now: datetime, grace: timedelta | None = None) -> None:
     """All tasks are told at once, so that each is within `gang_peer` of the first. One that has saved waits for the
     others; what it is given counts that."""
-    work = rt.works().get(job.id)
+    work = runtime.works().get(job.id)
     if work is None:
         return
     if grace is None:
         saves = job.spec.checkpoint > clock.ZERO
-        grace = job.spec.save + rt.shared.settings.gang_peer + timedelta(seconds=1) if saves else clock.ZERO
-    for leg, attempt in work.run.items():
-        old = rt.stops.get((job.id, leg))
+        grace = job.spec.save + runtime.shared.settings.gang_peer + timedelta(seconds=1) if saves else clock.ZERO
+    for task_index, attempt in work.run.items():
+        old = runtime.stops.get((job.id, task_index))
         if old is None or old.attempt != attempt.number:
-            rt.stop((job.id, leg), attempt, grace, why, now)
+            runtime.stop((job.id, task_index), attempt, grace, why, now)
 
 
-def keep_whole(rt: PartRuntime, now: datetime) -> None:
+def keep_whole(runtime: PartRuntime, now: datetime) -> None:
     """A gang of which a task is gone is over, unless it still gathers: the others would notice by themselves, after
     `gang_peer` or `gang_wait`, and are told now."""
-    for name, work in rt.works().items():
-        job = rt.live(name)
+    for name, work in runtime.works().items():
+        job = runtime.live(name)
         if job is None or not job.spec.gang or not work.run:
             continue
-        gone = [(leg, fact) for (other, leg), fact in rt.facts.items() if other == name]
+        gone = [(task_index, fact) for (other, task_index), fact in runtime.facts.items() if other == name]
         if any(fact.done for _, fact in gone):
             continue
-        if not gone and len(work.run) == job.spec.legs:
+        if not gone and len(work.run) == job.spec.task_count:
             continue
-        rest = {leg for leg in work.run} - {leg for leg, _ in gone}
+        rest = {task_index for task_index in work.run} - {task_index for task_index, _ in gone}
         if not rest:
             continue
-        if all(fact.cause in REPLACED for _, fact in gone) and still_gathers(rt, job, work, rest):
+        if all(fact.cause in REPLACED for _, fact in gone) and still_gathers(runtime, job, work, rest):
             continue
-        log.info("gang-over", part=rt.part, job=name, left=len(rest))
-        stop_whole(rt, job, "peers", now, clock.ZERO)
+        log.info("gang-over", part=runtime.part, job=name, left=len(rest))
+        stop_whole(runtime, job, "peers", now, clock.ZERO)
 
 
 # Ends after which a gang that gathers goes on with another machine in place of the lost one.
 REPLACED = ("deleted", "lease", "no_room", "busy", "unknown")
 
 
-def still_gathers(rt: PartRuntime, job: Job, work: Work, rest: set[int]) -> bool:
+def still_gathers(runtime: PartRuntime, job: Job, work: Work, rest: set[int]) -> bool:
     """As `gathers`, for what is left; tasks that were just ordered may not have been shown yet."""
     now = clock.now()
-    for leg in rest:
-        attempt = work.run[leg]
-        row = seen(rt, job.id, leg, attempt)
-        if (job.id, leg) in rt.stops or row is not None and row.state not in NOT_BEGUN:
+    for task_index in rest:
+        attempt = work.run[task_index]
+        row = seen(runtime, job.id, task_index, attempt)
+        if (job.id, task_index) in runtime.stops or row is not None and row.state not in NOT_BEGUN:
             return False
-        if row is not None and row.state == "gathering" and now - row.since > rt.shared.settings.gang_wait * JOIN:
+        if row is not None and row.state == "gathering" and now - row.since > runtime.shared.settings.gang_wait * JOIN:
             return False
     return True
--- a/roadbend/placement/policy.py
+++ b/roadbend/placement/policy.py
@@ -19,7 +19,7 @@
     """A machine with what is free on it. `ready_in` is above zero while it boots."""
 
     id: str
-    rig: str
+    machine_type: str
     zone: str
     spot: bool
     cpus: float
@@ -81,20 +81,22 @@
     """Tasks of one job that wait together: they are alike, and stand in the queue side by side."""
 
     job: Job
-    legs: Ranges
+    tasks: Ranges
     guaranteed: bool
     # A job that has waited for long and has begun nothing goes before its peers with one task.
     overdue: bool = False
 
     @property
     def count(self) -> int:
-        return ranges.size(self.legs)
+        return ranges.size(self.tasks)
 
 
-def allowed(job: Job, rig: str, zone: str, spot: bool) -> bool:
+def allowed(job: Job, machine_type: str, zone: str, spot: bool) -> bool:
     spec = job.spec
     return (
-        (spec.rigs is None or rig in spec.rigs) and (spec.zone is None or zone == spec.zone) and (spec.spot or not spot)
+        (spec.machine_types is None or machine_type in spec.machine_types)
+        and (spec.zone is None or zone == spec.zone)
+        and (spec.spot or not spot)
     )
 
 
@@ -124,7 +126,9 @@
     )
 
 
-def suitable(job: Job, rooms: Iterable[Room], barred: Container[str] = (), rigs: Container[str] = ()) -> list[Room]:
+def suitable(
+    job: Job, rooms: Iterable[Room], barred: Container[str] = (), machine_types: Container[str] = ()
+) -> list[Room]:
     """Rooms on which a task of the job may go now or once they are up, the best first. A room that has
     been begun stays the best until it is full, so the order holds while tasks are taken from it."""
     spec = job.spec
@@ -136,9 +140,9 @@
             and need.cpus <= room.cpus + EPS
             and need.memory <= room.memory + EPS
             and (spot or not room.spot)
-            and allowed(job, room.rig, room.zone, room.spot)
+            and allowed(job, room.machine_type, room.zone, room.spot)
             and room.id not in barred
-            and room.rig not in rigs
+            and room.machine_type not in machine_types
         ):
             # Work that may run on spot machines leaves the others to work that may not.
             rows.append(
@@ -205,7 +209,7 @@
         count = min(item.count, self.most(item.job.spec))
         if count <= 0 or item.job.spec.gang and count < item.count:
             return None
-        return item if count == item.count else replace(item, legs=ranges.first(item.legs, count))
+        return item if count == item.count else replace(item, tasks=ranges.first(item.tasks, count))
 
 
 def fits_in(left: tuple[float, float], need: Need) -> int:
@@ -242,15 +246,15 @@
         if limits is not None and (item := limits.cut(item)) is None:
             continue
         spec = item.job.spec
-        kind = (spec.need, spec.rigs, spec.zone, spec.spot)
-        barred, rigs = bars(item) if bars is not None else ((), ())
-        free = not barred and not rigs
+        kind = (spec.need, spec.machine_types, spec.zone, spec.spot)
+        barred, machine_types = bars(item) if bars is not None else ((), ())
+        free = not barred and not machine_types
         if kind in hopeless:
             left.append(item)
             if limits is not None:
                 limits.hold(item.job, item.count)
             continue
-        found = suitable(item.job, rooms, barred, rigs)
+        found = suitable(item.job, rooms, barred, machine_types)
         if spec.gang and sum(room.count(spec.need) for room in found) < item.count:
             # Whole or not at all: no gang holds some of the room while another holds the rest.
             left.append(item)
@@ -267,12 +271,12 @@
         if item.job.id not in jobs and len(jobs) >= most_jobs:
             return placed, left, True
         jobs.add(item.job.id)
-        legs, count = ranges.numbers(item.legs), item.count
+        tasks, count = ranges.numbers(item.tasks), item.count
         for room in found:
             take = min(count, room.count(spec.need))
             for _ in range(take):
                 room.take(spec.need)
-                placed.append((item, next(legs), room))
+                placed.append((item, next(tasks), room))
             if limits is not None:
                 limits.take(spec, take)
             count -= take
@@ -281,8 +285,8 @@
         if count:
             if free:
                 hopeless.add(kind)
-            rest = ranges.minus(item.legs, ranges.first(item.legs, item.count - count))
-            left.append(replace(item, legs=rest))
+            rest = ranges.minus(item.tasks, ranges.first(item.tasks, item.count - count))
+            left.append(replace(item, tasks=rest))
             if limits is not None:
                 limits.hold(item.job, count)
     return placed, left, False
@@ -318,13 +322,15 @@
     need = item.job.spec.need
     for room in rooms:
         rows = running.get(room.id)
-        if not rows or room.ready_in > 0 or not allowed(item.job, room.rig, room.zone, room.spot):
+        if not rows or room.ready_in > 0 or not allowed(item.job, room.machine_type, room.zone, room.spot):
             continue
         rows = [row for row in rows if may_stop(item, row)]
         if not rows:
             continue
         rows.sort(key=lambda row: row.loss)
-        trial = Room(room.id, room.rig, room.zone, room.spot, room.cpus, room.gpus, room.memory, total=room.total)
+        trial = Room(
+            room.id, room.machine_type, room.zone, room.spot, room.cpus, room.gpus, room.memory, total=room.total
+        )
         chosen, loss = [], 0.0
         for row in rows:
             if trial.fits(need):
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -31,7 +31,7 @@
 
 log = Log("placement")
 # Tasks of one job that a queue shows at once; the rest of a wider one follows as these are placed.
-MOST_PENDING = 1024
+MAX_PENDING = 1024
 # For how long a queue or a layout that was worked out may serve again, at the least.
 REUSE = timedelta(milliseconds=300)
 # How long a report that brought news may wait for what it calls for; workers wait 4 s.
@@ -39,9 +39,9 @@
 # A transaction gathers what comes within this time.
 STEP_GAP = timedelta(milliseconds=90)
 # Most jobs whose loose tasks are remembered.
-MOST_KNOWN = 4096
+MAX_KNOWN = 4096
 # Most machines remembered as deleted.
-MOST_DELETED = 8192
+MAX_DELETED = 8192
 
 
 @dataclass
@@ -63,31 +63,31 @@
         # How long what was started had queued here, and since when what waits does.
         self.waits: deque[timedelta] = deque(maxlen=64)
         self.queued: dict[str, datetime] = {}
-        self.kick = trio.Event()
+        self.wake_up = trio.Event()
         # Steps begun and ended, for reports that wait for one; the event is set at every end.
-        self.rested = trio.Event()
+        self.step_ended = trio.Event()
         self.begun = self.ended = 0
         # Pairs that just failed: a job's task is not put on the same machine again at once.
         self.avoid: dict[str, dict[str, datetime]] = {}
         self.backoff: dict[str, tuple[int, datetime]] = {}
         # Rooms that boot, filled in by rental, and machines hired in this term that have not reported yet.
         self.booting: list[Room] = []
-        self.hired: set[str] = set()
+        self.rented: set[str] = set()
         self.left: list[Pending] = []
         self.seq = 0
         self.width = records.shard_width(shared.settings.value_bytes)
         # Tasks not placed, by job, and the marks of the records that this was worked out from.
-        self._loose: dict[str, tuple[tuple[int, int], Ranges]] = {}
+        self._unplaced: dict[str, tuple[tuple[int, int], Ranges]] = {}
         self._queue: tuple[tuple[int, int], datetime, list[Pending]] = ((-1, -1), clock.ORIGIN, [])
         self._layouts: deque[tuple[tuple, datetime, timedelta, Layout]] = deque(maxlen=4)
         # Machines on which room is being made, for which job, and until when it is kept.
-        self.pledges: dict[str, tuple[str, datetime]] = {}
+        self.reservations: dict[str, tuple[str, datetime]] = {}
         # Types that waiting services are kept from for now.
-        self.held_back: dict[str, frozenset[str]] = {}
+        self.withheld_types: dict[str, frozenset[str]] = {}
         # Conditions of the last transaction, if nobody knows whether it was, or will be, carried out.
-        self.unsure: dict[str, int] = {}
+        self.unsettled: dict[str, int] = {}
         # Machines without its image that a service keeps off for a moment.
-        self.cold: dict[str, set[str]] = {}
+        self.without_image: dict[str, set[str]] = {}
         # Machines named in the transaction whose answer is out; they must not be returned meanwhile.
         self.in_flight: set[str] = set()
         # Starts that were just recorded and must not wait for a report, and who tells their machines.
@@ -123,20 +123,20 @@
             job = view.jobs[name]
             if name in self.shared.cancelled or name in self.backoff and self.backoff[name][1] > now:
                 continue
-            legs = self.loose(job)
+            tasks = self.unplaced(job)
             if job.spec.gang:
-                if legs and (item := gangs.waiting(self, job, legs)) is not None:
+                if tasks and (item := gangs.waiting(self, job, tasks)) is not None:
                     out.append(replace(item, guaranteed=name in sure, overdue=name in late.get(job.spec.team, ())))
                 continue
-            legs = ranges.first(legs, MOST_PENDING)
-            if not legs:
+            tasks = ranges.first(tasks, MAX_PENDING)
+            if not tasks:
                 continue
             if name in late.get(job.spec.team, ()):
-                first = ranges.first(legs, 1)
+                first = ranges.first(tasks, 1)
                 out.append(Pending(job, first, name in sure, True))
-                legs = ranges.minus(legs, first)
-            if legs:
-                out.append(Pending(job, legs, name in sure))
+                tasks = ranges.minus(tasks, first)
+            if tasks:
+                out.append(Pending(job, tasks, name in sure))
         wall, deadlines = clock.wall(), self.shared.deadlines
         out.sort(key=lambda item: policy.rank(item, policy.lateness(item.job, wall, deadlines(item.job.spec))))
         self._queue = (mark, now, out)
@@ -150,7 +150,7 @@
             if key == mark and now - at < window:
                 return layout
         booting = [replace(room) for room in self.booting if room.id not in self.machines]
-        lines = [line for line in self.lines(booting) if line.room.rig not in avoid]
+        lines = [line for line in self.lines(booting) if line.room.machine_type not in avoid]
         queue = [item for item in self.pending() if item.job.spec.priority >= least]
         starts = forecast.lay(queue, lines, self.run_seconds, self.most_forecast(lines))
         layout = Layout(lines, starts)
@@ -162,19 +162,19 @@
         """How far down the queue a forecast looks: to about where every machine has been filled anew."""
         return max(128, 6 * len(lines))
 
-    def loose(self, job: Job) -> Ranges:
+    def unplaced(self, job: Job) -> Ranges:
         """Tasks of a job that this part holds and has not placed."""
         work = self.works().get(job.id)
         if work is None:
             return job.alloc.get(self.part, ())
-        known, mark = self._loose.get(job.id), (job.stamp, work.changed)
+        known, mark = self._unplaced.get(job.id), (job.mod_revision, work.changed)
         if known is None or known[0] != mark:
-            if len(self._loose) >= MOST_KNOWN:
-                self._loose.clear()
-            known = self._loose[job.id] = (mark, self._unplaced(job, work))
+            if len(self._unplaced) >= MAX_KNOWN:
+                self._unplaced.clear()
+            known = self._unplaced[job.id] = (mark, self._find_unplaced(job, work))
         return known[1]
 
-    def _unplaced(self, job: Job, work: Work) -> Ranges:
+    def _find_unplaced(self, job: Job, work: Work) -> Ranges:
         held = job.alloc.get(self.part, ())
         if len(work.run) + ranges.size(work.done) >= ranges.size(held):
             if work.run.keys() >= set(ranges.numbers(ranges.minus(held, work.done))):
@@ -184,7 +184,7 @@
     def rooms(self, ended: Container[Key] = (), least: Need | None = None) -> list[Room]:
         """Machines that may be given work, with what the records leave free on them; `ended`: attempts
         that the transaction in the making takes out. `least`: only those that have so much room."""
-        now, rigs, marks = clock.now(), self.shared.rigs, self.shared.view.marks.get(self.part, {})
+        now, machine_types, marks = clock.now(), self.shared.machine_types, self.shared.view.marks.get(self.part, {})
         back: dict[str, list[Need]] = {}
         for key in ended:
             work = self.works().get(key[0])
@@ -193,10 +193,10 @@
                 back.setdefault(attempt.machine, []).append(work.need)
         silent, out = self.shared.settings.report_every * 2.2, []
         for machine in self.machines.values():
-            rig = rigs.get(machine.rig)
-            if rig is None or not self.usable(machine, now, silent):
+            machine_type = machine_types.get(machine.machine_type)
+            if machine_type is None or not self.usable(machine, now, silent):
                 continue
-            whole, mark = rig.room, marks.get(machine.id, 0)
+            whole, mark = machine_type.room, marks.get(machine.id, 0)
             if machine.free is None or machine.free[0] != mark:
                 machine.free = (mark, *self._left(machine.id, whole))
             _, cpus, gpus, memory = machine.free
@@ -208,8 +208,8 @@
                 continue
             out.append(
                 Room(
-                    machine.id, machine.rig, machine.zone, machine.spot, cpus, gpus, memory, machine.images,
-                    whole, 0.0, rig.spot_price if machine.spot else rig.price, rig.pull,
+                    machine.id, machine.machine_type, machine.zone, machine.spot, cpus, gpus, memory, machine.images,
+                    whole, 0.0, machine_type.spot_price if machine.spot else machine_type.price, machine_type.pull,
                 )
             )  # fmt: skip
         return out
@@ -232,11 +232,11 @@
             # we hired in this term and that reports for the first time is no such thing.
             and (machine.ours or machine.expected)
             and machine.fresh(now, silent)
-            and len(machine.failures) < self.shared.op.error_limit
+            and len(machine.failures) < self.shared.operator.error_limit
         )
 
     def run_seconds(self, job: Job) -> float:
-        return forecast.run_seconds(job, self.shared.factor(job.spec.lane))
+        return forecast.run_seconds(job, self.shared.factor(job.spec.job_class))
 
     def lines(self, more: list[Room]) -> list[Line]:
         """The machines with what runs on them and when that is thought to end."""
@@ -274,7 +274,7 @@
     def token(self, machine: Machine | None = None) -> int:
         """What goes out as the token: the term, and below it which of the machine's lives this is, so that
         what a former life said, however late it comes, is told from what this one says."""
-        return self.tenure.term << records.LIFE_BITS | (machine.life if machine is not None else 0)
+        return self.tenure.term << records.INCARNATION_BITS | (machine.incarnation if machine is not None else 0)
 
     def calm(self, data: Any, now: datetime) -> int | None:
         """A report that brings nothing new, which nearly all do: known to be answered with no orders by
@@ -312,20 +312,26 @@
         with self.lock:
             machine = self.machines.get(report.machine)
             fresh = machine is None
-            if report.token >> records.LIFE_BITS > self.tenure.term:
+            if report.token >> records.INCARNATION_BITS > self.tenure.term:
                 # It follows a newer owner; our answer would be dropped.
                 return None
             if machine is None:
-                if report.token >> records.LIFE_BITS == self.tenure.term:
+                if report.token >> records.INCARNATION_BITS == self.tenure.term:
                     # Only machines that we answered in this term carry its token, and we know them all
                     # until they are deleted: a late copy from a machine that is no more.
                     return None
-                machine = Machine(report.machine, report.address, report.rig, report.zone, report.spot)
-                machine.expected = report.machine in self.hired and report.session == 1 and not report.tasks
-                self.hired.discard(report.machine)
+                machine = Machine(report.machine, report.address, report.machine_type, report.zone, report.spot)
+                machine.expected = report.machine in self.rented and report.session == 1 and not report.tasks
+                self.rented.discard(report.machine)
                 self.machines[machine.id] = machine
-                log.info("machine-up", part=self.part, machine=machine.id, rig=machine.rig, spot=machine.spot)
-                self.kick.set()
+                log.info(
+                    "machine-up",
+                    part=self.part,
+                    machine=machine.id,
+                    machine_type=machine.machine_type,
+                    spot=machine.spot,
+                )
+                self.wake_up.set()
             elif report.order <= machine.order or machine.ours and report.token < self.token(machine):
                 # A late copy, or a machine that began anew: only the machine itself can tell.
                 machine.doubted = True
@@ -345,13 +351,13 @@
                 machine.answered = now
                 self._note_calm(machine, report, orders)
                 return self.token(machine), orders
-            self.kick.set()
+            self.wake_up.set()
             want = self.begun + 1
-        life = machine.life
+        incarnation = machine.incarnation
         with trio.move_on_after(ANSWER_WAIT.total_seconds()):
             while self.ended < want:
-                await self.rested.wait()
-        if self.shared.ownership.tenure(self.part) != self.tenure or machine.life != life:
+                await self.step_ended.wait()
+        if self.shared.ownership.tenure(self.part) != self.tenure or machine.incarnation != incarnation:
             return None
         now = clock.now()
         with self.lock:
@@ -382,13 +388,13 @@
         self._learn(machine, recorded, now)
         return orders
 
-    def rebirth(self, machine: Machine, order: tuple[int, int]) -> None:
+    def begin_incarnation(self, machine: Machine, order: tuple[int, int]) -> None:
         """The machine itself has shown that it began anew: what its former life said proves nothing any
         more, and what it held is gone only once a report of this life under its own token lacks it."""
         with self.lock:
-            log.info("machine-anew", part=self.part, machine=machine.id, life=machine.life + 1)
+            log.info("machine-anew", part=self.part, machine=machine.id, incarnation=machine.incarnation + 1)
             machine.begin_anew(order)
-        self.kick.set()
+        self.wake_up.set()
 
     def stop(self, key: Key, attempt: Attempt, grace: timedelta, why: str, now: datetime) -> None:
         self.stops[key] = Stop(attempt.number, grace, why, now, attempt.machine)
@@ -405,8 +411,8 @@
         """Tasks whose job is over or cancelled are stopped without grace: their work is useless."""
         for name, work in self.works().items():
             if work.run and self.live(name) is None:
-                for leg, attempt in work.run.items():
-                    self._stop_useless((name, leg), attempt, now)
+                for task_index, attempt in work.run.items():
+                    self._stop_useless((name, task_index), attempt, now)
 
     def _evacuate(self, machine: Machine, recorded: Rows, now: datetime) -> None:
         """A spot notice: let tasks run as long as it pays, then save and go."""
@@ -424,13 +430,13 @@
                     self.stop(key, attempt, grace, "notice", now)
 
     def _learn(self, machine: Machine, recorded: Rows, now: datetime) -> None:
-        rig = self.shared.rigs.get(machine.rig)
+        machine_type = self.shared.machine_types.get(machine.machine_type)
         for key, seen in machine.tasks.items():
             job = self.shared.view.jobs.get(key[0])
-            if job is None or rig is None:
+            if job is None or machine_type is None:
                 continue
             if seen.state == "running":
-                machine.note_image(job.spec.image, job.spec.image_gb, rig.cache_gb)
+                machine.note_image(job.spec.image, job.spec.image_gb, machine_type.cache_gb)
         if recorded or machine.tasks:
             machine.empty_since = None
         elif machine.empty_since is None:
@@ -441,12 +447,12 @@
     async def run(self) -> None:
         while self.shared.ownership.tenure(self.part) == self.tenure:
             with trio.move_on_after(0.5):
-                await self.kick.wait()
+                await self.wake_up.wait()
             again = True
             while again and self.shared.ownership.tenure(self.part) == self.tenure:
                 # Together with what comes in the next moment: fewer and fuller transactions.
                 await clock.pause(STEP_GAP)
-                self.kick = trio.Event()
+                self.wake_up = trio.Event()
                 self.begun += 1
                 try:
                     again = await self.step()
@@ -460,14 +466,14 @@
                     again = False
                 finally:
                     self.ended = self.begun
-                    rested, self.rested = self.rested, trio.Event()
-                    rested.set()
+                    step_ended, self.step_ended = self.step_ended, trio.Event()
+                    step_ended.set()
 
     async def step(self) -> bool:
         now = clock.now()
         if not self.shared.ownership.may_start(now):
             return False
-        if self.unsure and not await self._make_sure():
+        if self.unsettled and not await self._settle():
             return False
         # The budget comes first: what waits for it then goes out in one transaction, not in many.
         await self.shared.state.ready()
@@ -487,14 +493,14 @@
         rows = list(batch.rows.values())
         self.in_flight = {a.machine for piece in batch.slices.values() for a in piece.run.values()}
         try:
-            ledger = await commit(self.shared.state, batch.when, rows, within=timedelta(seconds=3))
+            revision = await commit(self.shared.state, batch.when, rows, within=timedelta(seconds=3))
         except TooLarge as error:
             # Certainly not carried out, and never would be: next time in smaller pieces.
             log.error("too-large", part=self.part, changes=len(rows), error=str(error))
             self.most_rows = max(2, len(rows) // 2)
             raise
         except Unavailable:
-            self.unsure = dict(batch.when)
+            self.unsettled = dict(batch.when)
             raise
         except Conflict as conflict:
             log.debug("conflict", part=self.part, failed=conflict.failed)
@@ -502,7 +508,7 @@
                 await self.shared.reader.sync()
             return True
         else:
-            self.shared.view.applied(rows, ledger)
+            self.shared.view.applied(rows, revision)
             for call in batch.after:
                 call()
             self._order_urgent()
@@ -517,30 +523,30 @@
             for machine, rows in urgent.items():
                 self.order_now(self, machine, rows)
 
-    async def _make_sure(self) -> bool:
+    async def _settle(self) -> bool:
         """A transaction without an answer may be carried out late. Starts are bounded by what is set aside
         and not by the team's record, so a late one would come on top of what was started since. Before
         anything else is written, one of its conditions is made false for good, or the records show that it
         was carried out."""
-        view, unsure = self.shared.view, self.unsure
+        view, unsettled = self.shared.view, self.unsettled
         with trio.move_on_after(2):
             await self.shared.reader.sync()
-            if any(view.stamp(key) != stamp for key, stamp in unsure.items()):
-                self.unsure = {}
+            if any(view.mod_revision(key) != mod_revision for key, mod_revision in unsettled.items()):
+                self.unsettled = {}
                 return True
-            for key, stamp in unsure.items():
-                value = view.value(key) if stamp and key != records.term_key(self.part) else None
+            for key, mod_revision in unsettled.items():
+                value = view.value(key) if mod_revision and key != records.term_key(self.part) else None
                 if value is None:
                     continue
-                when = {key: stamp, records.term_key(self.part): self.tenure.stamp}
+                when = {key: mod_revision, records.term_key(self.part): self.tenure.mod_revision}
                 rows = [put(key, value)]
                 try:
-                    ledger = await commit(self.shared.state, when, rows, within=timedelta(seconds=1.5))
+                    revision = await commit(self.shared.state, when, rows, within=timedelta(seconds=1.5))
                 except (Conflict, Unavailable):
                     return False
-                view.applied(rows, ledger)
+                view.applied(rows, revision)
                 log.info("made-sure", part=self.part, key=key)
-                self.unsure = {}
+                self.unsettled = {}
                 return True
         return False
 
@@ -559,10 +565,10 @@
                 del pairs[machine]
             if not pairs:
                 del self.avoid[job]
-        if self.pledges:
+        if self.reservations:
             waiting = {item.job.id for item in self.left}
-            for name in [n for n, (job, until) in self.pledges.items() if until <= now or job not in waiting]:
-                del self.pledges[name]
+            for name in [n for n, (job, until) in self.reservations.items() if until <= now or job not in waiting]:
+                del self.reservations[name]
         for job in [j for j, (_, until) in self.backoff.items() if until + timedelta(minutes=5) < now]:
             del self.backoff[job]
 
@@ -575,11 +581,11 @@
                 self.facts.setdefault(key, Fact(attempt.number, machine, False, cause))
             if cause == "deleted":
                 self.machines.pop(machine, None)
-                self.hired.discard(machine)
+                self.rented.discard(machine)
                 self.shared.deleted[machine] = clock.now()
-                while len(self.shared.deleted) > MOST_DELETED:
+                while len(self.shared.deleted) > MAX_DELETED:
                     self.shared.deleted.popitem(last=False)
-        self.kick.set()
+        self.wake_up.set()
 
 
 def _when(row: tuple[float, Need]) -> float:
--- a/roadbend/placement/shared.py
+++ b/roadbend/placement/shared.py
@@ -8,7 +8,7 @@
 from roadbend import clock
 from roadbend.parts.ownership import Ownership
 from roadbend.placement import policy
-from roadbend.rental.cloud import Rig
+from roadbend.rental.cloud import MachineType
 from roadbend.settings import Operator, Settings
 from roadbend.store.client import StateClient
 from roadbend.store.records import Job, Spec
@@ -17,7 +17,7 @@
 # For how many times as long as it took to work out a layout or a round of hiring it serves, with a whole core.
 REST = 12
 # Most cancellations remembered that peers told of, beside those whose jobs the records still name as live.
-MOST_CANCELLED = 4096
+MAX_CANCELLED = 4096
 
 
 @dataclass
@@ -25,12 +25,12 @@
     """What a controller's parts have in common."""
 
     settings: Settings
-    op: Operator
+    operator: Operator
     state: StateClient
     view: View
     reader: Reader
     ownership: Ownership
-    rigs: dict[str, Rig] = field(default_factory=dict)
+    machine_types: dict[str, MachineType] = field(default_factory=dict)
     # Jobs that a peer told its user are cancelled, before the records say so here.
     cancelled: OrderedDict[str, datetime] = field(default_factory=OrderedDict)
     # Who is within its team's guarantee; it changes only when a job comes or goes.
@@ -56,40 +56,40 @@
         now, news = clock.now(), [job for job in jobs if job not in self.cancelled]
         for job in news:
             self.cancelled[job] = now
-        if len(self.cancelled) > MOST_CANCELLED and news:
+        if len(self.cancelled) > MAX_CANCELLED and news:
             for job in [job for job in self.cancelled if job not in self.view.jobs]:
-                if len(self.cancelled) <= MOST_CANCELLED:
+                if len(self.cancelled) <= MAX_CANCELLED:
                     break
                 del self.cancelled[job]
         return bool(news)
 
-    def factor(self, lane: str) -> float:
-        return self.factors.get(lane, 1.0)
+    def factor(self, job_class: str) -> float:
+        return self.factors.get(job_class, 1.0)
 
     def start_within(self, spec: Spec) -> timedelta | None:
         """How soon a task should start, where an aim says so, of its class or of work in a guarantee."""
         rows = [
             o.within
             for o in self.settings.objectives
-            if o.within is not None and (o.kind == "wait" and o.lane == spec.lane or o.kind == "guarantee")
+            if o.within is not None and (o.kind == "wait" and o.job_class == spec.job_class or o.kind == "guarantee")
         ]
         return min(rows, default=None) if spec.service or spec.gang else None
 
     def deadlines(self, spec: Spec) -> tuple[float, ...]:
         """The times of its due time at which a job's aims count, the first one first."""
-        rows = {o.times for o in self.settings.objectives if o.kind == "deadline" and o.lane == spec.lane}
+        rows = {o.times for o in self.settings.objectives if o.kind == "deadline" and o.job_class == spec.job_class}
         return tuple(sorted(x for x in rows if x >= 1.0)) or (1.0,)
 
     def patience(self, spec: Spec, boot: timedelta) -> timedelta:
         """How long a service may be held back from machines on which it is dear."""
         within = self.start_within(spec)
         spare = (within - boot * 1.1) / 2 if within is not None else clock.ZERO
-        return max(self.op.dear_wait, spare)
+        return max(self.operator.dear_wait, spare)
 
     def learn(self, job: Job, ran: timedelta) -> None:
         if job.spec.expected > timedelta(seconds=1):
             x = min(4.0, max(0.25, ran / job.spec.expected))
-            self.factors[job.spec.lane] = 0.93 * self.factor(job.spec.lane) + 0.07 * x
+            self.factors[job.spec.job_class] = 0.93 * self.factor(job.spec.job_class) + 0.07 * x
             while len(self.factors) > 256:
                 self.factors.pop(next(iter(self.factors)))
 
@@ -107,7 +107,7 @@
         is, such a job comes next, and other parts leave its team's room to it; but not for ever, for it
         may be one that no machine can be had for."""
         if now - self.overdue_at >= timedelta(seconds=1):
-            self.overdue_at, wall, limit = now, clock.wall(), self.op.begin_within
+            self.overdue_at, wall, limit = now, clock.wall(), self.operator.begin_within
             self.overdue_jobs = {}
             for job in self.view.jobs.values():
                 if limit <= wall - job.at < limit * 3 and job.id not in self.cancelled and not self.begun(job):
@@ -146,7 +146,7 @@
         if team is None:
             continue
         sums = used.setdefault(team.name, [0.0, 0.0])
-        total = job.spec.need.times(job.spec.legs)
+        total = job.spec.need.times(job.spec.task_count)
         sums[0] += total.cpus
         sums[1] += total.gpus
         fits = (team.cpus <= 0 or sums[0] <= team.cpus) and (team.gpus <= 0 or sums[1] <= team.gpus)
