--- a/roadbend/placement/starts.py
+++ b/roadbend/placement/starts.py
@@ -23,7 +23,7 @@
 
 log = Log("placement")
 # How long room that is being made is kept for the task that it is made for.
-PLEDGE = timedelta(seconds=15)
+RESERVATION_LIFETIME = timedelta(seconds=15)
 # How long what waits for a machine keeps its team's limit from lesser work, and what is set aside from other parts.
 HOLD = timedelta(seconds=20)
 # For how long a job leaves its team's room to one of another part that has begun nothing.
@@ -31,95 +31,97 @@
 # How often a part looks whether it has set too much aside for a team.
 RESERVE_EVERY = timedelta(seconds=1)
 # Most tasks stopped for others in one step.
-MOST_PREEMPTED = 24
+MAX_PREEMPTED = 24
 
 
-def start(rt: PartRuntime, batch: Batch, now: datetime) -> bool:
+def start(runtime: PartRuntime, batch: Batch, now: datetime) -> bool:
     """Write-ahead of starts. The order goes out only with a report's response, after the answer."""
-    queue = rt.pending()
-    rt.queued = {item.job.id: rt.queued.get(item.job.id, now) for item in queue}
+    queue = runtime.pending()
+    runtime.queued = {item.job.id: runtime.queued.get(item.job.id, now) for item in queue}
     if not queue:
-        rt.left = []
+        runtime.left = []
         return False
     # Most machines are full. Only services that must start soon look at those, for what could be cleared there.
-    soon = any(rt.shared.start_within(item.job.spec) is not None for item in queue)
+    soon = any(runtime.shared.start_within(item.job.spec) is not None for item in queue)
     least = None if soon else policy.least_of(item.job.spec.need for item in queue)
-    rooms = rt.rooms(batch.ended, least)
-    hold_back(rt, queue)
-    image_first(rt, queue, rooms)
-    overdue = rt.shared.overdue(now)
-    limits = Allowance(partial(team_left, rt, batch), lambda job: now - rt.queued.get(job, now) < HOLD)
+    rooms = runtime.rooms(batch.ended, least)
+    hold_back(runtime, queue)
+    image_first(runtime, queue, rooms)
+    overdue = runtime.shared.overdue(now)
+    limits = Allowance(partial(team_left, runtime, batch), lambda job: now - runtime.queued.get(job, now) < HOLD)
     placed, left, more = policy.place(
-        [item for item in queue if not yields(rt, item, overdue)],
+        [item for item in queue if not yields(runtime, item, overdue)],
         rooms,
         batch.free,
-        partial(bars, rt) if rt.avoid or rt.pledges or rt.held_back or rt.cold or rt.lost_on else None,
+        partial(bars, runtime)
+        if runtime.avoid or runtime.reservations or runtime.withheld_types or runtime.without_image or runtime.lost_on
+        else None,
         limits,
     )
-    rt.left = within(limits, left)
+    runtime.left = within(limits, left)
     groups: dict[tuple[str, int], list[tuple[Pending, int, Room]]] = {}
-    for item, leg, room in placed:
-        work = rt.works().get(item.job.id)
-        at = leg // rt.width if work is None else work.shard_of(leg, rt.width)
+    for item, task_index, room in placed:
+        work = runtime.works().get(item.job.id)
+        at = task_index // runtime.width if work is None else work.shard_of(task_index, runtime.width)
         # The tasks of a gang go into one transaction, whatever shards they are in.
         at = -1 if item.job.spec.gang else at
-        groups.setdefault((item.job.id, at), []).append((item, leg, room))
+        groups.setdefault((item.job.id, at), []).append((item, task_index, room))
     for (name, _), rows in groups.items():
         job, team = rows[0][0].job, rows[0][0].job.spec.team
-        pieces = fill(rt, batch, job, rows)
+        pieces = fill(runtime, batch, job, rows)
         keys = [piece.key for piece in pieces]
-        if not set_aside(rt, batch, team, job.spec.need, len(rows), keys):
+        if not set_aside(runtime, batch, team, job.spec.need, len(rows), keys):
             more = True
             break
         if not all(batch.fits(piece) for piece in pieces):
-            log.error("record-full", part=rt.part, job=name, tasks=len(rows))
+            log.error("record-full", part=runtime.part, job=name, tasks=len(rows))
             continue
         for piece in pieces:
             batch.set_slice(piece)
         batch.need_job(job)
         batch.charge(team, job.spec.need, len(rows))
-        rt.waits.append(now - rt.queued.get(name, now))
-        if job.spec.gang or rt.shared.start_within(job.spec) is not None:
-            batch.after.append(partial(order_soon, rt, pieces, {leg for _, leg, _ in rows}))
-        for _, leg, room in rows:
+        runtime.waits.append(now - runtime.queued.get(name, now))
+        if job.spec.gang or runtime.shared.start_within(job.spec) is not None:
+            batch.after.append(partial(order_directly, runtime, pieces, {task_index for _, task_index, _ in rows}))
+        for _, task_index, room in rows:
             log.debug(
-                "start", part=rt.part, task=f"{name}/{leg}", machine=room.id,
+                "start", part=runtime.part, task=f"{name}/{task_index}", machine=room.id,
                 wait=f"{(clock.wall() - job.at).total_seconds():.1f}", cached=job.spec.image in room.images,
             )  # fmt: skip
-    if rt.left and not more:
-        preempt(rt, batch, rooms, least is None, now)
+    if runtime.left and not more:
+        preempt(runtime, batch, rooms, least is None, now)
     return more
 
 
-def fill(rt: PartRuntime, batch: Batch, job: Job, rows: list[tuple[Pending, int, Room]]) -> list[Slice]:
+def fill(runtime: PartRuntime, batch: Batch, job: Job, rows: list[tuple[Pending, int, Room]]) -> list[Slice]:
     """The slices with the new attempts; a gang's tasks have one attempt number."""
-    work, pieces = rt.works().get(job.id), {}
+    work, pieces = runtime.works().get(job.id), {}
     common = None
     if job.spec.gang:
-        common = gangs.number(rt, job.id)
+        common = gangs.number(runtime, job.id)
         if common is None:
-            rt.seq += 1
-            common = (rt.tenure.term << 32) | rt.seq
-    for _, leg, room in rows:
-        at = leg // rt.width if work is None else work.shard_of(leg, rt.width)
+            runtime.seq += 1
+            common = (runtime.tenure.term << 32) | runtime.seq
+    for _, task_index, room in rows:
+        at = task_index // runtime.width if work is None else work.shard_of(task_index, runtime.width)
         piece = pieces.get(at) or batch.slice(job.id, job.spec.team, job.spec.need, at)
         if common is None:
-            rt.seq += 1
-        attempt = Attempt((rt.tenure.term << 32) | rt.seq if common is None else common, room.id)
-        pieces[at] = replace(piece, run={**piece.run, leg: attempt})
+            runtime.seq += 1
+        attempt = Attempt((runtime.tenure.term << 32) | runtime.seq if common is None else common, room.id)
+        pieces[at] = replace(piece, run={**piece.run, task_index: attempt})
     return list(pieces.values())
 
 
-def order_soon(rt: PartRuntime, pieces: list[Slice], legs: set[int]) -> None:
+def order_directly(runtime: PartRuntime, pieces: list[Slice], tasks: set[int]) -> None:
     for piece in pieces:
-        for leg in legs & piece.run.keys():
-            attempt = piece.run[leg]
-            rt.urgent.setdefault(attempt.machine, []).append(((piece.job, leg), attempt))
+        for task_index in tasks & piece.run.keys():
+            attempt = piece.run[task_index]
+            runtime.urgent.setdefault(attempt.machine, []).append(((piece.job, task_index), attempt))
 
 
-def team_left(rt: PartRuntime, batch: Batch, team: str) -> tuple[float, float] | None:
+def team_left(runtime: PartRuntime, batch: Batch, team: str) -> tuple[float, float] | None:
     """What a team's limit leaves this part, after what the transaction in the making starts and ends."""
-    most = rt.shared.most_for(team, rt.part)
+    most = runtime.shared.most_for(team, runtime.part)
     if most is None:
         return None
     used = batch.used(team)
@@ -138,63 +140,63 @@
     return out
 
 
-def yields(rt: PartRuntime, item: Pending, overdue: dict[str, dict[str, int]]) -> bool:
+def yields(runtime: PartRuntime, item: Pending, overdue: dict[str, dict[str, int]]) -> bool:
     """Whether an item leaves its team's room to a job that another part holds and that has begun
     nothing for too long: a part's own steady stream must not starve it."""
     jobs = overdue.get(item.job.spec.team)
     if not jobs or item.overdue:
         return False
-    view, here = rt.shared.view, item.job.spec
-    scarce = rt.shared.room_left(here, rt.part) < 2 * item.count
+    view, here = runtime.shared.view, item.job.spec
+    scarce = runtime.shared.room_left(here, runtime.part) < 2 * item.count
     # Only for so long: one that has not begun by then waits for something else than the team's room.
-    since = clock.wall() - rt.shared.op.begin_within - YIELD
+    since = clock.wall() - runtime.shared.operator.begin_within - YIELD
     return scarce and any(
-        priority >= here.priority and rt.part not in view.jobs[name].alloc
+        priority >= here.priority and runtime.part not in view.jobs[name].alloc
         for name, priority in jobs.items()
         if name in view.jobs and view.jobs[name].at > since
     )
 
 
-def set_aside(rt: PartRuntime, batch: Batch, team: str, need: Need, tasks: int, keys: list[str]) -> bool:
+def set_aside(runtime: PartRuntime, batch: Batch, team: str, need: Need, tasks: int, keys: list[str]) -> bool:
     """Sees to it that the team's record sets enough aside for this part, in the same transaction.
     Some more than is needed is taken while there is plenty, so that parts seldom meet there."""
-    limits, team_key = rt.shared.limits(team), records.team_key(team)
+    limits, team_key = runtime.shared.limits(team), records.team_key(team)
     used = batch.used(team)
     used = (used[0] + tasks * need.cpus, used[1] + tasks * need.gpus)
     use = batch.team(team)
-    have = use.parts.get(rt.part, (0.0, 0.0))
+    have = use.parts.get(runtime.part, (0.0, 0.0))
     bound = [most < float("inf") for most in limits]
     short = any(b and u > h + policy.EPS for b, u, h in zip(bound, used, have, strict=True))
     if not batch.room_for(*keys, *([team_key] if short else [])):
         return False
     if short:
         others = (use.cpus - have[0], use.gpus - have[1])
-        share = 2 * max(1, rt.shared.settings.controllers)
+        share = 2 * max(1, runtime.shared.settings.controllers)
         fresh = [
             max(u, u + (most - other - u) / share) if b else 0.0
             for b, u, most, other in zip(bound, used, limits, others, strict=True)
         ]
-        batch.set_team(use.with_part(rt.part, *fresh))
+        batch.set_team(use.with_part(runtime.part, *fresh))
     return True
 
 
-def reserve(rt: PartRuntime, batch: Batch, now: datetime) -> None:
+def reserve(runtime: PartRuntime, batch: Batch, now: datetime) -> None:
     """Gives back what is set aside and not needed here, once others may want it."""
-    view = rt.shared.view
+    view = runtime.shared.view
     waiting: dict[str, tuple[float, float]] = {}
-    overdue = rt.shared.overdue(now)
-    for item in rt.pending():
+    overdue = runtime.shared.overdue(now)
+    for item in runtime.pending():
         # What has waited here for longer may wait for a machine that can't be had; other parts may have room.
-        if now - rt.queued.get(item.job.id, now) < HOLD and not yields(rt, item, overdue):
+        if now - runtime.queued.get(item.job.id, now) < HOLD and not yields(runtime, item, overdue):
             spec = item.job.spec
             cpus, gpus = waiting.get(spec.team, (0.0, 0.0))
             waiting[spec.team] = (cpus + item.count * spec.need.cpus, gpus + item.count * spec.need.gpus)
     for name, use in view.teams.items():
-        have = use.parts.get(rt.part)
-        key, limits = records.team_key(name), rt.shared.limits(name)
+        have = use.parts.get(runtime.part)
+        key, limits = records.team_key(name), runtime.shared.limits(name)
         if have is None or limits is None or key in batch.rows:
             continue
-        if now - rt.reserved_at.get(name, clock.ORIGIN) < RESERVE_EVERY:
+        if now - runtime.reserved_at.get(name, clock.ORIGIN) < RESERVE_EVERY:
             continue
         used, wants = batch.used(name), waiting.get(name, (0.0, 0.0))
         pressed = any(
@@ -206,81 +208,87 @@
         fresh = [min(h, u + w) for h, u, w in zip(have, used, wants, strict=True)]
         if all(h - f <= policy.EPS for h, f in zip(have, fresh, strict=True)) or not batch.room_for(key):
             continue
-        rt.reserved_at[name] = now
-        batch.set_team(use.with_part(rt.part, *(max(f, u) for f, u in zip(fresh, used, strict=True))))
+        runtime.reserved_at[name] = now
+        batch.set_team(use.with_part(runtime.part, *(max(f, u) for f, u in zip(fresh, used, strict=True))))
 
 
-def hold_back(rt: PartRuntime, queue: list[Pending]) -> None:
+def hold_back(runtime: PartRuntime, queue: list[Pending]) -> None:
     """Which types a waiting service is kept from, as when bidding."""
-    rigs, wall = rt.shared.rigs.values(), clock.wall()
-    boot = max((rig.startup for rig in rigs), default=clock.ZERO)
-    rt.held_back = {}
+    machine_types, wall = runtime.shared.machine_types.values(), clock.wall()
+    boot = max((machine_type.startup for machine_type in machine_types), default=clock.ZERO)
+    runtime.withheld_types = {}
     for item in queue:
         job = item.job
-        if job.spec.service and job.id not in rt.held_back and wall - job.at < rt.shared.patience(job.spec, boot):
-            dear = renting.dear_rigs(job, rigs, rt.shared.op.dear, rt.part)
+        if (
+            job.spec.service
+            and job.id not in runtime.withheld_types
+            and wall - job.at < runtime.shared.patience(job.spec, boot)
+        ):
+            dear = renting.expensive_machine_types(job, machine_types, runtime.shared.operator.dear, runtime.part)
             if dear:
-                rt.held_back[job.id] = frozenset(dear)
+                runtime.withheld_types[job.id] = frozenset(dear)
 
 
-def image_first(rt: PartRuntime, queue: list[Pending], rooms: list[Room]) -> None:
+def image_first(runtime: PartRuntime, queue: list[Pending], rooms: list[Room]) -> None:
     """A service that would be late by its fetch keeps off machines without its image for a moment, where
     one that has the image can be cleared for it sooner: images lead placement, also against free room."""
-    rt.cold = {}
-    wall, pulls = clock.wall(), [rig.pull for rig in rt.shared.rigs.values()]
+    runtime.without_image = {}
+    wall, pulls = clock.wall(), [machine_type.pull for machine_type in runtime.shared.machine_types.values()]
     for item in queue:
         spec = item.job.spec
-        within = rt.shared.start_within(spec)
-        if within is None or spec.gang or item.job.id in rt.cold:
+        within = runtime.shared.start_within(spec)
+        if within is None or spec.gang or item.job.id in runtime.without_image:
             continue
         left = within - (wall - item.job.at)
         fetch = timedelta(seconds=spec.image_gb / max(pulls, default=1.0))
-        if left < within * 0.4 or fetch + rt.shared.settings.report_every / 2 < left:
+        if left < within * 0.4 or fetch + runtime.shared.settings.report_every / 2 < left:
             continue
-        if any(clearable(rt, room, spec) for room in rooms if spec.image in room.images):
-            rt.cold[item.job.id] = {room.id for room in rooms if spec.image not in room.images}
+        if any(clearable(runtime, room, spec) for room in rooms if spec.image in room.images):
+            runtime.without_image[item.job.id] = {room.id for room in rooms if spec.image not in room.images}
 
 
-def clearable(rt: PartRuntime, room: Room, spec: Spec) -> bool:
+def clearable(runtime: PartRuntime, room: Room, spec: Spec) -> bool:
     """Whether a machine has room for a task, or would, less what may be stopped for it."""
     if room.spot and not spec.spot:
         return False
     cpus, gpus, memory = room.cpus, room.gpus, room.memory
-    for key, (work, _) in rt.by_machine().get(room.id, {}).items():
-        job = rt.live(key[0])
+    for key, (work, _) in runtime.by_machine().get(room.id, {}).items():
+        job = runtime.live(key[0])
         if job is not None and job.spec.priority < spec.priority:
             cpus, gpus, memory = cpus + work.need.cpus, gpus + work.need.gpus, memory + work.need.memory
     return spec.need.cpus <= cpus and spec.need.gpus <= gpus and spec.need.memory <= memory
 
 
-def bars(rt: PartRuntime, item: Pending) -> tuple[Container[str], Container[str]]:
+def bars(runtime: PartRuntime, item: Pending) -> tuple[Container[str], Container[str]]:
     """Machines and types that an item keeps off: those where its job just failed, and room that is being
     made for other work, which is not filled while its victims go."""
     name = item.job.id
-    pledged = {machine for machine, (job, _) in rt.pledges.items() if job != name}
-    if name in rt.lost_on:
+    reserved = {machine for machine, (job, _) in runtime.reservations.items() if job != name}
+    if name in runtime.lost_on:
         # A machine ignores an order for an attempt that it still holds, ended ones too.
-        pledged |= rt.lost_on[name][1]
-    return pledged | rt.avoid.get(name, {}).keys() | rt.cold.get(name, set()), rt.held_back.get(name, ())
+        reserved |= runtime.lost_on[name][1]
+    return reserved | runtime.avoid.get(name, {}).keys() | runtime.without_image.get(
+        name, set()
+    ), runtime.withheld_types.get(name, ())
 
 
-def preempt(rt: PartRuntime, batch: Batch, rooms: list[Room], all_of_them: bool, now: datetime) -> None:
-    waiting = [item for item in rt.left if item.job.spec.priority > 0 or item.guaranteed]
+def preempt(runtime: PartRuntime, batch: Batch, rooms: list[Room], all_of_them: bool, now: datetime) -> None:
+    waiting = [item for item in runtime.left if item.job.spec.priority > 0 or item.guaranteed]
     if not waiting:
         return
     if not all_of_them:
         known = {room.id: room for room in rooms}
-        rooms = [known.get(room.id, room) for room in rt.rooms(batch.ended)]
-    over, sure, most = teams_beyond(rt), rt.shared.guaranteed(), MOST_PREEMPTED
+        rooms = [known.get(room.id, room) for room in runtime.rooms(batch.ended)]
+    over, sure, most = teams_beyond(runtime), runtime.shared.guaranteed(), MAX_PREEMPTED
     running: dict[str, list[Victim]] = {}
     losses: dict[str, float] = {}
     top = max(item.job.spec.priority for item in waiting)
-    for machine, rows in rt.by_machine().items():
-        if machine in rt.pledges:
+    for machine, rows in runtime.by_machine().items():
+        if machine in runtime.reservations:
             continue
         for key, (work, attempt) in rows.items():
-            job = rt.live(key[0])
-            if job is None or key in rt.stops:
+            job = runtime.live(key[0])
+            if job is None or key in runtime.stops:
                 continue
             beyond = over.get(work.team, False) and job.id not in sure
             if job.spec.priority >= top and not beyond:
@@ -289,19 +297,24 @@
                 # Stopped as a whole or not at all, and judged by what all of it would lose.
                 loss = losses.get(job.id)
                 if loss is None:
-                    rows_of = rt.works()[job.id].run.items()
-                    loss = sum(work_lost(rt, (job.id, leg), other, job, now) for leg, other in rows_of)
+                    rows_of = runtime.works()[job.id].run.items()
+                    loss = sum(
+                        work_lost(runtime, (job.id, task_index), other, job, now) for task_index, other in rows_of
+                    )
                     losses[job.id] = loss
             else:
-                loss = work_lost(rt, key, attempt, job, now)
+                loss = work_lost(runtime, key, attempt, job, now)
             row = Victim(work.need, job.spec.priority, beyond, work.team, loss, (key, attempt, job))
             running.setdefault(machine, []).append(row)
     all_rooms, rooms = rooms, [room for room in rooms if room.id in running]
     for item in waiting:
-        made = sum(1 for job, _ in rt.pledges.values() if job == item.job.id)
-        kept_from, cold = rt.held_back.get(item.job.id, ()), rt.cold.get(item.job.id, ())
+        made = sum(1 for job, _ in runtime.reservations.values() if job == item.job.id)
+        kept_from, without_image = (
+            runtime.withheld_types.get(item.job.id, ()),
+            runtime.without_image.get(item.job.id, ()),
+        )
         if item.job.spec.gang:
-            taken = set() if made else preempt_whole(rt, item, all_rooms, rooms, running, now)
+            taken = set() if made else preempt_whole(runtime, item, all_rooms, rooms, running, now)
             rooms = [room for room in rooms if room.id not in taken]
             all_rooms = [room for room in all_rooms if room.id not in taken]
             most -= len(taken)
@@ -309,31 +322,31 @@
         for _ in range(item.count - made):
             if most <= 0:
                 return
-            open_to = [room for room in rooms if room.rig not in kept_from and room.id not in cold]
+            open_to = [room for room in rooms if room.machine_type not in kept_from and room.id not in without_image]
             found = policy.victims(item, open_to, running)
             if found is None:
                 break
             room, chosen = found
-            stop_for(rt, item, room, chosen, now)
-            rt.pledges[room.id] = (item.job.id, now + PLEDGE)
+            stop_for(runtime, item, room, chosen, now)
+            runtime.reservations[room.id] = (item.job.id, now + RESERVATION_LIFETIME)
             rooms = [other for other in rooms if other.id != room.id]
             most -= 1
 
 
-def stop_for(rt: PartRuntime, item: Pending, room: Room, chosen: list[Victim], now: datetime) -> None:
+def stop_for(runtime: PartRuntime, item: Pending, room: Room, chosen: list[Victim], now: datetime) -> None:
     for victim in chosen:
         key, attempt, job = victim.handle
-        log.info("preempt", part=rt.part, task=f"{key[0]}/{key[1]}", machine=room.id, by=item.job.id)
+        log.info("preempt", part=runtime.part, task=f"{key[0]}/{key[1]}", machine=room.id, by=item.job.id)
         if job.spec.gang:
-            gangs.stop_whole(rt, job, "preempted", now)
+            gangs.stop_whole(runtime, job, "preempted", now)
             continue
         saves = job.spec.checkpoint > clock.ZERO
         grace = job.spec.save + timedelta(seconds=1) if saves else clock.ZERO
-        rt.stop(key, attempt, grace, "preempted", now)
+        runtime.stop(key, attempt, grace, "preempted", now)
 
 
 def preempt_whole(
-    rt: PartRuntime,
+    runtime: PartRuntime,
     item: Pending,
     all_rooms: list[Room],
     rooms: list[Room],
@@ -342,12 +355,12 @@
 ) -> set[str]:
     """Room for all of a gang, or nothing is stopped for it. What it needs is kept for it together, free room too."""
     need = item.job.spec.need
-    free = {r.id: r.count(need) for r in all_rooms if r.id not in rt.pledges}
-    allowed = {r.id for r in all_rooms if policy.allowed(item.job, r.rig, r.zone, r.spot)}
+    free = {r.id: r.count(need) for r in all_rooms if r.id not in runtime.reservations}
+    allowed = {r.id for r in all_rooms if policy.allowed(item.job, r.machine_type, r.zone, r.spot)}
     have = sum(count for name, count in free.items() if name in allowed)
     plan: list[tuple[Room, list[Victim]]] = []
     open_to = list(rooms)
-    while have < item.count and len(plan) < MOST_PREEMPTED:
+    while have < item.count and len(plan) < MAX_PREEMPTED:
         found = policy.victims(item, open_to, running)
         if found is None:
             return set()
@@ -361,7 +374,7 @@
     if have < item.count:
         return set()
     for room, chosen in plan:
-        stop_for(rt, item, room, chosen, now)
+        stop_for(runtime, item, room, chosen, now)
     names = {room.id for room, _ in plan}
     spare = item.count - sum(1 for _ in plan)
     for name in sorted(allowed - names, key=lambda name: -free.get(name, 0)):
@@ -370,23 +383,23 @@
         spare -= free[name]
         names.add(name)
     for name in names:
-        rt.pledges[name] = (item.job.id, now + PLEDGE)
+        runtime.reservations[name] = (item.job.id, now + RESERVATION_LIFETIME)
     return names
 
 
-def teams_beyond(rt: PartRuntime) -> dict[str, bool]:
+def teams_beyond(runtime: PartRuntime) -> dict[str, bool]:
     out = {}
-    for team in rt.shared.settings.teams.values():
-        cpus, gpus = rt.shared.view.used_by(team.name)
+    for team in runtime.shared.settings.teams.values():
+        cpus, gpus = runtime.shared.view.used_by(team.name)
         out[team.name] = (team.gpus > 0 and gpus > team.gpus + policy.EPS) or (
             team.cpus > 0 and cpus > team.cpus + policy.EPS
         )
     return out
 
 
-def work_lost(rt: PartRuntime, key: Key, attempt: Attempt, job: Job, now: datetime) -> float:
+def work_lost(runtime: PartRuntime, key: Key, attempt: Attempt, job: Job, now: datetime) -> float:
     """Seconds of work that stopping a task now would waste."""
-    machine = rt.machines.get(attempt.machine)
+    machine = runtime.machines.get(attempt.machine)
     seen = machine.tasks.get(key) if machine else None
     if seen is None or seen.running_since is None:
         return 0.0
--- a/roadbend/placement/test_placement.py
+++ b/roadbend/placement/test_placement.py
@@ -5,12 +5,12 @@
 from datetime import timedelta
 
 from roadbend import clock
+from roadbend.fakes.world import job, settings_for
 from roadbend.intake.messages import read_submission
 from roadbend.placement import forecast, policy
 from roadbend.placement.forecast import Line
 from roadbend.placement.policy import Pending, Room, Victim
 from roadbend.placement.shared import within_guarantee
-from roadbend.standins.world import job, settings_for
 from roadbend.store.records import Job, Need
 
 TOTAL = Need(24, 2, 144)
@@ -83,7 +83,7 @@
     assert [policy.lateness(item.job, wall, times) for item in (lost, second, first)] == [2, 1, 0]
     assert order(lost, second, first) == ["run-000003", "run-000002", "run-000001"]
     # What has begun nothing for long, and what is within its team's guarantee, still goes first.
-    overdue = Pending(lost.job, lost.legs, False, True)
+    overdue = Pending(lost.job, lost.tasks, False, True)
     assert order(first, overdue) == ["run-000001", "run-000003"]
     assert order(first, pending(4, guaranteed=True, age=200, dueS=100.0)) == ["run-000004", "run-000003"]
     # Nothing but the job itself and the time of day is asked: parts can't disagree about it.
@@ -126,11 +126,13 @@
 
 def test_the_forecast_counts_a_fetch_only_where_the_image_is_missing():
     item = pending(imageGb=40.0)
-    cold, warm = Line(room("cold", pull=0.5)), Line(room("warm", pull=0.5, images=["img-1"], ready_in=20.0))
-    assert forecast.earliest(item.job, [cold, warm]) == (20.0, warm)
-    cold.put(item.job, 0.0, 10.0)
+    without_image, warm = Line(room("cold", pull=0.5)), Line(room("warm", pull=0.5, images=["img-1"], ready_in=20.0))
+    assert forecast.earliest(item.job, [without_image, warm]) == (20.0, warm)
+    without_image.put(item.job, 0.0, 10.0)
     # The image is on its way; the next task of this job begins there at once.
-    assert cold.releases[0][0] == 90.0 and forecast.earliest(item.job, [cold, warm])[1] is cold
+    assert (
+        without_image.releases[0][0] == 90.0 and forecast.earliest(item.job, [without_image, warm])[1] is without_image
+    )
 
 
 def lay_looking_everywhere(queue, lines, run):
@@ -142,7 +144,9 @@
             rows = []
             for n, line in enumerate(lines):
                 start = line.earliest(spec.need)
-                if start < forecast.NEVER and policy.allowed(item.job, line.room.rig, line.room.zone, line.room.spot):
+                if start < forecast.NEVER and policy.allowed(
+                    item.job, line.room.machine_type, line.room.zone, line.room.spot
+                ):
                     runs = round(start + line.room.fetch(spec.image, spec.image_gb), 6)
                     rows.append((runs, spec.spot and not line.room.spot, n, start, line))
             if not rows:
--- a/roadbend/rental/cloud.py
+++ b/roadbend/rental/cloud.py
@@ -13,14 +13,14 @@
 from roadbend.store.records import Need
 
 # Most names that one deletion takes, and most machines that one request hires.
-MOST_NAMES = 100
-MOST_HIRED = 50
+MAX_NAMES = 100
+MAX_HIRED = 50
 # What goes first when calls are short; machines that must be gone don't wait at all.
 HIRE, RETURN, CATALOG, LIST = range(4)
 
 
 @dataclass(frozen=True)
-class Rig:
+class MachineType:
     name: str
     room: Need
     cache_gb: float
@@ -45,14 +45,14 @@
         }
 
 
-def read_rigs(rows: Any) -> dict[str, Rig]:
+def read_machine_types(rows: Any) -> dict[str, MachineType]:
     if not isinstance(rows, list):
         raise Malformed("catalog: expected a list")
-    rigs = {}
+    machine_types = {}
     for row in rows:
         if not isinstance(row, dict) or not isinstance(row.get("yards"), list):
             raise Malformed("catalog: expected maps with yards")
-        rig = Rig(
+        machine_type = MachineType(
             text(row.get("name"), "name"),
             Need(
                 number(row.get("vcpus"), "vcpus"),
@@ -66,15 +66,15 @@
             timedelta(seconds=min(86400.0, number(row.get("startupS"), "startupS"))),
             tuple(text(zone, "yards") for zone in row["yards"]),
         )
-        rigs[rig.name] = rig
-    return rigs
+        machine_types[machine_type.name] = machine_type
+    return machine_types
 
 
 @dataclass(frozen=True)
 class Listed:
     id: str
     address: str
-    rig: str
+    machine_type: str
     zone: str
     spot: bool
     status: str
@@ -147,20 +147,20 @@
             raise NoAnswer(f"status {status}")
         return answer
 
-    async def catalog(self) -> dict[str, Rig]:
+    async def catalog(self) -> dict[str, MachineType]:
         answer = await self._call("GET", "/catalog", rank=CATALOG)
         try:
-            rigs = read_rigs(answer.get("rigs") if isinstance(answer, dict) else None)
+            machine_types = read_machine_types(answer.get("rigs") if isinstance(answer, dict) else None)
         except Malformed as error:
             raise NoAnswer(f"nonsense: {error}") from None
-        if not rigs:
+        if not machine_types:
             raise NoAnswer("nonsense: empty catalog")
-        return rigs
+        return machine_types
 
-    async def hire(
-        self, name: str, rig: str, zone: str, spot: bool, count: int, still: Still | None = None
+    async def rent(
+        self, name: str, machine_type: str, zone: str, spot: bool, count: int, still: Still | None = None
     ) -> list[str]:
-        body = {"hire": name, "rig": rig, "yard": zone, "loaners": spot, "howMany": count}
+        body = {"hire": name, "rig": machine_type, "yard": zone, "loaners": spot, "howMany": count}
         answer = await self._call("POST", "/machines", body, rank=HIRE, still=still)
         rows = answer.get("hitches") if isinstance(answer, dict) else None
         if not isinstance(rows, list) or not all(isinstance(row, str) for row in rows):
@@ -169,8 +169,8 @@
 
     async def delete(self, names: list[str], urgent: bool = False, still: Still | None = None) -> None:
         """Returns when all of them are gone; where it raises, none is proven gone."""
-        for at in range(0, len(names), MOST_NAMES):
-            body = {"hitches": names[at : at + MOST_NAMES]}
+        for at in range(0, len(names), MAX_NAMES):
+            body = {"hitches": names[at : at + MAX_NAMES]}
             await self._call("POST", "/machines/delete", body, rank=RETURN, urgent=urgent, still=still)
 
     def list_pause(self, machines: int) -> timedelta:
--- a/roadbend/rental/policy.py
+++ b/roadbend/rental/policy.py
@@ -7,7 +7,7 @@
 
 from roadbend.placement.forecast import Board, Line, Starts
 from roadbend.placement.policy import Pending, Room, allowed, least_of
-from roadbend.rental.cloud import Rig
+from roadbend.rental.cloud import MachineType
 from roadbend.store.records import Job
 
 # Rounds of an array's tasks over which a machine's boot and first fetch are written off.
@@ -22,34 +22,34 @@
 class Option:
     """A type and kind that may be hired in this part, at its price an hour."""
 
-    rig: Rig
+    machine_type: MachineType
     spot: bool
     price: float
 
 
-def options(rigs: Iterable[Rig], part: str, refused: set[tuple[str, bool]]) -> list[Option]:
+def options(machine_types: Iterable[MachineType], part: str, refused: set[tuple[str, bool]]) -> list[Option]:
     out = []
-    for rig in rigs:
-        if part not in rig.zones:
+    for machine_type in machine_types:
+        if part not in machine_type.zones:
             continue
-        for spot, price in ((False, rig.price), (True, rig.spot_price)):
-            if (rig.name, spot) not in refused and price > 0:
-                out.append(Option(rig, spot, price))
+        for spot, price in ((False, machine_type.price), (True, machine_type.spot_price)):
+            if (machine_type.name, spot) not in refused and price > 0:
+                out.append(Option(machine_type, spot, price))
     return out
 
 
 def empty_room(name: str, option: Option, part: str) -> Room:
-    room = option.rig.room
+    room = option.machine_type.room
     return Room(
-        name, option.rig.name, part, option.spot, room.cpus, room.gpus, room.memory,
-        total=room, ready_in=option.rig.startup.total_seconds(), price=option.price, pull=option.rig.pull,
+        name, option.machine_type.name, part, option.spot, room.cpus, room.gpus, room.memory,
+        total=room, ready_in=option.machine_type.startup.total_seconds(), price=option.price, pull=option.machine_type.pull,
     )  # fmt: skip
 
 
 def cost(item: Pending, option: Option, part: str, alike: int) -> float | None:
     """Price a task. An array fills a machine only as far as it has tasks, and pays for boot and fetch
     over a few rounds of its run; a service stays, and what comes later fills the rest."""
-    if not allowed(item.job, option.rig.name, part, option.spot):
+    if not allowed(item.job, option.machine_type.name, part, option.spot):
         return None
     count = empty_room("", option, part).count(item.job.spec.need)
     if count < 1:
@@ -70,29 +70,29 @@
     return choices[min(priced)[1]] if priced else None
 
 
-def least_cost(item: Pending, rigs: Iterable[Rig], alike: int) -> float | None:
+def least_cost(item: Pending, machine_types: Iterable[MachineType], alike: int) -> float | None:
     """The least price a task in any zone, whether it can be had or not: what is dear is told by it."""
-    rigs = list(rigs)
+    machine_types = list(machine_types)
     prices = [
         price
-        for zone in {zone for rig in rigs for zone in rig.zones}
-        for option in options(rigs, zone, set())
+        for zone in {zone for machine_type in machine_types for zone in machine_type.zones}
+        for option in options(machine_types, zone, set())
         if (price := cost(item, option, zone, alike)) is not None
     ]
     return min(prices, default=None)
 
 
-def dear_rigs(job: Job, rigs: Iterable[Rig], dear: float, part: str) -> set[str]:
+def expensive_machine_types(job: Job, machine_types: Iterable[MachineType], dear: float, part: str) -> set[str]:
     """Types on which a task of this job costs over `dear` times the least, when machines are full. A job
     that must spread over zones can't go where the cheap type is: there only this part's types compare."""
     prices: dict[str, float] = {}
-    if job.spec.zone_cap < job.spec.legs:
-        rigs = [rig for rig in rigs if part in rig.zones]
-    for rig in rigs:
-        for option in options([rig], rig.zones[0], set()) if rig.zones else ():
-            price = cost(Pending(job, 0, False), option, rig.zones[0], 1_000_000)
+    if job.spec.zone_cap < job.spec.task_count:
+        machine_types = [machine_type for machine_type in machine_types if part in machine_type.zones]
+    for machine_type in machine_types:
+        for option in options([machine_type], machine_type.zones[0], set()) if machine_type.zones else ():
+            price = cost(Pending(job, 0, False), option, machine_type.zones[0], 1_000_000)
             if price is not None:
-                prices[rig.name] = min(price, prices.get(rig.name, price))
+                prices[machine_type.name] = min(price, prices.get(machine_type.name, price))
     least = min(prices.values(), default=0.0)
     return {name for name, price in prices.items() if price > least * dear}
 
@@ -113,7 +113,7 @@
 
 
 def ready_after(option: Option, image_gb: float, boot_factor: float) -> float:
-    return option.rig.startup.total_seconds() * boot_factor + image_gb / option.rig.pull
+    return option.machine_type.startup.total_seconds() * boot_factor + image_gb / option.machine_type.pull
 
 
 def in_reach(timing: Timing, choices: list[Option], part: str, boot_factor: float) -> tuple[float, bool]:
@@ -135,7 +135,7 @@
 ) -> Option | None:
     """The machine to hire for tasks that would start too late on what there is."""
     item = timing.item
-    usable = [o for o in choices if o.rig.name not in timing.avoid]
+    usable = [o for o in choices if o.machine_type.name not in timing.avoid]
     if not reach and timing.least is not None:
         # Too late for every aim: it takes what is cheap, and else the next place that comes free; being
         # the oldest, it is the first to get one.
@@ -191,7 +191,7 @@
                     if room.ready_in + room.fetch(spec.image, timing.image_gb) < begin - 1.0:
                         line = Line(room)
                         rows.join(line)
-                        key = (option.rig.name, option.spot)
+                        key = (option.machine_type.name, option.spot)
                         out[key] = out.get(key, 0) + 1
             left -= 1
             if line is None:
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -15,7 +15,7 @@
 from roadbend.placement.shared import Shared
 from roadbend.placement.starts import within
 from roadbend.rental import policy
-from roadbend.rental.cloud import MOST_HIRED, MOST_NAMES, Busy, Cloud, Listed, NoCapacity, Still, read_rigs
+from roadbend.rental.cloud import MAX_HIRED, MAX_NAMES, Busy, Cloud, Listed, NoCapacity, Still, read_machine_types
 from roadbend.retry import Backoff, drawn
 from roadbend.store import records
 from roadbend.store.client import Conflict, NoLease, Unavailable, commit, put
@@ -32,7 +32,7 @@
     """A machine that we hired and that has not reported yet."""
 
     id: str
-    rig: str
+    machine_type: str
     spot: bool
     since: datetime
     # First seen in the list, as running: it may as well be gone, or report elsewhere. No room yet.
@@ -61,10 +61,10 @@
 
     def adopt_catalog(self) -> None:
         """What was last seen by anyone, for a start while the cloud is out."""
-        if not self._shared.rigs and self._shared.view.catalog is not None:
+        if not self._shared.machine_types and self._shared.view.catalog is not None:
             try:
-                self._shared.rigs = read_rigs(self._shared.view.catalog)
-                log.info("catalog-adopted", rigs=len(self._shared.rigs))
+                self._shared.machine_types = read_machine_types(self._shared.view.catalog)
+                log.info("catalog-adopted", machine_types=len(self._shared.machine_types))
             except Malformed as error:
                 log.error("bad-record", key=records.CATALOG_KEY, error=error)
 
@@ -72,20 +72,20 @@
         while True:
             self.adopt_catalog()
             try:
-                rigs = await self._cloud.catalog()
-                self._shared.rigs = rigs
-                await self._keep_catalog(rigs)
+                machine_types = await self._cloud.catalog()
+                self._shared.machine_types = machine_types
+                await self._keep_catalog(machine_types)
                 # Until it is in the records, a controller that starts in a cloud outage would not know it.
                 await clock.pause(timedelta(seconds=20 if self._shared.view.catalog is not None else 1))
             except (NoAnswer, Busy, NoCapacity) as error:
                 log.info("no-catalog", error=str(error)[:60])
-                await clock.pause(timedelta(seconds=1 if not self._shared.rigs else 4))
+                await clock.pause(timedelta(seconds=1 if not self._shared.machine_types else 4))
 
-    async def _keep_catalog(self, rigs) -> None:
+    async def _keep_catalog(self, machine_types) -> None:
         view = self._shared.view
         if not view.loaded:
             return
-        value = [rig.to_value() for rig in rigs.values()]
+        value = [machine_type.to_value() for machine_type in machine_types.values()]
 
         def lasting(rows):
             return [{k: v for k, v in row.items() if k != "lowPrice"} for row in rows]
@@ -93,7 +93,7 @@
         if view.catalog is not None and lasting(view.catalog) == lasting(value):
             return
         rows = [put(records.CATALOG_KEY, value)]
-        when = {records.CATALOG_KEY: view.catalog_stamp}
+        when = {records.CATALOG_KEY: view.catalog_mod_revision}
         try:
             view.applied(rows, await commit(self._shared.state, when, rows, within=timedelta(seconds=3)))
         except (Conflict, NoLease, Unavailable):
@@ -128,7 +128,7 @@
                 # The list lags: what we deleted still appears in it, and is no stray.
                 continue
             if row.status in ("booting", "running") and row.id not in boots:
-                boots[row.id] = Boot(row.id, row.rig, row.spot, now - row.age, row.status == "running")
+                boots[row.id] = Boot(row.id, row.machine_type, row.spot, now - row.age, row.status == "running")
 
     # A part's loop.
 
@@ -139,7 +139,7 @@
             pause = ROUND
             try:
                 now = clock.now()
-                if self._shared.ownership.may_start(now) and self._shared.rigs:
+                if self._shared.ownership.may_start(now) and self._shared.machine_types:
                     hires = self._plan(runtime, now)
                     # Where looking at everything takes long, it is done less often.
                     pause = max(ROUND, self._shared.rest(clock.now() - now))
@@ -154,63 +154,69 @@
     def closed(self, part: str, now: datetime) -> set[tuple[str, bool]]:
         if self._fleet.cut_off(part, now):
             # What is hired behind a cut comes up unheard.
-            return {(rig, spot) for rig in self._shared.rigs for spot in (True, False)}
-        return {(rig, spot) for (p, rig, spot), row in self.refused.items() if p == part and row.until > now}
+            return {(machine_type, spot) for machine_type in self._shared.machine_types for spot in (True, False)}
+        return {
+            (machine_type, spot)
+            for (p, machine_type, spot), row in self.refused.items()
+            if p == part and row.until > now
+        }
 
     def boot_rooms(self, runtime: PartRuntime, now: datetime) -> list[placing.Room]:
         out = []
         for boot in self._boots.get(runtime.part, {}).values():
-            rig = self._shared.rigs.get(boot.rig)
-            if rig is None or boot.stray or boot.id in runtime.machines:
+            machine_type = self._shared.machine_types.get(boot.machine_type)
+            if machine_type is None or boot.stray or boot.id in runtime.machines:
                 continue
-            if now - boot.since > rig.startup * 1.8:
+            if now - boot.since > machine_type.startup * 1.8:
                 # It may still come, but others are hired in its place.
                 continue
-            price = rig.spot_price if boot.spot else rig.price
-            room = policy.empty_room(boot.id, policy.Option(rig, boot.spot, price), runtime.part)
-            room.ready_in = max(1.0, (rig.startup - (now - boot.since)).total_seconds())
+            price = machine_type.spot_price if boot.spot else machine_type.price
+            room = policy.empty_room(boot.id, policy.Option(machine_type, boot.spot, price), runtime.part)
+            room.ready_in = max(1.0, (machine_type.startup - (now - boot.since)).total_seconds())
             out.append(room)
         return out
 
     def _plan(self, runtime: PartRuntime, now: datetime) -> tuple[dict[tuple[str, bool], int], Job | None, int]:
         """What to hire, the service to keep room for, and how many places there are beyond that."""
-        part, op = runtime.part, self._shared.op
+        part, operator = runtime.part, self._shared.operator
         boots = self._boots.setdefault(part, {})
         for name in [n for n in boots if n in runtime.machines]:
             del boots[name]
         fresh = self.boot_rooms(runtime, now)
         runtime.booting = fresh
         queue = self._timed(runtime, self._within_limits(runtime, runtime.pending()))
-        choices = policy.options(self._shared.rigs.values(), part, self.closed(part, now))
+        choices = policy.options(self._shared.machine_types.values(), part, self.closed(part, now))
         # The forecast writes on the rooms that it is given.
         lines = runtime.lines([replace(room) for room in fresh])
         most = runtime.most_forecast(lines)
-        want = policy.wanted(queue, lines, choices, part, op.boot_factor, most) if queue else {}
+        want = policy.wanted(queue, lines, choices, part, operator.boot_factor, most) if queue else {}
         model, keep = self._warm(part)
         have = self._warm_now(runtime, model, fresh) if model is not None else 0
         if model is not None and have < keep:
-            dear = policy.dear_rigs(model, self._shared.rigs.values(), op.dear, part)
-            fit = [o for o in choices if o.rig.name not in dear]
+            dear = policy.expensive_machine_types(model, self._shared.machine_types.values(), operator.dear, part)
+            fit = [o for o in choices if o.machine_type.name not in dear]
             option = policy.cheapest(placing.Pending(model, ((0, 1),), True), fit, part, keep)
-            if option is not None and not any(rig == option.rig.name and not spot for rig, spot in want):
+            if option is not None and not any(
+                machine_type == option.machine_type.name and not spot for machine_type, spot in want
+            ):
                 places = policy.empty_room("", option, part).count(model.spec.need)
-                want[(option.rig.name, option.spot)] = -(-(keep - have) // places)
+                want[(option.machine_type.name, option.spot)] = -(-(keep - have) // places)
         return want, model, have - keep
 
     async def _round(
         self, runtime: PartRuntime, now: datetime, want: dict[tuple[str, bool], int], model: Job | None, surplus: int
     ) -> None:
-        part, op = runtime.part, self._shared.op
+        part, operator = runtime.part, self._shared.operator
         boots = self._boots.setdefault(part, {})
-        for (rig, spot), count in want.items():
-            await self._hire(runtime, rig, spot, min(count, MOST_HIRED))
+        for (machine_type, spot), count in want.items():
+            await self._rent(runtime, machine_type, spot, min(count, MAX_HIRED))
         await self._give_back(runtime, now, model, surplus)
         late = []
         for boot in list(boots.values()):
-            rig = self._shared.rigs.get(boot.rig)
-            limit = op.boot_patience * rig.startup if rig else timedelta(seconds=120)
+            machine_type = self._shared.machine_types.get(boot.machine_type)
+            limit = operator.boot_patience * machine_type.startup if machine_type else timedelta(seconds=120)
             if boot.stray:
-                limit = min(limit, op.find_owner)
+                limit = min(limit, operator.find_owner)
             # What we hired in an earlier term may long be up, and report to us only now: an owner that got its
             # part back once deleted healthy machines here.
             since = max(boot.since, runtime.tenure.since)
@@ -227,10 +233,10 @@
     def _warm(self, part: str) -> tuple[Job | None, int]:
         """The service to keep room for, and how many places of this part: for classes whose aim is a
         start sooner than a machine boots, as many as measured arrivals justify."""
-        op, wall = self._shared.op, clock.wall()
+        operator, wall = self._shared.operator, clock.wall()
         arrivals: list[int] = []
         model = None
-        boot = max((rig.startup for rig in self._shared.rigs.values()), default=clock.ZERO)
+        boot = max((machine_type.startup for machine_type in self._shared.machine_types.values()), default=clock.ZERO)
         for job in self._shared.view.jobs.values():
             within = self._shared.start_within(job.spec)
             # Boots take up to half as long again as they nominally do.
@@ -238,26 +244,37 @@
                 continue
             if model is None or job.at > model.at:
                 model = job
-            if wall - job.at < op.spare_window:
-                arrivals.append(job.spec.legs)
+            if wall - job.at < operator.spare_window:
+                arrivals.append(job.spec.task_count)
         if model is None:
             return None, 0
         # Only parts that can host it cheaply keep room for it.
-        rigs = self._shared.rigs
-        zones = {zone for rig in rigs.values() for zone in rig.zones}
-        dear = {zone: policy.dear_rigs(model, rigs.values(), op.dear, zone) for zone in zones}
-        hosts = {zone for name, rig in rigs.items() for zone in rig.zones if name not in dear[zone]}
+        machine_types = self._shared.machine_types
+        zones = {zone for machine_type in machine_types.values() for zone in machine_type.zones}
+        dear = {
+            zone: policy.expensive_machine_types(model, machine_types.values(), operator.dear, zone) for zone in zones
+        }
+        hosts = {
+            zone
+            for name, machine_type in machine_types.items()
+            for zone in machine_type.zones
+            if name not in dear[zone]
+        }
         if part not in hosts:
             return None, 0
         parts = len(hosts)
-        return model, policy.warm_places(arrivals, boot * op.boot_factor, op.spare_window, parts, op.spare_most)
+        return model, policy.warm_places(
+            arrivals, boot * operator.boot_factor, operator.spare_window, parts, operator.spare_most
+        )
 
     def _warm_now(self, runtime: PartRuntime, model: Job, fresh: list[placing.Room]) -> int:
         """Places that are free, or that work which may be stopped for it holds."""
         index, have = runtime.by_machine(), 0
-        dear = policy.dear_rigs(model, self._shared.rigs.values(), self._shared.op.dear, runtime.part)
+        dear = policy.expensive_machine_types(
+            model, self._shared.machine_types.values(), self._shared.operator.dear, runtime.part
+        )
         for room in runtime.rooms() + [replace(room) for room in fresh]:
-            if not placing.allowed(model, room.rig, room.zone, room.spot) or room.rig in dear:
+            if not placing.allowed(model, room.machine_type, room.zone, room.spot) or room.machine_type in dear:
                 continue
             for key, (work, _) in index.get(room.id, {}).items():
                 job = self._shared.view.jobs.get(key[0])
@@ -267,21 +284,23 @@
         return have - sum(item.count for item in runtime.pending() if item.job.spec.service)
 
     def _timed(self, runtime: PartRuntime, queue: list[placing.Pending]) -> list[policy.Timing]:
-        out, wall, op = [], clock.wall(), self._shared.op
-        boot = max((rig.startup for rig in self._shared.rigs.values()), default=clock.ZERO).total_seconds()
+        out, wall, operator = [], clock.wall(), self._shared.operator
+        boot = max(
+            (machine_type.startup for machine_type in self._shared.machine_types.values()), default=clock.ZERO
+        ).total_seconds()
         for item in queue:
             spec = item.job.spec
             run = runtime.run_seconds(item.job)
             waited = (wall - item.job.at).total_seconds()
             # Estimates are often wrong: the time kept for the run is longer than the likely one.
-            kept = 0.0 if spec.service else run * op.caution
-            avoid = runtime.held_back.get(item.job.id, frozenset())
+            kept = 0.0 if spec.service else run * operator.caution
+            avoid = runtime.withheld_types.get(item.job.id, frozenset())
             # The last task decides; for the later deadline, which is the last chance, some more is kept.
             sure = kept * 1.3 + 0.5 * boot
             first, *more = self._shared.deadlines(spec)
             later = [forecast.slack(item, waited, sure, x) for x in more]
             first = forecast.slack(item, waited, kept, first)
-            least = policy.least_cost(item, self._shared.rigs.values(), item.count) if later else None
+            least = policy.least_cost(item, self._shared.machine_types.values(), item.count) if later else None
             out.append(policy.Timing(item, run, first, spec.image_gb, avoid, tuple(later), least))
         return out
 
@@ -297,16 +316,16 @@
 
         return within(placing.Allowance(room), left)
 
-    async def _hire(self, runtime: PartRuntime, rig: str, spot: bool, count: int) -> None:
+    async def _rent(self, runtime: PartRuntime, machine_type: str, spot: bool, count: int) -> None:
         part = runtime.part
         self._names += 1
         # Never used again: the term is ours alone, and the number grows within it.
         name = f"{part}-{runtime.tenure.term}-{self._names}"
-        key = (part, rig, spot)
+        key = (part, machine_type, spot)
         waits = Backoff(timedelta(milliseconds=300), timedelta(seconds=10), self._rng)
         for _ in range(6):
             try:
-                got = await self._cloud.hire(name, rig, part, spot, count, self._still(runtime))
+                got = await self._cloud.rent(name, machine_type, part, spot, count, self._still(runtime))
                 break
             except NoCapacity:
                 self._refuse(key)
@@ -318,10 +337,12 @@
             raise NoAnswer("hire")
         now = clock.now()
         for machine in got:
-            self._boots.setdefault(part, {})[machine] = Boot(machine, rig, spot, now)
+            self._boots.setdefault(part, {})[machine] = Boot(machine, machine_type, spot, now)
             if machine not in runtime.machines:
-                runtime.hired.add(machine)
-        log.info("hired", part=part, rig=rig, spot=spot, wanted=count, got=len(got), machines=",".join(got))
+                runtime.rented.add(machine)
+        log.info(
+            "hired", part=part, machine_type=machine_type, spot=spot, wanted=count, got=len(got), machines=",".join(got)
+        )
         if len(got) < count:
             self._refuse(key)
         else:
@@ -334,11 +355,11 @@
         return lambda: ownership.tenure(runtime.part) == runtime.tenure and ownership.may_start(clock.now())
 
     def _refuse(self, key: tuple[str, str, bool]) -> None:
-        op, now = self._shared.op, clock.now()
+        operator, now = self._shared.operator, clock.now()
         old = self.refused.get(key)
-        pause = min(op.refusal_pause_max, old.pause * 2) if old else op.refusal_pause
+        pause = min(operator.refusal_pause_max, old.pause * 2) if old else operator.refusal_pause
         self.refused[key] = Refusal(now + drawn(pause, self._rng), pause)
-        log.info("refused", part=key[0], rig=key[1], spot=key[2], pause=pause.total_seconds())
+        log.info("refused", part=key[0], machine_type=key[1], spot=key[2], pause=pause.total_seconds())
 
     def _kept_for_gangs(self, runtime: PartRuntime, idle: list[str]) -> set[str]:
         """Empty machines that a waiting gang needs: it begins when the last one is up, and those that came up before
@@ -350,21 +371,23 @@
                 if places <= 0:
                     break
                 machine = runtime.machines[name]
-                rig = self._shared.rigs.get(machine.rig)
-                if rig is None or not placing.allowed(item.job, machine.rig, machine.zone, machine.spot):
+                machine_type = self._shared.machine_types.get(machine.machine_type)
+                if machine_type is None or not placing.allowed(
+                    item.job, machine.machine_type, machine.zone, machine.spot
+                ):
                     continue
-                option = policy.Option(rig, machine.spot, 0.0)
+                option = policy.Option(machine_type, machine.spot, 0.0)
                 places -= policy.empty_room("", option, runtime.part).count(item.job.spec.need)
                 kept.add(name)
         return kept
 
     async def _give_back(self, runtime: PartRuntime, now: datetime, model: Job | None, surplus: int) -> None:
-        op = self._shared.op
+        operator = self._shared.operator
         index = runtime.by_machine()
         idle, sick = [], []
         for machine in runtime.machines.values():
             busy = machine.id in index or machine.foreign or machine.id in runtime.in_flight
-            if len(machine.failures) >= op.error_limit and machine.draining is None:
+            if len(machine.failures) >= operator.error_limit and machine.draining is None:
                 machine.draining = "sick"
                 log.info("sick", part=runtime.part, machine=machine.id)
             if busy or machine.fencing:
@@ -373,19 +396,19 @@
                 sick.append(machine.id)
             elif machine.ours and machine.empty_since is not None and machine.recall_at is None:
                 places = 0
-                rig = self._shared.rigs.get(machine.rig)
-                if model is not None and rig is not None:
-                    if placing.allowed(model, machine.rig, machine.zone, machine.spot):
-                        option = policy.Option(rig, machine.spot, 0.0)
+                machine_type = self._shared.machine_types.get(machine.machine_type)
+                if model is not None and machine_type is not None:
+                    if placing.allowed(model, machine.machine_type, machine.zone, machine.spot):
+                        option = policy.Option(machine_type, machine.spot, 0.0)
                         places = policy.empty_room("", option, runtime.part).count(model.spec.need)
                 idle.append((machine.id, machine.empty_since, places))
         kept = self._kept_for_gangs(runtime, [name for name, _, _ in sorted(idle, key=lambda row: row[1])])
-        back = policy.to_return([row for row in idle if row[0] not in kept], now, op.idle_return, surplus)
+        back = policy.to_return([row for row in idle if row[0] not in kept], now, operator.idle_return, surplus)
         names = sick + back
-        if not names or len(names) < MOST_NAMES // 4 and now - self._returned.get(runtime.part, clock.ORIGIN) < GATHER:
+        if not names or len(names) < MAX_NAMES // 4 and now - self._returned.get(runtime.part, clock.ORIGIN) < GATHER:
             # A few at a time would take a call each.
             return
-        names = names[:MOST_NAMES]
+        names = names[:MAX_NAMES]
         self._returned[runtime.part] = now
         for name in names:
             # Marked before the call: nothing is started on it while the answer is out.
--- a/roadbend/rental/test_rental.py
+++ b/roadbend/rental/test_rental.py
@@ -5,18 +5,18 @@
 import pytest
 
 from roadbend import clock
+from roadbend.fakes.world import MACHINE_TYPE
 from roadbend.http.server import Malformed
 from roadbend.placement.forecast import Line
 from roadbend.placement.policy import Room
 from roadbend.placement.test_placement import pending
 from roadbend.rental import policy
-from roadbend.rental.cloud import read_rigs
+from roadbend.rental.cloud import read_machine_types
 from roadbend.rental.policy import Timing
-from roadbend.standins.world import RIG
 from roadbend.store.records import Need
 
-SMALL = {**RIG, "name": "s1", "vcpus": 12.0, "gpus": 2.0, "memoryGb": 72.0, "price": 5.0, "lowPrice": 1.0}
-RIGS = read_rigs([RIG, SMALL])
+SMALL = {**MACHINE_TYPE, "name": "s1", "vcpus": 12.0, "gpus": 2.0, "memoryGb": 72.0, "price": 5.0, "lowPrice": 1.0}
+MACHINE_TYPES = read_machine_types([MACHINE_TYPE, SMALL])
 S = timedelta(seconds=1)
 
 
@@ -26,7 +26,7 @@
 
 
 def choices(refused=()):
-    return policy.options(RIGS.values(), "east", set(refused))
+    return policy.options(MACHINE_TYPES.values(), "east", set(refused))
 
 
 def test_a_task_that_can_wait_for_a_place_hires_nothing():
@@ -59,20 +59,23 @@
     assert all(not spot for _, spot in policy.wanted(late, [], choices(), "east", 1.0))
     refused = {("g2", True), ("s1", True)}
     assert all(not spot for _, spot in policy.wanted([Timing(pending(), 20.0, 0.0)], [], choices(refused), "east", 1.0))
-    everything = {(rig, spot) for rig in RIGS for spot in (True, False)}
+    everything = {(machine_type, spot) for machine_type in MACHINE_TYPES for spot in (True, False)}
     assert policy.wanted(late, [], choices(everything), "east", 1.0) == {}
 
 
 def test_a_type_on_which_a_service_wastes_the_machine_is_dear():
     service = pending(shape="daemon", loaners=False, dueS=None).job
     # Two fit on the large type at 6.0, one on the small at 5.0.
-    assert policy.dear_rigs(service, RIGS.values(), 1.3, "east") == {"s1"}
-    assert policy.dear_rigs(service, RIGS.values(), 2.0, "east") == set()
+    assert policy.expensive_machine_types(service, MACHINE_TYPES.values(), 1.3, "east") == {"s1"}
+    assert policy.expensive_machine_types(service, MACHINE_TYPES.values(), 2.0, "east") == set()
     # Spread over zones, half of it must go where the cheap type is not to be had.
-    far = read_rigs([{**RIG, "yards": ["west"]}, SMALL]).values()
+    far = read_machine_types([{**MACHINE_TYPE, "yards": ["west"]}, SMALL]).values()
     spread = pending(shape="daemon", loaners=False, dueS=None, legs=2, apart=True).job
-    assert policy.dear_rigs(service, far, 1.3, "east") == {"s1"} and policy.dear_rigs(spread, far, 1.3, "east") == set()
-    assert policy.dear_rigs(spread, far, 1.3, "west") == {"s1"}
+    assert (
+        policy.expensive_machine_types(service, far, 1.3, "east") == {"s1"}
+        and policy.expensive_machine_types(spread, far, 1.3, "east") == set()
+    )
+    assert policy.expensive_machine_types(spread, far, 1.3, "west") == {"s1"}
 
 
 def test_warm_room_follows_measured_arrivals():
@@ -95,4 +98,4 @@
 @pytest.mark.parametrize("change", [{"vcpus": -1}, {"name": 3}, {"yards": "east"}, {"startupS": float("nan")}])
 def test_a_nonsense_catalog_is_refused(change):
     with pytest.raises(Malformed):
-        read_rigs([{**RIG, **change}])
+        read_machine_types([{**MACHINE_TYPE, **change}])
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -34,7 +34,7 @@
     """An aim as the platform restates it; kinds that we don't know are ignored."""
 
     kind: str
-    lane: str | None
+    job_class: str | None
     share: float
     within: timedelta | None
     # Of a deadline: how many times the due time it is about.
@@ -150,11 +150,11 @@
     objectives = []
     for row in _get(table, "deployment.objectives", list, []):
         within = _get(row, "within_s", float, -1.0)
-        lane = _get(row, "class", str, "")
+        job_class = _get(row, "class", str, "")
         kind, share = _get(row, "kind", str, ""), _get(row, "share", float, 0.0)
         times = _get(row, "times", float, 1.0)
         objectives.append(
-            Objective(kind, lane or None, share, timedelta(seconds=within) if within > 0 else None, times)
+            Objective(kind, job_class or None, share, timedelta(seconds=within) if within > 0 else None, times)
         )
     zones = _get(table, "deployment.zones", list, [])
     if not all(isinstance(zone, str) for zone in zones):
--- a/roadbend/store/client.py
+++ b/roadbend/store/client.py
@@ -71,7 +71,7 @@
 
     async def read_all(self, prefix: str) -> tuple[list[tuple[str, Any, int]], int]:
         """All of it, and the revision from which to follow (the first page's, so nothing is missed)."""
-        rows, after, ledger = [], "", None
+        rows, after, revision = [], "", None
         while True:
             target = f"/keys?starts={quote(prefix, safe='')}&most=500"
             if after:
@@ -79,14 +79,14 @@
             status, answer = await self._call("GET", target)
             if status != 200 or not isinstance(answer, dict) or not isinstance(answer.get("entries"), list):
                 raise NoAnswer(f"nonsense: {status}")
-            if ledger is None:
-                ledger = _whole(answer.get("ledger"))
+            if revision is None:
+                revision = _whole(answer.get("ledger"))
             for row in answer["entries"]:
                 if not isinstance(row, dict) or not isinstance(row.get("path"), str):
                     raise NoAnswer("nonsense: entry")
                 rows.append((row["path"], row.get("value"), _whole(row.get("stamp"))))
             if not answer.get("more"):
-                return rows, ledger
+                return rows, revision
             if not answer["entries"]:
                 raise NoAnswer("nonsense: more of nothing")
             after = rows[-1][0]
@@ -125,18 +125,18 @@
             raise NoAnswer(f"nonsense: {status}")
         return _whole(answer.get("permit"))
 
-    async def renew(self, permit: int) -> None:
-        status, _ = await self._call("POST", f"/leases/{permit}/renew", {}, urgent=True)
+    async def renew(self, lease_id: int) -> None:
+        status, _ = await self._call("POST", f"/leases/{lease_id}/renew", {}, urgent=True)
         if status == 404:
             raise NoLease("renew")
         if status != 200:
             raise NoAnswer(f"nonsense: {status}")
 
 
-def put(key: str, value: Any, permit: int | None = None) -> dict:
+def put(key: str, value: Any, lease_id: int | None = None) -> dict:
     row = {"write": key, "value": value}
-    if permit is not None:
-        row["permit"] = permit
+    if lease_id is not None:
+        row["permit"] = lease_id
     return row
 
 
--- a/roadbend/store/records.py
+++ b/roadbend/store/records.py
@@ -27,7 +27,7 @@
 
 LIVE = "r/"
 # The workers' token is the part's term with this many bits below it, which number a machine's lives.
-LIFE_BITS = 16
+INCARNATION_BITS = 16
 PRIORITY = {"production": 3, "high": 2, "normal": 1, "best_effort": 0}
 
 
@@ -101,12 +101,12 @@
     """A job as its user submitted it."""
 
     team: str
-    lane: str
+    job_class: str
     service: bool
     priority: int
-    legs: int
+    task_count: int
     need: Need
-    rigs: tuple[str, ...] | None
+    machine_types: tuple[str, ...] | None
     zone: str | None
     together: bool
     apart: bool
@@ -124,13 +124,13 @@
     @property
     def zone_cap(self) -> int:
         """apart: at most half of the tasks, rounded up, may be in one zone."""
-        return (self.legs + 1) // 2 if self.apart else self.legs
+        return (self.task_count + 1) // 2 if self.apart else self.task_count
 
     def to_value(self) -> list:
         return [
-            self.team, self.lane, int(self.service), self.priority, self.legs,
+            self.team, self.job_class, int(self.service), self.priority, self.task_count,
             [self.need.cpus, self.need.gpus, self.need.memory],
-            None if self.rigs is None else list(self.rigs),
+            None if self.machine_types is None else list(self.machine_types),
             self.zone, int(self.together), int(self.apart), int(self.spot), self.image, self.image_gb,
             [self.expected.total_seconds(), self.checkpoint.total_seconds(), self.save.total_seconds()],
             None if self.due is None else self.due.total_seconds(),
@@ -154,13 +154,13 @@
     at: datetime
     alloc: dict[str, Ranges] = field(default_factory=dict)
     done: Ranges = ranges.EMPTY
-    stamp: int = 0
+    mod_revision: int = 0
 
     @cached_property
     def free(self) -> Ranges:
         """Tasks that are neither over nor held by a part."""
         held = ranges.normal([*self.done, *(pair for rs in self.alloc.values() for pair in rs)])
-        return ranges.minus(((0, self.spec.legs),), held)
+        return ranges.minus(((0, self.spec.task_count),), held)
 
     @property
     def deadline(self) -> datetime | None:
@@ -186,7 +186,7 @@
         return value
 
     @staticmethod
-    def from_value(job: str, v: dict, stamp: int) -> "Job":
+    def from_value(job: str, v: dict, mod_revision: int) -> "Job":
         spec = Spec.from_value(v["s"])
         return Job(
             job,
@@ -194,7 +194,7 @@
             clock.from_ms(v["at"]),
             {part: ranges.read(rs) for part, rs in v.get("a", {}).items()},
             ranges.read(v.get("d", ())),
-            stamp,
+            mod_revision,
         )
 
     @property
@@ -202,7 +202,7 @@
         """A safe upper bound on the value's size in the form in which limits are measured."""
         count = len(self.done) + sum(len(rs) + 8 for rs in self.alloc.values())
         spec = self.spec
-        names = [spec.team, spec.lane, spec.image, spec.zone or "", *(spec.rigs or ())]
+        names = [spec.team, spec.job_class, spec.image, spec.zone or "", *(spec.machine_types or ())]
         return 300 + 6 * sum(len(name) + 2 for name in names) + 18 * count
 
     def as_gang(self) -> "Job":
@@ -231,7 +231,7 @@
     need: Need
     done: Ranges = ranges.EMPTY
     run: dict[int, Attempt] = field(default_factory=dict)
-    stamp: int = 0
+    mod_revision: int = 0
     shard: int = 0
 
     @property
@@ -241,14 +241,14 @@
     def to_value(self) -> dict:
         """Attempts are written by term, with what their machines' names begin with said once."""
         terms: dict[int, list[tuple[int, int, str]]] = {}
-        for leg, (number, machine) in self.run.items():
-            terms.setdefault(number >> 32, []).append((leg, number & 0xFFFFFFFF, machine))
+        for task_index, (number, machine) in self.run.items():
+            terms.setdefault(number >> 32, []).append((task_index, number & 0xFFFFFFFF, machine))
         rows = []
         for term, attempts in terms.items():
             start = os.path.commonprefix([machine for _, _, machine in attempts])
             cut, flat = len(start), []
-            for leg, seq, machine in attempts:
-                flat += (leg, seq, machine[cut:])
+            for task_index, seq, machine in attempts:
+                flat += (task_index, seq, machine[cut:])
             rows.append([term, start, flat])
         return {
             "t": self.team,
@@ -258,16 +258,16 @@
         }
 
     @staticmethod
-    def from_value(part: str, job: str, shard: int, v: dict, stamp: int) -> "Slice":
+    def from_value(part: str, job: str, shard: int, v: dict, mod_revision: int) -> "Slice":
         if isinstance(v["r"], dict):
-            run = {int(leg): Attempt(a[0], a[1]) for leg, a in v["r"].items()}
+            run = {int(task_index): Attempt(a[0], a[1]) for task_index, a in v["r"].items()}
         else:
             run = {}
             for term, start, flat in v["r"]:
                 high = term << 32
                 for at in range(0, len(flat), 3):
                     run[flat[at]] = Attempt(high | flat[at + 1], start + flat[at + 2])
-        return Slice(job, part, v["t"], Need(*map(float, v["n"])), ranges.normal(v["d"]), run, stamp, shard)
+        return Slice(job, part, v["t"], Need(*map(float, v["n"])), ranges.normal(v["d"]), run, mod_revision, shard)
 
 
 @dataclass(frozen=True)
@@ -277,7 +277,7 @@
 
     team: str
     parts: dict[str, tuple[float, float]] = field(default_factory=dict)
-    stamp: int = 0
+    mod_revision: int = 0
 
     @property
     def cpus(self) -> float:
@@ -301,7 +301,7 @@
 class Term:
     number: int
     node: str
-    stamp: int = 0
+    mod_revision: int = 0
 
 
 @dataclass(frozen=True)
@@ -309,14 +309,14 @@
     node: str
     boot: str
     term: int
-    stamp: int = 0
+    mod_revision: int = 0
 
 
 @dataclass(frozen=True)
 class Live:
     name: str
     boot: str
-    stamp: int = 0
+    mod_revision: int = 0
 
 
 def fin_value(status: str, done: int) -> dict[str, Any]:
--- a/roadbend/store/test_store.py
+++ b/roadbend/store/test_store.py
@@ -7,13 +7,13 @@
 import trio
 
 from roadbend import clock
+from roadbend.fakes.network import Network
+from roadbend.fakes.state import FakeStateService
+from roadbend.fakes.world import job
 from roadbend.http.client import Client, NoAnswer
 from roadbend.http.server import Server
 from roadbend.intake.messages import read_submission
 from roadbend.settings import Operator
-from roadbend.standins.network import Network
-from roadbend.standins.state import StateStandIn
-from roadbend.standins.world import job
 from roadbend.store import records
 from roadbend.store.budget import Budget
 from roadbend.store.client import Conflict, StateClient, commit, delete, put
@@ -25,7 +25,7 @@
 
 class Desk:
     def __init__(self, nursery, host="node"):
-        self.network, self.service = Network(nursery), StateStandIn()
+        self.network, self.service = Network(nursery), FakeStateService()
 
         async def accept(stream, source):
             await Server(lambda request: self.service.handle(request, source), most=64).serve(stream)
@@ -58,7 +58,7 @@
         nursery.start_soon(heal)
         with pytest.raises(Conflict):
             await commit(desk.state, {"r/job/x": 0}, rows, within=10 * S)
-        assert desk.service.ledger == 1
+        assert desk.service.revision == 1
         nursery.cancel_scope.cancel()
 
 
@@ -98,17 +98,17 @@
 
 async def test_a_view_fed_in_any_order_ends_like_the_service():
     rng = random.Random(5)
-    service, view = StateStandIn(clock=lambda: 0.0), View()
+    service, view = FakeStateService(clock=lambda: 0.0), View()
     view.load([], 0)
     for _ in range(300):
         key = records.term_key(f"p{rng.randrange(6)}")
         row = delete(key) if rng.random() < 0.3 else put(key, {"n": rng.randrange(99), "node": "a"})
-        ledger = service.multi({"apply": [row]}).body["ledger"]
+        revision = service.multi({"apply": [row]}).body["ledger"]
         if rng.random() < 0.5:
-            view.applied([row], ledger)
+            view.applied([row], revision)
         if rng.random() < 0.3:
-            view.events([e for _, e in service.log if e["stamp"] > view.ledger], service.ledger)
-    view.events([e for _, e in service.log if e["stamp"] > view.ledger], service.ledger)
+            view.events([e for _, e in service.log if e["stamp"] > view.revision], service.revision)
+    view.events([e for _, e in service.log if e["stamp"] > view.revision], service.revision)
     want = {records.term_key(part): term.number for part, term in view.terms.items()}
     assert want == {key: row[0]["n"] for key, row in service.keys.items()}
 
--- a/roadbend/store/view.py
+++ b/roadbend/store/view.py
@@ -44,12 +44,12 @@
             self._done = ranges.normal(pair for piece in self.shards.values() for pair in piece.done)
         return self._done
 
-    def shard_of(self, leg: int, width: int) -> int:
+    def shard_of(self, task_index: int, width: int) -> int:
         """Where a task's attempt is, or would be, written."""
-        usual = leg // width
-        if leg in self.run and leg not in getattr(self.shards.get(usual), "run", ()):
+        usual = task_index // width
+        if task_index in self.run and task_index not in getattr(self.shards.get(usual), "run", ()):
             # Written under another width, or by version 0.1.
-            return next((n for n, piece in self.shards.items() if leg in piece.run), usual)
+            return next((n for n, piece in self.shards.items() if task_index in piece.run), usual)
         return usual
 
 
@@ -62,7 +62,7 @@
 
     def __init__(self):
         self.lock = threading.RLock()
-        self.ledger = 0
+        self.revision = 0
         self.version = 0
         self.loaded = False
         self.jobs: dict[str, Job] = {}
@@ -84,13 +84,13 @@
         # Jobs that are gangs, whatever their own records say.
         self.gangs: set[str] = set()
         self.catalog: Any = None
-        self.catalog_stamp = 0
-        self._stamps: dict[str, int] = {}
+        self.catalog_mod_revision = 0
+        self._mod_revisions: dict[str, int] = {}
         self._gone: dict[str, int] = {}
         self.watchers: list[Callable[[str], None]] = []
 
-    def stamp(self, key: str) -> int:
-        return self._stamps.get(key, 0)
+    def mod_revision(self, key: str) -> int:
+        return self._mod_revisions.get(key, 0)
 
     def value(self, key: str) -> Any:
         """What a job's, a slice's or a team's record holds, to write the same again."""
@@ -103,27 +103,27 @@
             row = {"job": self.jobs, "team": self.teams}.get(kind, {}).get(unquote(rest))
         return None if row is None else row.to_value()
 
-    def put(self, key: str, value: Any, stamp: int) -> None:
+    def put(self, key: str, value: Any, mod_revision: int) -> None:
         with self.lock:
-            if stamp <= self._stamps.get(key, 0) or stamp <= self._gone.get(key, 0):
+            if mod_revision <= self._mod_revisions.get(key, 0) or mod_revision <= self._gone.get(key, 0):
                 return
             try:
-                self._store(key, value, stamp)
+                self._store(key, value, mod_revision)
             except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
                 # A record that can't be read must not stop the rest from being served.
                 log.error("bad-record", key=key, error=repr(error)[:120])
                 return
-            self._stamps[key] = stamp
+            self._mod_revisions[key] = mod_revision
             self._gone.pop(key, None)
             self.version += 1
         self._tell(key)
 
-    def drop(self, key: str, stamp: int) -> None:
+    def drop(self, key: str, mod_revision: int) -> None:
         with self.lock:
-            if stamp <= self._stamps.get(key, 0) or stamp <= self._gone.get(key, 0):
+            if mod_revision <= self._mod_revisions.get(key, 0) or mod_revision <= self._gone.get(key, 0):
                 return
-            self._gone[key] = stamp
-            if self._stamps.pop(key, None) is None:
+            self._gone[key] = mod_revision
+            if self._mod_revisions.pop(key, None) is None:
                 return
             kind, rest = self._split(key)
             if kind == "job":
@@ -138,41 +138,41 @@
             self.version += 1
         self._tell(key)
 
-    def applied(self, apply: list[dict], ledger: int) -> None:
+    def applied(self, apply: list[dict], revision: int) -> None:
         """Our own transaction was carried out at this revision. An answer that comes after the log has
         passed that revision is old news: applying it could bring back a record removed since."""
-        if ledger <= self.ledger:
+        if revision <= self.revision:
             return
         for row in apply:
             if "write" in row:
                 if row["write"].startswith(records.LIVE):
-                    self.put(row["write"], row["value"], ledger)
+                    self.put(row["write"], row["value"], revision)
             elif row["delete"].startswith(records.LIVE):
-                self.drop(row["delete"], ledger)
+                self.drop(row["delete"], revision)
 
-    def events(self, rows: list[dict], ledger: int) -> None:
+    def events(self, rows: list[dict], revision: int) -> None:
         for row in rows:
-            stamp = row.get("stamp")
-            if not isinstance(stamp, int):
+            mod_revision = row.get("stamp")
+            if not isinstance(mod_revision, int):
                 raise NoAnswer("nonsense: stamp")
             if isinstance(row.get("write"), str):
-                self.put(row["write"], row.get("value"), stamp)
+                self.put(row["write"], row.get("value"), mod_revision)
             elif isinstance(row.get("delete"), str):
-                self.drop(row["delete"], stamp)
+                self.drop(row["delete"], mod_revision)
         with self.lock:
-            self.ledger = max(self.ledger, ledger)
+            self.revision = max(self.revision, revision)
             if self._gone:
-                self._gone = {k: s for k, s in self._gone.items() if s > self.ledger}
+                self._gone = {k: s for k, s in self._gone.items() if s > self.revision}
 
-    def load(self, rows: list[tuple[str, Any, int]], ledger: int) -> None:
+    def load(self, rows: list[tuple[str, Any, int]], revision: int) -> None:
         """Everything read anew: what is not listed and not newer than the listing is gone."""
         listed = {key for key, _, _ in rows}
-        for key, value, stamp in rows:
-            self.put(key, value, stamp)
-        for key in [k for k, s in self._stamps.items() if k not in listed and s <= ledger]:
-            self.drop(key, ledger)
+        for key, value, mod_revision in rows:
+            self.put(key, value, mod_revision)
+        for key in [k for k, s in self._mod_revisions.items() if k not in listed and s <= revision]:
+            self.drop(key, revision)
         with self.lock:
-            self.ledger = ledger
+            self.revision = revision
             self.loaded = True
 
     @staticmethod
@@ -226,21 +226,21 @@
         before, after = (old.run if old else {}), (new.run if new else {})
         machines = self.machines.setdefault(part, {})
         change = 0
-        for leg, attempt in before.items():
-            if after.get(leg) != attempt and work.run.get(leg) == attempt:
-                del work.run[leg]
+        for task_index, attempt in before.items():
+            if after.get(task_index) != attempt and work.run.get(task_index) == attempt:
+                del work.run[task_index]
                 change -= 1
                 rows = machines.get(attempt.machine)
                 if rows is not None:
-                    rows.pop((job, leg), None)
+                    rows.pop((job, task_index), None)
                     if not rows:
                         del machines[attempt.machine]
                 self._mark(part, attempt.machine)
-        for leg, attempt in after.items():
-            if before.get(leg) != attempt and leg not in work.run:
-                work.run[leg] = attempt
+        for task_index, attempt in after.items():
+            if before.get(task_index) != attempt and task_index not in work.run:
+                work.run[task_index] = attempt
                 change += 1
-                machines.setdefault(attempt.machine, {})[(job, leg)] = (work, attempt)
+                machines.setdefault(attempt.machine, {})[(job, task_index)] = (work, attempt)
                 self._mark(part, attempt.machine)
         if change:
             teams = self.used.setdefault(part, {})
@@ -266,10 +266,10 @@
         rows = [teams.get(team, (0.0, 0.0)) for teams in self.used.values()]
         return sum(c for c, _ in rows), sum(g for _, g in rows)
 
-    def _store(self, key: str, value: Any, stamp: int) -> None:
+    def _store(self, key: str, value: Any, mod_revision: int) -> None:
         kind, rest = self._split(key)
         if kind == "job":
-            job = Job.from_value(rest, value, stamp)
+            job = Job.from_value(rest, value, mod_revision)
             self._swap_job(rest, job.as_gang() if rest in self.gangs else job)
         elif kind == "gang":
             self.gangs.add(rest)
@@ -277,19 +277,19 @@
                 self._swap_job(rest, self.jobs[rest].as_gang())
         elif kind == "slice":
             part, job, shard = self._split_slice(rest)
-            self._swap(part, job, shard, Slice.from_value(part, job, shard, value, stamp))
+            self._swap(part, job, shard, Slice.from_value(part, job, shard, value, mod_revision))
         elif kind == "team":
             team = unquote(rest)
             parts = {part: (float(c), float(g)) for part, (c, g) in value.items()}
-            self.teams[team] = Use(team, parts, stamp)
+            self.teams[team] = Use(team, parts, mod_revision)
         elif kind == "term":
-            self.terms[unquote(rest)] = Term(int(value["n"]), value["node"], stamp)
+            self.terms[unquote(rest)] = Term(int(value["n"]), value["node"], mod_revision)
         elif kind == "own":
-            self.owns[unquote(rest)] = Own(value["node"], value["boot"], int(value["term"]), stamp)
+            self.owns[unquote(rest)] = Own(value["node"], value["boot"], int(value["term"]), mod_revision)
         elif kind == "node":
-            self.nodes[unquote(rest)] = Live(unquote(rest), value["boot"], stamp)
+            self.nodes[unquote(rest)] = Live(unquote(rest), value["boot"], mod_revision)
         elif kind == "catalog":
-            self.catalog, self.catalog_stamp = value, stamp
+            self.catalog, self.catalog_mod_revision = value, mod_revision
 
     def _tell(self, key: str) -> None:
         for watcher in self.watchers:
@@ -302,7 +302,7 @@
     def __init__(self, view: View, state: StateClient, operator: Operator):
         self.view = view
         self._state = state
-        self._op = operator
+        self._operator = operator
         self._wanted = trio.Event()
         self._begun = 0
         self._ended = 0
@@ -320,11 +320,11 @@
                 await self._turn.wait()
 
     async def run(self) -> None:
-        pause, waits = clock.ZERO, Backoff(self._op.sync_gap, self._op.sync_every, self._state.rng)
+        pause, waits = clock.ZERO, Backoff(self._operator.sync_gap, self._operator.sync_every, self._state.rng)
         while True:
-            with trio.move_on_after(max(0.0, (self._op.sync_every - self._op.sync_gap).total_seconds())):
+            with trio.move_on_after(max(0.0, (self._operator.sync_every - self._operator.sync_gap).total_seconds())):
                 await self._wanted.wait()
-            await clock.pause(self._op.sync_gap + pause)
+            await clock.pause(self._operator.sync_gap + pause)
             self._wanted = trio.Event()
             self._begun += 1
             mine, sent = self._begun, clock.now()
@@ -346,11 +346,11 @@
 
     async def _read(self) -> None:
         if self.view.loaded:
-            news = await self._state.follow(records.LIVE, self.view.ledger)
+            news = await self._state.follow(records.LIVE, self.view.revision)
             if news is not None:
                 self.view.events(*news)
                 return
-            log.info("log-too-old", ledger=self.view.ledger)
-        rows, ledger = await self._state.read_all(records.LIVE)
-        self.view.load(rows, ledger)
-        log.info("records-read", count=len(rows), ledger=ledger)
+            log.info("log-too-old", revision=self.view.revision)
+        rows, revision = await self._state.read_all(records.LIVE)
+        self.view.load(rows, revision)
+        log.info("records-read", count=len(rows), revision=revision)
--- a/roadbend/test_gangs.py
+++ b/roadbend/test_gangs.py
@@ -6,8 +6,8 @@
 import pytest
 import trio
 
+from roadbend.fakes.world import World, job, world
 from roadbend.settings import Objective, Operator, Team
-from roadbend.standins.world import World, job, world
 from roadbend.store import records
 
 S = timedelta(seconds=1)
@@ -15,9 +15,9 @@
 TEAMS = {"red": Team("red", 0, 0, 4, 24), "blue": Team("blue", 0, 0, 4, 30)}
 
 
-def gang(number: int, legs: int = 4, **changes) -> dict:
+def gang(number: int, tasks: int = 4, **changes) -> dict:
     body = dict(
-        shape="group", legs=legs, vcpus=2.0, gpus=0.0, memoryGb=9.6, together=True, dueS=None, milestoneS=20.0,
+        shape="group", legs=tasks, vcpus=2.0, gpus=0.0, memoryGb=9.6, together=True, dueS=None, milestoneS=20.0,
         stowS=2.0, expectedS=30.0, loaners=False,
     )  # fmt: skip
     return job(number, **{**body, **changes})
@@ -26,10 +26,10 @@
 def running(w: World, name: str) -> list[str]:
     """Tasks that really run, not those that wait for each other."""
     return [
-        t.leg
+        t.task_index
         for worker in w.workers()
         for t in worker.tasks.values()
-        if t.state == "running" and t.leg.startswith(name + "/")
+        if t.state == "running" and t.task_index.startswith(name + "/")
     ]
 
 
@@ -72,10 +72,10 @@
             await trio.sleep(5.3)
 
 
-@pytest.mark.parametrize("legs, limit, status", [(4, 4.0, 201), (5, 4.0, 422)])
-async def test_what_could_never_start_whole_is_refused(legs, limit, status):
+@pytest.mark.parametrize("tasks, limit, status", [(4, 4.0, 201), (5, 4.0, 422)])
+async def test_what_could_never_start_whole_is_refused(tasks, limit, status):
     async with world(count=1, teams={"red": Team("red", 0, 0, 0, limit)}) as w:
-        assert await w.submit(0, gang(1, legs, gpus=1.0), 5.0) == status
+        assert await w.submit(0, gang(1, tasks, gpus=1.0), 5.0) == status
         assert await w.submit(0, gang(2, 2, vcpus=25.0)) == 422
         assert await w.submit(0, gang(3, 2, together=False, apart=True)) == 422
         assert await w.submit(0, gang(4, 2, milestoneS=-1.0)) == 400
@@ -106,7 +106,7 @@
         slow._fetch_s = 40.0
         assert await w.submit(0, gang(1, 16), 8.0) == 201
         assert await w.until(lambda: len(w.board.running(NAME)) >= 4, 10)
-        if any(t.leg.startswith(NAME) for t in slow.tasks.values()):
+        if any(t.task_index.startswith(NAME) for t in slow.tasks.values()):
             machine = slow.machine
             await trio.sleep(1.5)
             w.cloud.kill(machine)
@@ -242,7 +242,7 @@
     small = dict(value_bytes=2048, txn_ops=4, state_write_rps=25.0, cancel_within=48 * S) if seed % 2 else {}
     # Services have an aim for their start, too: their orders go out directly, as gangs' do.
     small["objectives"] = (Objective("wait", "plans", 0.9, 5 * S),)
-    async with world(capacity=8, teams=TEAMS, op=Operator(reoffer_every=2 * S), **small) as w:
+    async with world(capacity=8, teams=TEAMS, operator=Operator(reoffer_every=2 * S), **small) as w:
         assert await w.submit(0, job(50, shape="daemon", legs=3, apart=True, dueS=None, loaners=False), None) == 201
         assert await w.submit(1, job(51, legs=5, crew="blue", dueS=40.0), 15.0) == 201
         first = gang(1, rng.choice((4, 12)), loaners=True)
--- a/roadbend/test_growth.py
+++ b/roadbend/test_growth.py
@@ -9,6 +9,7 @@
 
 from roadbend import clock
 from roadbend.bidding import exchange
+from roadbend.fakes.world import job, world
 from roadbend.http.client import NoAnswer
 from roadbend.placement import ends, forecast, policy, starts
 from roadbend.placement.forecast import Line
@@ -18,7 +19,6 @@
 from roadbend.rental.policy import Timing, wanted
 from roadbend.rental.test_rental import choices
 from roadbend.settings import Operator, Team
-from roadbend.standins.world import job, world
 from roadbend.store import ranges, records
 from roadbend.store.client import delete, put
 from roadbend.store.records import Attempt, Job, Need, Slice
@@ -38,9 +38,9 @@
             assert records.weigh(piece.to_value()) < value * 0.95
             left = list(piece.run)
             if left:
-                leg = rng.choice(left[::2] or left)
-                rest = {n: a for n, a in piece.run.items() if n != leg}
-                piece = replace(piece, run=rest, done=ranges.union(piece.done, ((leg, leg + 1),)))
+                task_index = rng.choice(left[::2] or left)
+                rest = {n: a for n, a in piece.run.items() if n != task_index}
+                piece = replace(piece, run=rest, done=ranges.union(piece.done, ((task_index, task_index + 1),)))
         again = Slice.from_value("east", "run-000001", 0, piece.to_value(), 0)
         assert again == piece
 
@@ -55,27 +55,27 @@
 
 
 def test_the_indexes_follow_every_change_as_if_worked_out_anew():
-    rng, view, stamp = random.Random(3), View(), 0
+    rng, view, mod_revision = random.Random(3), View(), 0
     rows: dict[str, Slice] = {}
     for _ in range(600):
-        stamp += 1
+        mod_revision += 1
         part, name, shard = rng.choice(("east", "west")), f"run-{rng.randrange(6)}", rng.randrange(3)
         key = records.slice_key(part, name, shard)
         if rng.random() < 0.25:
             rows.pop(key, None)
-            view.drop(key, stamp)
+            view.drop(key, mod_revision)
             continue
-        legs = rng.sample(range(shard * 8, shard * 8 + 8), rng.randrange(6))
-        run = {n: Attempt(rng.randrange(3), f"m-{rng.randrange(4)}") for n in legs}
-        rows[key] = Slice(name, part, "red" if name < "run-3" else "blue", Need(2, 1, 10), (), run, stamp, shard)
-        view.put(key, rows[key].to_value(), stamp)
+        tasks = rng.sample(range(shard * 8, shard * 8 + 8), rng.randrange(6))
+        run = {n: Attempt(rng.randrange(3), f"m-{rng.randrange(4)}") for n in tasks}
+        rows[key] = Slice(name, part, "red" if name < "run-3" else "blue", Need(2, 1, 10), (), run, mod_revision, shard)
+        view.put(key, rows[key].to_value(), mod_revision)
         seen = {
             (part, machine, key, attempt)
             for part, machines in view.machines.items()
             for machine, found in machines.items()
             for key, (_, attempt) in found.items()
         }
-        want = {(p.part, a.machine, (p.job, leg), a) for p in rows.values() for leg, a in p.run.items()}
+        want = {(p.part, a.machine, (p.job, task_index), a) for p in rows.values() for task_index, a in p.run.items()}
         assert seen == want
         for team in ("red", "blue"):
             count = sum(len(p.run) for p in rows.values() if p.team == team)
@@ -102,10 +102,10 @@
 async def test_a_calm_report_costs_the_same_beside_few_machines_and_beside_many(calls):
     async with world(teams={"red": Team("red", 0, 0, 4, 400)}, capacity=60) as w:
         costs = []
-        for number, legs in ((1, 2), (2, 60)):
-            body = job(number, legs=legs, yard="east", shape="daemon", dueS=None, loaners=False)
+        for number, tasks in ((1, 2), (2, 60)):
+            body = job(number, legs=tasks, yard="east", shape="daemon", dueS=None, loaners=False)
             assert await w.submit(0, body, None) == 201
-            assert await w.until(lambda n=number, k=legs: len(w.board.running(f"run-{n:06d}")) == k, 90)
+            assert await w.until(lambda n=number, k=tasks: len(w.board.running(f"run-{n:06d}")) == k, 90)
             await trio.sleep(10)
             name = next(iter(w.board.where["run-000001/0"]))
             runtime, worker = w.nodes["node-0"].runtimes["east"], w.cloud.machines[name].worker
@@ -137,8 +137,8 @@
 
 async def test_the_widest_array_begins_behind_a_steady_stream_of_small_ones():
     """A team at its limit: small jobs come all the time, and their parts hold all of the team's room."""
-    op = Operator(begin_within=timedelta(seconds=30), reoffer_every=timedelta(seconds=1e4 / 20))
-    async with world(capacity=4, op=op, teams={"red": Team("red", 0, 0, 2, 6)}) as w:
+    operator = Operator(begin_within=timedelta(seconds=30), reoffer_every=timedelta(seconds=1e4 / 20))
+    async with world(capacity=4, operator=operator, teams={"red": Team("red", 0, 0, 2, 6)}) as w:
         over = trio.Event()
 
         async def stream():
@@ -172,8 +172,8 @@
             assert await w.submit(n % 3, job(n, legs=3, dueS=40.0), 6.0) == 201
         for _ in range(400):
             await trio.sleep(0.25)
-            aside = w.state.value(records.team_key("red")) or {}
-            most = max(most, sum(gpus for _, gpus in aside.values()))
+            state_refuses_only_us = w.state.value(records.team_key("red")) or {}
+            most = max(most, sum(gpus for _, gpus in state_refuses_only_us.values()))
             running = sum(len(w.board.running(f"run-{n:06d}")) for n in range(1, 9))
             assert running <= 6
         assert most <= 6 + 1e-9
@@ -185,8 +185,8 @@
     for delay in (5.0, 12.0, 25.0):
         async with world(count=1, capacity=9, teams={"red": Team("red", 0, 0, 0, 12)}) as w:
             # Leaves enough set aside for the next starts to leave the team's record alone.
-            for n, legs, length in ((1, 1, 300.0), (2, 7, 8.0)):
-                assert await w.submit(0, job(n, legs=legs, dueS=5.0), length) == 201
+            for n, tasks, length in ((1, 1, 300.0), (2, 7, 8.0)):
+                assert await w.submit(0, job(n, legs=tasks, dueS=5.0), length) == 201
             assert await w.until(lambda w=w: len(w.board.running("run-000002")) == 7, 60)
             assert await w.until(lambda w=w: not w.board.running("run-000002"), 60)
             await trio.sleep(2)
@@ -283,12 +283,12 @@
             nursery.start_soon(cloud.machines)
         await trio.sleep(0.5)
         for n in range(3):
-            nursery.start_soon(cloud.hire, f"h-{n}", "g2", "east", True, 50)
+            nursery.start_soon(cloud.rent, f"h-{n}", "g2", "east", True, 50)
     order = [method for method, _, _ in client.asked]
     assert order.index("POST") <= 2 and order[-3:] == ["GET"] * 3
     # Lists of several pages at every controller leave most calls to hiring.
     assert cloud.list_pause(700) >= timedelta(seconds=2 * 3 / (0.3 * 2.0))
-    assert renting.MOST_HIRED == 50
+    assert renting.MAX_HIRED == 50
 
 
 async def test_two_lives_of_a_controller_never_share_a_term_or_a_hire_name():
@@ -301,14 +301,14 @@
             node = w.nodes["node-0"]
             tenure = node.ownership.tenure("east")
             terms.append(tenure.term if tenure else None)
-            stamp, permit = node.view.stamp(records.node_key("node-0")), node.ownership._permit
+            mod_revision, lease_id = node.view.mod_revision(records.node_key("node-0")), node.ownership._lease_id
             w.crash(0)
             await trio.sleep(0.1)
             w.start(0)
             assert await w.settled()
             late = {
-                "when": [{"path": records.node_key("node-0"), "stamp": stamp}],
-                "apply": [put(records.node_key("node-0"), {"boot": node.boot}, permit)],
+                "when": [{"path": records.node_key("node-0"), "stamp": mod_revision}],
+                "apply": [put(records.node_key("node-0"), {"boot": node.boot}, lease_id)],
             }
             assert w.state.multi(late).status != 200
         assert None not in terms and len(set(terms)) == 4
@@ -363,9 +363,9 @@
             pairs = [("node-0", other) for other in outside] + [(m, o) for m in inside for o in ("node-1", "node-2")]
             for pair in pairs:
                 w.network.cut(*pair)
-            hired = len(w.cloud.names)
+            rented = len(w.cloud.names)
             await trio.sleep(length)
-            assert set(inside) <= set(w.cloud.machines) and len(w.cloud.names) == hired
+            assert set(inside) <= set(w.cloud.machines) and len(w.cloud.names) == rented
             for pair in pairs:
                 w.network.heal(*pair)
             assert await w.until(lambda w=w: len(w.board.running("run-000001")) == 8, 40)
@@ -402,7 +402,7 @@
 def test_what_keeps_a_job_waiting_adds_up_to_less_than_users_permit():
     """Once all troubles are over, no job waits 90 s beside room that fits it: what may follow each other is a rest
     after failures, room kept for others' machines, room left to a job of another part, and room being made."""
-    assert ends.BACKOFF_MOST + starts.HOLD + starts.YIELD + starts.PLEDGE < timedelta(seconds=90)
+    assert ends.BACKOFF_MOST + starts.HOLD + starts.YIELD + starts.RESERVATION_LIFETIME < timedelta(seconds=90)
     # A job that no part can start is offered everywhere well before that, its turn among others counted.
     assert exchange.LONG_WAIT + 4 * Operator().reoffer_every + Operator().cool_down < timedelta(seconds=60)
 
@@ -412,7 +412,7 @@
     wide, small = pending(1, 10, legs=50, rigs=["big"]), pending(2, 20, legs=2)
     limits = policy.Allowance(lambda team: (1000.0, 4.0))
     placed, left, _ = policy.place([wide, small], [room("m-1", gpus=2.0)], limits=limits)
-    assert [(item.job.id, leg) for item, leg, _ in placed] == [("run-000002", 0), ("run-000002", 1)]
+    assert [(item.job.id, task_index) for item, task_index, _ in placed] == [("run-000002", 0), ("run-000002", 1)]
     assert left[0].job.id == "run-000001" and left[0].count == 4
     # What waits for a machine that was hired for it keeps the limit from lesser work, for a while.
     high = pending(3, 10, legs=4, rigs=["big"], rank="production")
--- a/roadbend/test_meetings.py
+++ b/roadbend/test_meetings.py
@@ -9,8 +9,8 @@
 import trio
 
 from roadbend import node
+from roadbend.fakes.world import World, job, world
 from roadbend.settings import Objective, Operator, Team
-from roadbend.standins.world import World, job, world
 
 S = timedelta(seconds=1)
 SITES = {
@@ -31,7 +31,7 @@
     return f"run-{number:06d}"
 
 
-class Story:
+class Scenario:
     """A small deployment with work in every zone: services (1 to 3, the second `apart`), arrays that run long
     (10 to 15), and arrays that come and end (from 20 on)."""
 
@@ -93,7 +93,7 @@
 # The eighteen meetings, in the order of the users' page.
 
 
-async def a_command_or_its_answer_is_held_up(s: Story):
+async def a_command_or_its_answer_is_held_up(s: Scenario):
     """Then the machine goes on: held kills come late, held answers are dropped."""
     machines = s.east()
     ways = [("node-0", m) for m in machines] + [(m, "node-0") for m in machines]
@@ -104,14 +104,14 @@
         await s.more(31, yard="east", rank="production")
 
 
-async def jobs_of_one_zone_lose_machines(s: Story):
+async def jobs_of_one_zone_lose_machines(s: Scenario):
     for machine in s.some_east():
         s.w.cloud.kill(machine)
         await s.wait(0, 2)
     await s.w.hang(s.some_east(), s.rng.uniform(4, 25))
 
 
-async def more_work_than_room_over_slow_links(s: Story):
+async def more_work_than_room_over_slow_links(s: Scenario):
     s.w.state.slow = 0.2
     for n in range(30, 42):
         await s.more(n, legs=3, rank=s.rng.choice(("production", "normal", "best_effort")), yard=("east", None)[n % 2])
@@ -119,11 +119,11 @@
     s.w.state.slow = 0.0
 
 
-async def the_state_refuses_the_leader_then_everybody(s: Story):
+async def the_state_refuses_the_leader_then_everybody(s: Scenario):
     await s.gap(s.rng.uniform(0.5, 4.0))
 
 
-async def a_cancellation_meets_the_end(s: Story):
+async def a_cancellation_meets_the_end(s: Scenario):
     ending = [name(n) for n in range(30, 36)]
     async with trio.open_nursery() as nursery:
         nursery.start_soon(s.w.cancel_at_end, list(ending))
@@ -132,7 +132,7 @@
         nursery.start_soon(s.w.odd_requests, 25, s.rng)
 
 
-async def a_leader_ends_while_machines_do_not_hear_the_new_one(s: Story):
+async def a_leader_ends_while_machines_do_not_hear_the_new_one(s: Scenario):
     machines = s.some_east()
     async with trio.open_nursery() as nursery:
         if s.rng.random() < 0.5:
@@ -146,7 +146,7 @@
         s.w.start(0)
 
 
-async def a_held_back_report_arrives_at_a_new_leader(s: Story):
+async def a_held_back_report_arrives_at_a_new_leader(s: Scenario):
     machines = s.some_east()
     ways = [(m, f"node-{at}") for m in machines for at in (1, 2)]
     async with trio.open_nursery() as nursery:
@@ -158,7 +158,7 @@
     s.w.start(0)
 
 
-async def all_controllers_are_away_for_longer_than_a_lease(s: Story):
+async def all_controllers_are_away_for_longer_than_a_lease(s: Scenario):
     for at in range(3):
         s.w.crash(at)
     await trio.sleep(s.lease_s + s.rng.uniform(1, 12))
@@ -167,13 +167,13 @@
         await s.wait(0, 3)
 
 
-async def a_zone_is_cut_off_for_longer_than_a_lease(s: Story):
+async def a_zone_is_cut_off_for_longer_than_a_lease(s: Scenario):
     async with trio.open_nursery() as nursery:
         nursery.start_soon(s.w.cut_zone, 0, s.lease_s + s.rng.uniform(4, 40))
         await s.cancel(s.long[:3], 0.0, 20.0)
 
 
-async def old_reports_arrive_after_newer_ones(s: Story):
+async def old_reports_arrive_after_newer_ones(s: Scenario):
     async with trio.open_nursery() as nursery:
         nursery.start_soon(s.w.late_reports, 0.5, 60, s.rng)
         await s.wait(1, 8)
@@ -185,7 +185,7 @@
         s.w.start(0)
 
 
-async def controllers_hand_over_and_all_end_and_one_returns_within_a_second(s: Story):
+async def controllers_hand_over_and_all_end_and_one_returns_within_a_second(s: Scenario):
     s.w.crash(0)
     await s.wait(9, 14)
     s.w.start(0)
@@ -202,7 +202,7 @@
         await s.wait(0.1, 4)
 
 
-async def transactions_are_carried_out_late(s: Story):
+async def transactions_are_carried_out_late(s: Scenario):
     s.w.state.late_writes(0.35, s.rng)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(s.cancel, s.long[:3], 0.0, 20.0)
@@ -218,7 +218,7 @@
     assert s.w.state.late_done
 
 
-async def leaders_change_ten_times_also_inside_an_outage(s: Story):
+async def leaders_change_ten_times_also_inside_an_outage(s: Scenario):
     async with trio.open_nursery() as nursery:
 
         async def outages() -> None:
@@ -235,7 +235,7 @@
             await s.wait(7, 11)
 
 
-async def jobs_are_cancelled_at_the_instant_of_the_refusal(s: Story):
+async def jobs_are_cancelled_at_the_instant_of_the_refusal(s: Scenario):
     async with trio.open_nursery() as nursery:
         nursery.start_soon(s.w.refuse, 0, 14.0)
         await s.wait(0, 0.2)
@@ -244,17 +244,17 @@
         await s.w.outage(s.cancel_s + 10)
 
 
-async def workers_cannot_open_connections(s: Story):
+async def workers_cannot_open_connections(s: Scenario):
     async with trio.open_nursery() as nursery:
         nursery.start_soon(s.w.mute, s.some_east(), s.rng.uniform(8, 45))
         await s.cancel(s.long[:3], 0.0, 20.0)
 
 
-async def tasks_end_far_apart_across_a_change_of_leader(s: Story):
+async def tasks_end_far_apart_across_a_change_of_leader(s: Scenario):
     for n in range(30, 34):
         body = job(n, legs=s.rng.choice((2, 3)), dueS=30.0, yard="east" if n % 2 else None)
-        for leg in range(body["legs"]):
-            s.w.board.lengths[f"{name(n)}/{leg}"] = 3.0 + 17.0 * leg
+        for task_index in range(body["legs"]):
+            s.w.board.lengths[f"{name(n)}/{task_index}"] = 3.0 + 17.0 * task_index
         assert await s.w.submit(n % 3, body) in (200, 201)
     await s.wait(8, 20)
     for at in s.rng.sample(range(3), 2):
@@ -263,7 +263,7 @@
         s.w.start(at)
 
 
-async def a_leader_is_left_with_its_workers_and_users(s: Story):
+async def a_leader_is_left_with_its_workers_and_users(s: Scenario):
     async with trio.open_nursery() as nursery:
         nursery.start_soon(s.w.cut_controller, 0, s.cancel_s + s.rng.uniform(0, 15))
         await s.wait(0, 12)
@@ -271,7 +271,7 @@
         await s.more(30, yard="east")
 
 
-async def a_team_at_its_limit_meets_machines_that_cannot_be_asked(s: Story):
+async def a_team_at_its_limit_meets_machines_that_cannot_be_asked(s: Scenario):
     for n in range(30, 40):
         await s.more(n, legs=3)
     machines = s.some_east()
@@ -300,10 +300,10 @@
 @pytest.mark.parametrize("meeting", MEETINGS, ids=lambda meeting: meeting.__name__)
 async def test_no_rule_breaks_in_a_meeting(meeting, seed, site):
     rng = random.Random(f"{meeting.__name__} {seed}")
-    async with world(capacity=10, op=OP, teams=TEAMS, objectives=AIMS, **SITES[site]) as w:
-        story = Story(w, rng, site)
-        await story.begin()
-        await meeting(story)
+    async with world(capacity=10, operator=OP, teams=TEAMS, objectives=AIMS, **SITES[site]) as w:
+        scenario = Scenario(w, rng, site)
+        await scenario.begin()
+        await meeting(scenario)
         assert await w.settled()
         await w.over()
 
@@ -311,15 +311,15 @@
 # The gap, with what may come on top of it.
 
 
-async def alone(s: Story):
+async def alone(s: Scenario):
     pass
 
 
-async def a_peer_link_is_cut(s: Story):
+async def a_peer_link_is_cut(s: Scenario):
     await s.w.cut_pairs([("node-0", s.rng.choice(("node-1", "node-2")))], 40)
 
 
-async def a_peer_restarts_inside(s: Story):
+async def a_peer_restarts_inside(s: Scenario):
     await s.wait(5, 25)
     at = s.rng.choice((1, 2))
     s.w.crash(at)
@@ -327,19 +327,19 @@
     s.w.start(at)
 
 
-async def machines_hang(s: Story):
+async def machines_hang(s: Scenario):
     await s.w.hang(s.some_east(), s.rng.uniform(5, 30))
 
 
-async def machines_are_deaf(s: Story):
+async def machines_are_deaf(s: Scenario):
     await s.w.deafen(s.some_east(), s.rng.uniform(5, 30))
 
 
-async def machines_are_mute(s: Story):
+async def machines_are_mute(s: Scenario):
     await s.w.mute(s.some_east(), s.rng.uniform(5, 30))
 
 
-async def the_old_leader_stands_still(s: Story):
+async def the_old_leader_stands_still(s: Scenario):
     """Nothing reaches it and nothing leaves it for a while; then all of it comes at once."""
     others = ["node-1", "node-2", *s.east()]
     ways = [(o, "node-0") for o in others] + [("node-0", o) for o in others]
@@ -347,7 +347,7 @@
     await s.w.hold(ways, s.rng.uniform(3, 14))
 
 
-async def more_cancellations_than_a_pulse_holds(s: Story):
+async def more_cancellations_than_a_pulse_holds(s: Scenario):
     pass
 
 
@@ -361,14 +361,14 @@
 @pytest.mark.parametrize("beside", BESIDE, ids=lambda beside: beside.__name__)
 async def test_the_gap_leaves_nothing_cancelled_on_a_machine(beside, site, monkeypatch):
     if beside is more_cancellations_than_a_pulse_holds:
-        monkeypatch.setattr(node, "MOST_TOLD", 2)
+        monkeypatch.setattr(node, "MAX_TOLD", 2)
     rng = random.Random(f"{beside.__name__} {site}")
-    async with world(capacity=10, op=OP, teams=TEAMS, objectives=AIMS, **SITES[site]) as w:
-        story = Story(w, rng, site)
-        await story.begin()
+    async with world(capacity=10, operator=OP, teams=TEAMS, objectives=AIMS, **SITES[site]) as w:
+        scenario = Scenario(w, rng, site)
+        await scenario.begin()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(beside, story)
-            await story.gap(rng.uniform(0.3, 4.0))
+            nursery.start_soon(beside, scenario)
+            await scenario.gap(rng.uniform(0.3, 4.0))
         assert await w.settled()
         await w.over()
 
--- a/roadbend/test_nonsense.py
+++ b/roadbend/test_nonsense.py
@@ -5,9 +5,9 @@
 import pytest
 import trio
 
+from roadbend.fakes.world import job, world
 from roadbend.http.server import Response
 from roadbend.peers import frames
-from roadbend.standins.world import job, world
 
 ODD = [None, -1, 1e300, float("nan"), True, "", "x" * 400, [], {}, [[]], {"a": 1}, 1 << 70, b"\xff", "run-000001/x"]
 
--- a/roadbend/test_stories.py
+++ b/roadbend/test_scenarios.py
@@ -5,9 +5,9 @@
 import trio
 
 from roadbend import clock
+from roadbend.fakes.world import job, world
 from roadbend.intake.messages import read_submission
 from roadbend.settings import Operator, Team
-from roadbend.standins.world import job, world
 from roadbend.store import records
 from roadbend.store.client import put
 from roadbend.store.records import Attempt, Job, Slice
@@ -266,8 +266,8 @@
 
 async def test_a_job_that_waits_too_long_moves_to_a_part_with_room():
     """Capacity for one machine a zone: what queues behind long work is offered again and leaves."""
-    op = Operator(reoffer_every=timedelta(seconds=2), dear=100.0)
-    async with world(capacity=1, op=op) as w:
+    operator = Operator(reoffer_every=timedelta(seconds=2), dear=100.0)
+    async with world(capacity=1, operator=operator) as w:
         for n in (70, 71):
             assert await w.submit(0, job(n, legs=2, yard="east", loaners=n == 70, crew="blue", dueS=30), 200) == 201
         assert await w.until(lambda: all(len(w.board.running(f"run-{n:06d}")) == 2 for n in (70, 71)), 60)
--- a/roadbend/test_troubles.py
+++ b/roadbend/test_troubles.py
@@ -6,8 +6,8 @@
 import pytest
 import trio
 
+from roadbend.fakes.world import ZONES, World, job, world
 from roadbend.settings import Operator, Team
-from roadbend.standins.world import ZONES, World, job, world
 from roadbend.store import records
 
 BIG = {"red": Team("red", 0, 0, 60, 400), "blue": Team("blue", 0, 0, 60, 400)}
@@ -202,8 +202,8 @@
 @pytest.mark.parametrize("seed", range(6))
 async def test_pairs_of_troubles_in_any_order_and_delay_break_no_rule(seed):
     rng = random.Random(seed)
-    op = Operator(reoffer_every=timedelta(seconds=2))
-    async with world(capacity=10, op=op, teams=BIG) as w:
+    operator = Operator(reoffer_every=timedelta(seconds=2))
+    async with world(capacity=10, operator=operator, teams=BIG) as w:
         assert await w.submit(0, job(1, legs=6, apart=True, **SERVICE), None) == 201
         names = []
         for n in range(10, 16):
--- a/roadbend/test_upgrade.py
+++ b/roadbend/test_upgrade.py
@@ -13,14 +13,14 @@
 from roadbend.bidding import messages
 from roadbend.bidding.casa import Bid
 from roadbend.bidding.messages import Ask
+from roadbend.fakes import previous_version
+from roadbend.fakes.world import World, job, settings_for, world
 from roadbend.parts.ownership import Tenure
 from roadbend.peers import frames
-from roadbend.peers.pulse import Pulse
+from roadbend.peers.heartbeat import Heartbeat
 from roadbend.placement import ends
 from roadbend.placement.batch import Batch
 from roadbend.settings import Operator, Team
-from roadbend.standins import former
-from roadbend.standins.world import World, job, settings_for, world
 from roadbend.store import ranges, records
 from roadbend.store.budget import Budget
 from roadbend.store.records import Attempt, Job, Need, Slice, Spec, Use
@@ -92,7 +92,7 @@
 RUN = {2: Attempt(7 << 32 | 5, "m-000012"), 5: Attempt(7 << 32 | 6, "m-000013"), 6: Attempt(8 << 32 | 1, "m-000014")}
 JOB = Job("run-1", SPEC, AT, {"east": ((0, 3), (5, 9)), "west": ((3, 5),)}, ((0, 2),))
 SLICE = Slice("run-1", "east", "red", SPEC.need, ((0, 2),), RUN)
-PULSE = Pulse(
+PULSE = Heartbeat(
     "b1", 9 * S, None, (1.5, 0.25, 0.5), {"east": 7}, {"west": ("m-1", "m-2")}, 60 * S, ("run-1", "run-2")
 )  # fmt: skip
 ASK = Ask("run-1", 3, 9, SPEC, waited=2 * S)
@@ -104,7 +104,7 @@
     made = {
         "hello": frames.pack(frames.HELLO, 0, b"node-0"),
         "ping": frames.pack(frames.PING, 3, PULSE.pack()),
-        "pong": frames.pack(frames.PING | frames.REPLY, 3, Pulse("b2", 9 * S, 2 * S, (1.5, 0.25, 0.5)).pack()),
+        "pong": frames.pack(frames.PING | frames.REPLY, 3, Heartbeat("b2", 9 * S, 2 * S, (1.5, 0.25, 0.5)).pack()),
         "request": frames.pack(frames.REQUEST, 4, ASK.pack()),
         "request-service": frames.pack(frames.REQUEST, 4, Ask("run-2", 3, 4, SERVICE).pack()),
         "inform": frames.pack(frames.INFORM, 5, AGAIN.pack()),
@@ -114,7 +114,7 @@
     }
     assert {name: data.hex() for name, data in made.items()} == FRAMES
     read = {name: next(iter(frames.Splitter().feed(bytes.fromhex(data))))[2] for name, data in FRAMES.items()}
-    assert Pulse.unpack(read["ping"]) == PULSE and Ask.unpack(read["request"]) == ASK
+    assert Heartbeat.unpack(read["ping"]) == PULSE and Ask.unpack(read["request"]) == ASK
     assert Ask.unpack(read["inform"]) == AGAIN and Ask.unpack(read["request-service"]).spec == SERVICE
     assert messages.unpack_bids(read["bids"]) == BIDS and messages.unpack_assign(read["assign"]) == (
         "run-1", b"\xa0", 77,
@@ -132,9 +132,9 @@
     }
     assert {key: cbor2.dumps(value).hex() for key, value in made.items()} == RECORDS
     view = View()
-    for stamp, (key, data) in enumerate(RECORDS.items(), 1):
+    for mod_revision, (key, data) in enumerate(RECORDS.items(), 1):
         if key.startswith("r/"):
-            view.put(key, cbor2.loads(bytes.fromhex(data)), stamp)
+            view.put(key, cbor2.loads(bytes.fromhex(data)), mod_revision)
     assert view.jobs["run-1"].alloc == JOB.alloc and view.jobs["run-1"].spec == SPEC
     assert view.jobs["run-2"].spec == SERVICE and view.slices["east"]["run-1"].run == RUN
     assert view.teams["red"].parts == {"east": (16.0, 2.0), "west": (8.5, 1.0)}
@@ -211,7 +211,7 @@
 
 
 async def crash_of_an_old_one(w: World, rng: random.Random) -> None:
-    old = [at for at in range(3) if isinstance(w.nodes.get(f"node-{at}"), former.FormerNode)]
+    old = [at for at in range(3) if isinstance(w.nodes.get(f"node-{at}"), previous_version.PreviousVersionNode)]
     at = rng.choice(old)
     w.crash(at)
     await trio.sleep(rng.uniform(0.2, 0.9))
@@ -239,9 +239,14 @@
 async def test_a_roll_with_troubles_in_it_loses_nothing_and_the_limits_to_come_break_nothing(trouble):
     rng = random.Random(trouble.__name__)
     async with world(
-        capacity=40, former=True, teams=TEAMS, op=Operator(reoffer_every=2 * S), cancel_within=48 * S, **SMALL
+        capacity=40,
+        previous_version=True,
+        teams=TEAMS,
+        operator=Operator(reoffer_every=2 * S),
+        cancel_within=48 * S,
+        **SMALL,
     ) as w:
-        w.state.limits(former.VALUE_BYTES, former.TXN_OPS)
+        w.state.limits(previous_version.VALUE_BYTES, previous_version.TXN_OPS)
         assert await w.submit(0, job(1, shape="daemon", legs=6, apart=True, dueS=None, loaners=False), None) == 201
         # Wide enough for records that the limits to come don't permit.
         assert await w.submit(1, job(2, legs=120, yard="east", dueS=20.0, crew="red"), 110.0) == 201
@@ -257,7 +262,7 @@
             for n in range(10, 14):
                 await w.submit(n % 3, job(n, legs=2, crew="blue", dueS=30.0), 8.0)
         assert await w.settled()
-        assert all(not isinstance(node, former.FormerNode) for node in w.nodes.values())
+        assert all(not isinstance(node, previous_version.PreviousVersionNode) for node in w.nodes.values())
         w.state.limits(1200, 4)
         assert await w.submit(1, gang(20, 8, crew="blue"), 10.0) in (200, 201)
         assert await w.submit(2, gang(21, 3, crew="blue"), 10.0) in (200, 201)
@@ -272,13 +277,15 @@
     large = Slice("run-1", "east", "red", SPEC.need, ((200, 210),), run)
     view.put(large.key, large.to_value(), 5)
     work = view.slices["east"]["run-1"]
-    rt = SimpleNamespace(width=settings.shard_width)
-    less = replace(large, run={leg: attempt for leg, attempt in run.items() if leg != 3}, stamp=5)
+    runtime = SimpleNamespace(width=settings.shard_width)
+    less = replace(
+        large, run={task_index: attempt for task_index, attempt in run.items() if task_index != 3}, mod_revision=5
+    )
     batch = Batch(view, "east", Tenure("east", 7, 1, AT), settings)
-    pieces = ends.split(rt, batch, work, less)
+    pieces = ends.split(runtime, batch, work, less)
     assert 1 < len(pieces) <= 4 and all(batch.fits(piece) for piece in pieces)
-    found = [(leg, attempt) for piece in pieces for leg, attempt in piece.run.items()]
+    found = [(task_index, attempt) for piece in pieces for task_index, attempt in piece.run.items()]
     assert sorted(found) == sorted(less.run.items()) and len(found) == len(dict(found)) == 101
     # What no transaction of that size can split waits until fewer of its tasks are left.
     wide = replace(large, run={n: Attempt(7 << 32 | n, f"m-{n:06d}") for n in range(400)})
-    assert ends.split(rt, Batch(view, "east", Tenure("east", 7, 1, AT), settings), work, wide) == []
+    assert ends.split(runtime, Batch(view, "east", Tenure("east", 7, 1, AT), settings), work, wide) == []
