--- a/roadbend/bidding/casa.py
+++ b/roadbend/bidding/casa.py
@@ -79,8 +79,9 @@
     """Which part gets which of the job's free tasks, by slices. Among the parts that can start some
     now, one of those wins; only when there is none is one of all drawn. Zone caps hold throughout.
 
-    `left`: what is left until the job is due. Where some bids promise to be in time, those that don't
-    are not drawn: an inverse weight hardly tells a part just in time from one just too late."""
+    `left`: what is left until the job is due. Where some bids promise to be in time, those that
+    don't are not drawn: an inverse weight hardly tells a part just in time from one just too
+    late."""
     spec = job.spec
     free = job.free
     if not free:
@@ -97,7 +98,11 @@
     while free:
         ready = [bid for bid in bids if now[bid.part] > 0 and room[bid.part] > 0]
         able = ready or [bid for bid in bids if room[bid.part] > 0]
-        chosen = draw([bid for bid in able if left is None or response(bid, omega) <= left] or able, omega, rng)
+        chosen = draw(
+            [bid for bid in able if left is None or response(bid, omega) <= left] or able,
+            omega,
+            rng,
+        )
         if chosen is None:
             break
         part = chosen.part
@@ -114,7 +119,9 @@
     return out
 
 
-def _whole(job: Job, bids: Sequence[Bid], omega: float, rng: random.Random) -> dict[str, ranges.Ranges]:
+def _whole(
+    job: Job, bids: Sequence[Bid], omega: float, rng: random.Random
+) -> dict[str, ranges.Ranges]:
     held = [part for part, rs in job.alloc.items() if rs]
     if held:
         return {held[0]: job.free} if any(bid.part == held[0] for bid in bids) else {}
@@ -140,7 +147,11 @@
 
 
 def accepts_reoffer(
-    estimate: timedelta, theirs: timedelta, average: timedelta, their_average: timedelta, varpi: float
+    estimate: timedelta,
+    theirs: timedelta,
+    average: timedelta,
+    their_average: timedelta,
+    varpi: float,
 ) -> bool:
     """Both tests of algorithm 5."""
     return estimate < theirs and average * varpi < their_average
--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -45,7 +45,13 @@
         closed: Callable[[str, datetime], set[tuple[str, bool]]],
         rng: random.Random,
     ):
-        self._shared, self._peers, self._runtimes, self._closed, self._rng = shared, peers, runtimes, closed, rng
+        self._shared, self._peers, self._runtimes, self._closed, self._rng = (
+            shared,
+            peers,
+            runtimes,
+            closed,
+            rng,
+        )
         self._shadows: dict[str, Promises] = {}
         self._send, self._receive = trio.open_memory_channel(MAX_QUEUED)
         self._busy: set[str] = set()
@@ -63,13 +69,17 @@
     def _bidder(self, part: str) -> Bidder:
         shadow = self._shadows.setdefault(part, Promises(self._shared.operator.promise_life))
         runtime = self._runtimes[part]
-        return Bidder(runtime, self._shared.settings.name, lambda: self._closed(part, clock.now()), shadow)
+        return Bidder(
+            runtime, self._shared.settings.name, lambda: self._closed(part, clock.now()), shadow
+        )
 
     def bids(self, ask: Ask) -> list[Bid]:
         now = clock.now()
         out = []
         for part, runtime in list(self._runtimes.items()):
-            if self._shared.ownership.tenure(part) != runtime.tenure or not self._shared.ownership.may_start(now):
+            if self._shared.ownership.tenure(
+                part
+            ) != runtime.tenure or not self._shared.ownership.may_start(now):
                 continue
             if part == ask.part:
                 continue
@@ -96,10 +106,13 @@
         for bid in self.bids(ask):
             average = self._bidder(bid.part).average_queuing(now)
             estimate = casa.response(bid, operator.omega)
-            # A part that can start it now takes what has waited for long, whatever waits here for other machines:
-            # by the averages alone a job can wait for ever beside room that fits it.
+            # A part that can start it now takes what has waited for long, whatever waits here for
+            # other machines: by the averages alone a job can wait for ever beside room that fits
+            # it.
             if ask.theirs is not None and (
-                casa.accepts_reoffer(estimate, ask.theirs, average, ask.their_average, operator.varpi)
+                casa.accepts_reoffer(
+                    estimate, ask.theirs, average, ask.their_average, operator.varpi
+                )
                 or bid.now > 0
                 and ask.waited >= LONG_WAIT
             ):
@@ -152,7 +165,8 @@
                 self._busy.discard(job)
 
     async def run_rebid(self) -> None:
-        """Any live controller offers a recorded job that nobody holds; the hash says who tries first."""
+        """Any live controller offers a recorded job that nobody holds; the hash says who tries
+        first."""
         operator = self._shared.operator
         waiting: dict[str, tuple[datetime, datetime]] = {}
         while True:
@@ -164,13 +178,19 @@
             for name, (since, due) in waiting.items():
                 mine = rendezvous(name, names) == self._shared.settings.name
                 if now >= due and (mine or now - since > operator.rebid_every * 4):
-                    # The longer it has found nobody, the less often it asks: a burst must not be all bids.
-                    waiting[name] = (since, now + drawn(min((now - since) * 0.4, operator.rebid_every * 4), self._rng))
+                    # The longer it has found nobody, the less often it asks: a burst must not be
+                    # all bids.
+                    waiting[name] = (
+                        since,
+                        now + drawn(min((now - since) * 0.4, operator.rebid_every * 4), self._rng),
+                    )
                     self.submit(name)
 
     async def _ask(self, link: Link, kind: int, payload: bytes, out: list[Bid]) -> None:
         try:
-            out += messages.unpack_bids(await link.call(kind, payload, self._shared.operator.bid_wait))
+            out += messages.unpack_bids(
+                await link.call(kind, payload, self._shared.operator.bid_wait)
+            )
         except NoReply:
             pass
         except BadFrame as error:
@@ -200,12 +220,16 @@
             if job is None or not job.free or name in self._shared.cancelled:
                 return
             waited = max(clock.ZERO, clock.wall() - job.at)
-            ask = Ask(name, len(self._peers.links) + 1, ranges.size(job.free), job.spec, waited=waited)
+            ask = Ask(
+                name, len(self._peers.links) + 1, ranges.size(job.free), job.spec, waited=waited
+            )
             bids = await self.gather(ask)
             job = view.jobs.get(name)
             if job is None:
                 return
-            shares = casa.allot(job, bids, self._shared.operator.omega, self._rng, left=self._left(job))
+            shares = casa.allot(
+                job, bids, self._shared.operator.omega, self._rng, left=self._left(job)
+            )
             if not shares:
                 log.debug("no-bid", job=name, bids=len(bids))
                 return
@@ -240,13 +264,20 @@
         waits: dict[str, timedelta] = {}
         for item in runtime.pending():
             since = runtime.queued.get(item.job.id)
-            # A job that has just come cools down first, whatever the average; so it can't go to and fro.
+            # A job that has just come cools down first, whatever the average; so it can't go to and
+            # fro.
             if since is not None and now - since >= operator.cool_down:
                 waits[item.job.id] = now - since
-        due = [name for name, wait in waits.items() if casa.relative_delay(wait, average) >= operator.mu]
-        # What nobody took last time goes behind the rest: those that wait longest may fit nowhere, and what waits
-        # behind them may.
-        self._refused_at = {n: at for n, at in self._refused_at.items() if now - at < FORGET_REFUSALS}
+        due = [
+            name
+            for name, wait in waits.items()
+            if casa.relative_delay(wait, average) >= operator.mu
+        ]
+        # What nobody took last time goes behind the rest: those that wait longest may fit nowhere,
+        # and what waits behind them may.
+        self._refused_at = {
+            n: at for n, at in self._refused_at.items() if now - at < FORGET_REFUSALS
+        }
         due.sort(key=lambda name: (self._refused_at.get(name, clock.ORIGIN), -waits[name]))
         refused = 0
         for name in due[:MAX_REOFFERED]:
@@ -262,7 +293,9 @@
             if refused >= MAX_REFUSED:
                 break
 
-    async def _offer_again(self, runtime: PartRuntime, bidder: Bidder, job: Job, average: timedelta) -> bool:
+    async def _offer_again(
+        self, runtime: PartRuntime, bidder: Bidder, job: Job, average: timedelta
+    ) -> bool:
         """Says whether anybody bid."""
         operator, part, now = self._shared.operator, runtime.part, clock.now()
         unplaced = runtime.unplaced(job)
@@ -271,12 +304,21 @@
             return True
         waited = max(clock.ZERO, clock.wall() - job.at)
         theirs = bidder.estimate(job, now)
-        ask = Ask(job.id, len(self._peers.links) + 1, ranges.size(unplaced), job.spec, part, theirs, average, waited)
+        ask = Ask(
+            job.id,
+            len(self._peers.links) + 1,
+            ranges.size(unplaced),
+            job.spec,
+            part,
+            theirs,
+            average,
+            waited,
+        )
         bids = await self.gather(ask)
         if not bids:
             return False
-        # Only tasks not yet placed move. An in-flight start of ours would change the slice's stamp, and
-        # the move is made on that stamp too: a task can't both start here and go.
+        # Only tasks not yet placed move. An in-flight start of ours would change the slice's stamp,
+        # and the move is made on that stamp too: a task can't both start here and go.
         job = self._shared.view.jobs.get(job.id)
         if job is None or self._runtimes.get(part) is not runtime:
             return True
@@ -292,7 +334,9 @@
         unplaced = ranges.minus(unplaced, ranges.first(unplaced, stay))
         # Each is a condition of the transaction, beside the job's and the term's.
         most = min(MAX_SHARDS, 4 * self._shared.settings.txn_ops - 2)
-        shards = sorted({n // width for low, high in unplaced for n in (*range(low, high, width), high - 1)})[:most]
+        shards = sorted(
+            {n // width for low, high in unplaced for n in (*range(low, high, width), high - 1)}
+        )[:most]
         unplaced = tuple(
             (max(a, n * width), min(b, (n + 1) * width))
             for n in shards
@@ -318,10 +362,18 @@
         if fresh.weight > self._shared.settings.value_bytes * 0.8:
             return True
         if await self.move(job, fresh, bids, set(shares), also):
-            log.info("moved", job=job.id, tasks=ranges.size(gone), source=part, to=",".join(sorted(shares)))
+            log.info(
+                "moved",
+                job=job.id,
+                tasks=ranges.size(gone),
+                source=part,
+                to=",".join(sorted(shares)),
+            )
         return True
 
-    async def move(self, job: Job, fresh: Job, bids: list[Bid], chosen: set[str], also: dict[str, int]) -> bool:
+    async def move(
+        self, job: Job, fresh: Job, bids: list[Bid], chosen: set[str], also: dict[str, int]
+    ) -> bool:
         """Records who holds what; that is the assignment. `also`: further stamps that must hold."""
         view, key = self._shared.view, records.job_key(job.id)
         value = fresh.to_small_value(int(self._shared.settings.value_bytes * 0.95))
@@ -335,10 +387,11 @@
             return False
         view.applied(rows, revision)
         log.debug(
-            "assigned", job=job.id, to=",".join(f"{p}:{ranges.size(fresh.alloc.get(p, ()))}" for p in sorted(chosen)),
-            bids=" ".join(f"{b.part}:{casa.response(b, self._shared.operator.omega).total_seconds():.1f}/{b.now}/{b.room}"
-                          for b in bids),
-        )  # fmt: skip
+            "assigned",
+            job=job.id,
+            to=",".join(f"{p}:{ranges.size(fresh.alloc.get(p, ()))}" for p in sorted(chosen)),
+            bids=" ".join(self._describe(bid) for bid in bids),
+        )
         tell = {bid.node for bid in bids if bid.part in chosen}
         body = messages.pack_assign(job.id, cbor2.dumps(value), revision)
         revoke = messages.pack_revoke(job.id)
@@ -354,6 +407,11 @@
             runtime.wake_up.set()
         return True
 
+    def _describe(self, bid: Bid) -> str:
+        """A bid as the log shows it: partition, response time, tasks to start now, tasks in all."""
+        seconds = casa.response(bid, self._shared.operator.omega).total_seconds()
+        return f"{bid.part}:{seconds:.1f}/{bid.now}/{bid.room}"
+
     async def _say(self, link: Link, kind: int, payload: bytes) -> None:
         # An assign is answered (the paper's receipt); a revoke is not, and may get lost.
         try:
--- a/roadbend/bidding/messages.py
+++ b/roadbend/bidding/messages.py
@@ -60,9 +60,24 @@
         part, (theirs, average, waited) = scan.text(), scan.get("ddd")
         scan.end()
         spec = Spec(
-            team, job_class, service, priority, task_count, need, machine_types, zone, together, apart, spot, image, image_gb,
-            expected, checkpoint, save, None if due < 0 else _span(due),
-        )  # fmt: skip
+            team,
+            job_class,
+            service,
+            priority,
+            task_count,
+            need,
+            machine_types,
+            zone,
+            together,
+            apart,
+            spot,
+            image,
+            image_gb,
+            expected,
+            checkpoint,
+            save,
+            None if due < 0 else _span(due),
+        )
         theirs = None if theirs < 0 else _span(theirs)
         return Ask(job, requests, free, spec, part, theirs, _span(average), _span(waited))
 
@@ -75,7 +90,9 @@
     out = Writer().put("H", len(bids))
     for bid in bids:
         out.text(bid.part).text(bid.node)
-        out.put("ddd", *(x.total_seconds() for x in (bid.job_time, bid.queue_time, bid.shadow_time)))
+        out.put(
+            "ddd", *(x.total_seconds() for x in (bid.job_time, bid.queue_time, bid.shadow_time))
+        )
         out.put("II", min(bid.now, 1 << 31), min(bid.room, 1 << 31))
     return out.bytes()
 
--- a/roadbend/bidding/offers.py
+++ b/roadbend/bidding/offers.py
@@ -59,15 +59,17 @@
         could_rent = self._rent(job, ask, dear)
         if could_rent is not None:
             # What waits here and found no place calls for machines first.
-            waits = sum(item.count for item in queue) - sum(len(rows) for rows in layout.starts.values())
+            waits = sum(item.count for item in queue) - sum(
+                len(rows) for rows in layout.starts.values()
+            )
             room += max(0, could_rent[1] - waits)
             if could_rent[0] < wait:
                 wait, line = could_rent[0], None
         if wait == forecast.NEVER:
             return None
-        # Slices fit the free room: what the team's limit or our own queue keeps waiting is not asked for,
-        # or a huge array would pile up here range by range.
-        # A gang is held whole by one part, and queues there while its team is at its limit.
+        # Slices fit the free room: what the team's limit or our own queue keeps waiting is not
+        # asked for, or a huge array would pile up here range by range. A gang is held whole by one
+        # part, and queues there while its team is at its limit.
         left = spec.task_count if spec.gang else self._team_left(job) - own
         now_count, room = min(now_count, left), min(max(room, 0 if own else 1), left)
         if room <= 0 or spec.gang and room < spec.task_count:
@@ -77,7 +79,11 @@
         elif could_rent is not None and not now_count:
             fetch = fetch_time(spec, could_rent[2])
         else:
-            fetch = clock.ZERO if self._cached(job, ready) else fetch_time(spec, self._fastest(job, ready))
+            fetch = (
+                clock.ZERO
+                if self._cached(job, ready)
+                else fetch_time(spec, self._fastest(job, ready))
+            )
         load = sum(job_load(item.job.spec, item.count) for item in queue)
         bid = Bid(
             runtime.part,
@@ -98,22 +104,29 @@
         return casa.average_queuing(waiting, list(runtime.waits))
 
     def estimate(self, job: Job, now: datetime) -> timedelta:
-        """What this part itself expects for a job that waits here: its run, and when the last of what waits
-        can start; a slice is not over before its last task is."""
+        """What this part itself expects for a job that waits here: its run, and when the last of
+        what waits can start; a slice is not over before its last task is."""
         runtime = self._runtime
         starts = self.starts(job)
         start = starts[-1] if starts else forecast.NEVER
-        choices = renting.options(runtime.shared.machine_types.values(), runtime.part, self._closed())
-        option = renting.cheapest(placing.Pending(job, ((0, 1),), False), choices, runtime.part, job.spec.task_count)
+        choices = renting.options(
+            runtime.shared.machine_types.values(), runtime.part, self._closed()
+        )
+        option = renting.cheapest(
+            placing.Pending(job, ((0, 1),), False), choices, runtime.part, job.spec.task_count
+        )
         if option is not None:
             start = min(start, option.machine_type.startup.total_seconds())
         return job.spec.expected + timedelta(seconds=min(start, 3600.0))
 
     def starts(self, job: Job) -> list[float]:
-        """When the tasks that wait here would begin, in seconds; never, for those beyond the forecast."""
+        """When the tasks that wait here would begin, in seconds; never, for those beyond the
+        forecast."""
         runtime = self._runtime
         starts = runtime.layout(0, frozenset()).starts.get(job.id, [])
-        return sorted(starts) + [forecast.NEVER] * (ranges.size(runtime.unplaced(job)) - len(starts))
+        return sorted(starts) + [forecast.NEVER] * (
+            ranges.size(runtime.unplaced(job)) - len(starts)
+        )
 
     def _team_left(self, job: Job) -> int:
         left = self._runtime.shared.room_left(job.spec, self._runtime.part)
@@ -121,12 +134,15 @@
         return max(left, 2)
 
     def _dear(self, job: Job, ask: Ask) -> set[str]:
-        """Machine types that a service should not settle on, for as long as it can wait: it would hold
-        a machine that costs much more a task than another type does."""
+        """Machine types that a service should not settle on, for as long as it can wait: it would
+        hold a machine that costs much more a task than another type does."""
         if not job.spec.service:
             return set()
         shared = self._runtime.shared
-        boot = max((machine_type.startup for machine_type in shared.machine_types.values()), default=clock.ZERO)
+        boot = max(
+            (machine_type.startup for machine_type in shared.machine_types.values()),
+            default=clock.ZERO,
+        )
         if ask.waited >= shared.patience(job.spec, boot):
             return set()
         return renting.expensive_machine_types(
@@ -147,12 +163,15 @@
     def _rent(self, job: Job, ask: Ask, dear: set[str]) -> tuple[float, int, MachineType] | None:
         """Boot time, places and type of the cheapest machine that we believe we can hire.
 
-        A part that could only hire dearly leaves a job to those who can do it cheaply, for as long as
-        the job can wait: the paper's acceptance takes the responder's own preferences into account."""
+        A part that could only hire dearly leaves a job to those who can do it cheaply, for as long
+        as the job can wait: the paper's acceptance takes the responder's own preferences into
+        account."""
         runtime, operator = self._runtime, self._runtime.shared.operator
         machine_types = runtime.shared.machine_types.values()
         choices = [
-            o for o in renting.options(machine_types, runtime.part, self._closed()) if o.machine_type.name not in dear
+            o
+            for o in renting.options(machine_types, runtime.part, self._closed())
+            if o.machine_type.name not in dear
         ]
         item = placing.Pending(job, ((0, 1),), False)
         option = renting.cheapest(item, choices, runtime.part, ask.free)
@@ -163,16 +182,21 @@
         if price > least * operator.dear and ask.waited < operator.dear_wait:
             return None
         places = renting.empty_room("", option, runtime.part).count(job.spec.need)
-        # As many as one request hires; where the cloud has fewer, it says so and the type is closed here.
+        # As many as one request hires; where the cloud has fewer, it says so and the type is closed
+        # here.
         return option.machine_type.startup.total_seconds(), places * MAX_HIRED, option.machine_type
 
     def _fastest(self, job: Job, rooms: list[Room]) -> MachineType | None:
         machine_types = self._runtime.shared.machine_types
         fitting = [
-            machine_types[r.machine_type] for r in rooms if r.machine_type in machine_types and self._fit(job, [r])
+            machine_types[r.machine_type]
+            for r in rooms
+            if r.machine_type in machine_types and self._fit(job, [r])
         ]
         if not fitting:
             fitting = [
-                machine_type for machine_type in machine_types.values() if self._runtime.part in machine_type.zones
+                machine_type
+                for machine_type in machine_types.values()
+                if self._runtime.part in machine_type.zones
             ]
         return max(fitting, key=lambda machine_type: machine_type.pull, default=None)
--- a/roadbend/bidding/test_casa.py
+++ b/roadbend/bidding/test_casa.py
@@ -35,12 +35,16 @@
 
 def test_a_part_that_can_start_now_wins_over_a_faster_promise():
     for seed in range(50):
-        shares = casa.allot(made(legs=1), [bid("a", 1), bid("b", 500, now=1)], 1.0, random.Random(seed))
+        shares = casa.allot(
+            made(legs=1), [bid("a", 1), bid("b", 500, now=1)], 1.0, random.Random(seed)
+        )
         assert shares == {"b": ((0, 1),)}
 
 
 def test_arrays_go_out_in_slices_that_fit_the_free_room():
-    shares = casa.allot(made(legs=6), [bid("a", 10, now=2), bid("b", 10, now=3)], 1.0, random.Random(3))
+    shares = casa.allot(
+        made(legs=6), [bid("a", 10, now=2), bid("b", 10, now=3)], 1.0, random.Random(3)
+    )
     assert sum(ranges.size(r) for r in shares.values()) == 6
     assert ranges.size(shares["a"]) >= 2 and ranges.size(shares["b"]) >= 3
 
@@ -59,7 +63,9 @@
 def test_a_job_that_is_to_be_together_goes_whole_or_not_at_all():
     rng = random.Random(2)
     assert casa.allot(made(legs=4, together=True), [bid("a", 1, now=3, room=3)], 1.0, rng) == {}
-    shares = casa.allot(made(legs=4, together=True), [bid("a", 1, now=3, room=3), bid("b", 9, room=4)], 1.0, rng)
+    shares = casa.allot(
+        made(legs=4, together=True), [bid("a", 1, now=3, room=3), bid("b", 9, room=4)], 1.0, rng
+    )
     assert shares == {"b": ((0, 4),)}
 
 
--- a/roadbend/cli.py
+++ b/roadbend/cli.py
@@ -14,13 +14,21 @@
 
 
 def parser() -> argparse.ArgumentParser:
-    out = argparse.ArgumentParser(prog="roadbend", description="A cluster scheduler whose controllers bid for jobs.")
-    out.add_argument("--config", type=Path, required=True, help="the platform's settings file (TOML)")
+    out = argparse.ArgumentParser(
+        prog="roadbend", description="A cluster scheduler whose controllers bid for jobs."
+    )
     out.add_argument(
-        "--operator", type=Path, default=OPERATOR_FILE,
+        "--config", type=Path, required=True, help="the platform's settings file (TOML)"
+    )
+    out.add_argument(
+        "--operator",
+        type=Path,
+        default=OPERATOR_FILE,
         help="operators' own settings (S-expressions); a missing file means the defaults",
-    )  # fmt: skip
-    out.add_argument("--check", action="store_true", help="check the settings and end without starting")
+    )
+    out.add_argument(
+        "--check", action="store_true", help="check the settings and end without starting"
+    )
     out.add_argument("--version", action="version", version=f"roadbend {__version__}")
     return out
 
@@ -42,8 +50,8 @@
     from roadbend.http.net import Net
     from roadbend.node import Node
 
-    # Layouts make and drop many small objects that are in no cycle: looking for cycles is left to every 50,000th,
-    # and what was imported is never looked at again.
+    # Layouts make and drop many small objects that are in no cycle: looking for cycles is left to
+    # every 50,000th, and what was imported is never looked at again.
     gc.freeze()
     gc.set_threshold(50_000, 20, 20)
 
--- a/roadbend/clock.py
+++ b/roadbend/clock.py
@@ -1,5 +1,6 @@
 """Time. Steady instants are naive datetimes counted from an arbitrary origin, because only their
-differences mean anything; the time of day is an aware datetime. Floats appear only at trio's door."""
+differences mean anything; the time of day is an aware datetime. Floats appear only at trio's
+door."""
 
 from datetime import UTC, datetime, timedelta
 
--- a/roadbend/fakes/__main__.py
+++ b/roadbend/fakes/__main__.py
@@ -16,16 +16,25 @@
 
 ZONES = ("east", "north", "west")
 MACHINE_TYPE = {
-    "name": "g2", "vcpus": 24.0, "gpus": 2.0, "memoryGb": 144.0, "cacheGb": 100.0, "pullGbPerS": 1.0,
-    "price": 6.0, "lowPrice": 2.0, "startupS": 3.0, "yards": list(ZONES),
-}  # fmt: skip
+    "name": "g2",
+    "vcpus": 24.0,
+    "gpus": 2.0,
+    "memoryGb": 144.0,
+    "cacheGb": 100.0,
+    "pullGbPerS": 1.0,
+    "price": 6.0,
+    "lowPrice": 2.0,
+    "startupS": 3.0,
+    "yards": list(ZONES),
+}
 HOST = "127.0.0.1"
 STATE, CLOUD, LENGTHS = f"{HOST}:18379", f"{HOST}:18443", f"{HOST}:18400"
 
 
 def settings(at: int) -> str:
     others = "".join(
-        f'[[others]]\nhost_name = "node-{n}"\ndomain = "{ZONES[n]}"\naddress = "{HOST}:{18090 + n}"\n'
+        f'[[others]]\nhost_name = "node-{n}"\ndomain = "{ZONES[n]}"\n'
+        f'address = "{HOST}:{18090 + n}"\n'
         for n in range(3)
         if n != at
     )
@@ -80,8 +89,15 @@
             address = f"{HOST}:{next(ports)}"
             print(f"{clock.now():%H:%M:%S} machine {machine} is up in {zone}", flush=True)
             return FakeWorker(
-                net, board, nodes, machine=machine, address=address, machine_type=machine_type, zone=zone, spot=spot
-            )  # fmt: skip
+                net,
+                board,
+                nodes,
+                machine=machine,
+                address=address,
+                machine_type=machine_type,
+                zone=zone,
+                spot=spot,
+            )
 
         async def upload(request: Request) -> Response:
             """Users upload what the workers need to know of a job: here, how long a task runs."""
--- a/roadbend/fakes/cloud.py
+++ b/roadbend/fakes/cloud.py
@@ -24,9 +24,21 @@
 
 
 class FakeCloud:
-    def __init__(self, nursery: trio.Nursery, machine_types: list[dict], capacity: int, make: Callable[..., Any]):
-        """`make(machine id, rig, zone, spot)` gives a worker with a `run` method and an `address`."""
-        self._nursery, self._rigs, self._capacity, self._make = nursery, machine_types, capacity, make
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        machine_types: list[dict],
+        capacity: int,
+        make: Callable[..., Any],
+    ):
+        """`make(machine id, rig, zone, spot)` gives a worker with a `run` method and an
+        `address`."""
+        self._nursery, self._rigs, self._capacity, self._make = (
+            nursery,
+            machine_types,
+            capacity,
+            make,
+        )
         self.machines: dict[str, Rented] = {}
         self._hires: dict[str, list[str]] = {}
         self._count = 0
@@ -42,7 +54,9 @@
             await trio.sleep(self._boot_s(machine.machine_type))
             machine.status = "running"
             while True:
-                machine.worker = self._make(machine.id, machine.machine_type, machine.zone, machine.spot)
+                machine.worker = self._make(
+                    machine.id, machine.machine_type, machine.zone, machine.spot
+                )
                 with trio.CancelScope() as machine.incarnation:
                     await machine.worker.run()
 
@@ -78,11 +92,16 @@
             now = trio.current_time()
             listed = [
                 {
-                    "id": m.id, "address": m.worker.address if m.worker else "", "rig": m.machine_type, "yard": m.zone,
-                    "loaners": m.spot, "status": m.status, "ageS": now - m.since,
+                    "id": m.id,
+                    "address": m.worker.address if m.worker else "",
+                    "rig": m.machine_type,
+                    "yard": m.zone,
+                    "loaners": m.spot,
+                    "status": m.status,
+                    "ageS": now - m.since,
                 }
                 for m in rows[:500]
-            ]  # fmt: skip
+            ]
             return Response(200, {"hitches": listed, "more": len(rows) > 500})
         return Response(404, {"error": "no such path"})
 
@@ -93,14 +112,21 @@
         alike = sum(
             1
             for m in self.machines.values()
-            if (m.machine_type, m.zone, m.spot) == (body["rig"], body["yard"], body["loaners"]) and m.status != "failed"
+            if (m.machine_type, m.zone, m.spot) == (body["rig"], body["yard"], body["loaners"])
+            and m.status != "failed"
         )
         free = self._capacity - alike
         if free <= 0:
             return Response(503, {"error": "no capacity"})
         got = []
         for _ in range(min(free, body["howMany"])):
-            machine = Rented(f"m-{self._count:06d}", body["rig"], body["yard"], body["loaners"], trio.current_time())
+            machine = Rented(
+                f"m-{self._count:06d}",
+                body["rig"],
+                body["yard"],
+                body["loaners"],
+                trio.current_time(),
+            )
             self._count += 1
             self.machines[machine.id] = machine
             self._nursery.start_soon(self._boot, machine)
--- a/roadbend/fakes/network.py
+++ b/roadbend/fakes/network.py
@@ -18,11 +18,13 @@
         self.deaf: set[str] = set()
         # Hosts that can't open connections, while they can be reached.
         self.mute: set[str] = set()
-        # Ways on which packets are held back, and what is held: it arrives in order once they are let go, even
-        # where the sender has given up and closed meanwhile.
+        # Ways on which packets are held back, and what is held: it arrives in order once they are
+        # let go, even where the sender has given up and closed meanwhile.
         self._holding: set[tuple[str, str]] = set()
         self._holding_requests: set[tuple[str, str]] = set()
-        self._held: list[tuple[tuple[str, str], trio.testing.MemorySendStream, Callable[[], None]]] = []
+        self._held: list[
+            tuple[tuple[str, str], trio.testing.MemorySendStream, Callable[[], None]]
+        ] = []
 
     def port(self, host: str) -> "Port":
         return Port(self, host)
@@ -77,7 +79,11 @@
         target = self._listeners.get(address)
         if target is None:
             raise ConnectionRefusedError(address)
-        if frozenset((host, target[0])) in self._cuts or target[0] in self.deaf or host in self.mute:
+        if (
+            frozenset((host, target[0])) in self._cuts
+            or target[0] in self.deaf
+            or host in self.mute
+        ):
             # Behind a cut nothing answers.
             await trio.sleep(3600)
             raise ConnectionRefusedError(address)
@@ -88,9 +94,11 @@
         self._nursery.start_soon(self._accept, target[1], other, host)
         return one
 
-    def _filter(self, stream: trio.testing.MemorySendStream, sender: str, receiver: str, opened: bool) -> None:
-        """Lets nothing through to a deaf host, and holds back what is to be held back; the connection stays as it
-        is."""
+    def _filter(
+        self, stream: trio.testing.MemorySendStream, sender: str, receiver: str, opened: bool
+    ) -> None:
+        """Lets nothing through to a deaf host, and holds back what is to be held back; the
+        connection stays as it is."""
         pump, finish, way = stream.send_all_hook, stream.close_hook, (sender, receiver)
 
         def waits() -> bool:
--- a/roadbend/fakes/previous_version.py
+++ b/roadbend/fakes/previous_version.py
@@ -1,6 +1,6 @@
-"""A controller as the version in production is, for stories of an upgrade. It speaks and writes just what that version
-does (test_upgrade.py has its bytes): frames and records of the settings' present limits only, no word of gangs, and
-starts ordered by reports alone."""
+"""A controller as the version in production is, for stories of an upgrade. It speaks and writes
+just what that version does (test_upgrade.py has its bytes): frames and records of the settings'
+present limits only, no word of gangs, and starts ordered by reports alone."""
 
 import random
 from dataclasses import replace
@@ -12,19 +12,28 @@
 from roadbend.settings import Operator, Settings
 from roadbend.store import records
 
-# The values and transactions that production's settings allow, where the stories' settings are those to come.
+# The values and transactions that production's settings allow, where the stories' settings are
+# those to come.
 VALUE_BYTES, TXN_OPS = 4096, 8
 
 
 class PreviousVersionNode(Node):
-    def __init__(self, settings: Settings, operator: Operator, net: Net, rng: random.Random, boot: str | None = None):
+    def __init__(
+        self,
+        settings: Settings,
+        operator: Operator,
+        net: Net,
+        rng: random.Random,
+        boot: str | None = None,
+    ):
         old = replace(settings, value_bytes=VALUE_BYTES, txn_ops=TXN_OPS, state_write_rps_next=None)
         super().__init__(old, operator, net, rng, boot)
         self.boot = self.ownership._boot = self.boot.removesuffix(frames.GANGS)
         for kind in (frames.GANG_REQUEST, frames.GANG_INFORM):
             del self.peers.handlers[kind]
         self.fleet.order_now = None
-        # A job's record is read and written again without what this version does not know, and its gangs with it.
+        # A job's record is read and written again without what this version does not know, and its
+        # gangs with it.
         store, put = self.view._store, self.view.put
 
         def forgetting(key: str, value, mod_revision: int) -> None:
--- a/roadbend/fakes/rules.py
+++ b/roadbend/fakes/rules.py
@@ -1,5 +1,6 @@
-"""The protocol's rules, judged from outside: by what users were told and what was on machines, never by the
-product's own records. One judge watches a whole deployment and every story asks it at the end."""
+"""The protocol's rules, judged from outside: by what users were told and what was on machines,
+never by the product's own records. One judge watches a whole deployment and every story asks it at
+the end."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -8,13 +9,28 @@
 EPS = 1e-6
 # An order that was on its way when its job's user was told is no start after a cancellation.
 IN_FLIGHT_S = 0.1
-# Once all troubles are over: a job of which no question is answered for so long is forgotten, and one may wait
-# for so long beside room that fits it.
+# Once all troubles are over: a job of which no question is answered for so long is forgotten, and
+# one may wait for so long beside room that fits it.
 FORGOTTEN_S, LEFT_WAITING_S = 75.0, 90.0
 FIELDS = (
-    "id", "lane", "crew", "shape", "rank", "legs", "vcpus", "gpus", "memoryGb", "bundle", "imageGb", "together",
-    "apart", "loaners", "expectedS", "milestoneS", "stowS",
-)  # fmt: skip
+    "id",
+    "lane",
+    "crew",
+    "shape",
+    "rank",
+    "legs",
+    "vcpus",
+    "gpus",
+    "memoryGb",
+    "bundle",
+    "imageGb",
+    "together",
+    "apart",
+    "loaners",
+    "expectedS",
+    "milestoneS",
+    "stowS",
+)
 
 
 @dataclass(frozen=True)
@@ -61,9 +77,17 @@
 class Rules:
     """`rigs` and `teams` as the platform gives them; `now` is the world's clock."""
 
-    def __init__(self, machine_types: list[dict], teams: Iterable[Any], cancel_s: float, now: Callable[[], float]):
+    def __init__(
+        self,
+        machine_types: list[dict],
+        teams: Iterable[Any],
+        cancel_s: float,
+        now: Callable[[], float],
+    ):
         self._rigs = {row["name"]: row for row in machine_types}
-        self._teams = {team.name: (team.cpus_max or EPS + 1e18, team.gpus_max or EPS + 1e18) for team in teams}
+        self._teams = {
+            team.name: (team.cpus_max or EPS + 1e18, team.gpus_max or EPS + 1e18) for team in teams
+        }
         self._cancel_s, self._now = cancel_s, now
         self.cases: dict[str, Case] = {}
         self.on: dict[str, dict[str, Place]] = {}
@@ -79,7 +103,11 @@
     # What users send and are told.
 
     def submitted(self, body: Any) -> None:
-        if isinstance(body, dict) and isinstance(body.get("id"), str) and body["id"] not in self.cases:
+        if (
+            isinstance(body, dict)
+            and isinstance(body.get("id"), str)
+            and body["id"] not in self.cases
+        ):
             self.cases[body["id"]] = Case(body)
 
     def can_run(self, body: dict) -> bool:
@@ -88,7 +116,10 @@
         if most is None:
             return False
         count = body["legs"] if body["shape"] != "batch" else 1
-        if any(count * need > limit + EPS for need, limit in zip(self._need(body)[:2], most, strict=True)):
+        if any(
+            count * need > limit + EPS
+            for need, limit in zip(self._need(body)[:2], most, strict=True)
+        ):
             return False
         return any(
             self._allows(body, machine_type, zone)
@@ -110,7 +141,9 @@
             )
         )
 
-    def answered(self, method: str, path: str, body: Any, status: int, answer: Any, began: float) -> None:
+    def answered(
+        self, method: str, path: str, body: Any, status: int, answer: Any, began: float
+    ) -> None:
         now = self._now()
         if method == "POST" and path == "/v1/jobs":
             name = body.get("id") if isinstance(body, dict) else None
@@ -130,7 +163,12 @@
             case = self.cases.get(name)
             if status == 200 and case is None:
                 self._break("invented", name)
-            if status == 404 and case is not None and case.accepted is not None and case.accepted <= began:
+            if (
+                status == 404
+                and case is not None
+                and case.accepted is not None
+                and case.accepted <= began
+            ):
                 self._break("forgotten", name, "got 404")
             if case is None:
                 return
@@ -172,8 +210,18 @@
     def ordered(self, task: str, machine: str) -> None:
         """A machine carries out an order to start."""
         case = self.cases.get(task.rpartition("/")[0])
-        if case is not None and case.aborted is not None and self._now() - case.aborted > IN_FLIGHT_S:
-            self._break("ran_cancelled", task, "ordered on", machine, f"{self._now() - case.aborted:.1f} s after")
+        if (
+            case is not None
+            and case.aborted is not None
+            and self._now() - case.aborted > IN_FLIGHT_S
+        ):
+            self._break(
+                "ran_cancelled",
+                task,
+                "ordered on",
+                machine,
+                f"{self._now() - case.aborted:.1f} s after",
+            )
 
     def entered(self, task: str, place: Place) -> None:
         self.starts += 1
@@ -209,13 +257,17 @@
             self._break("wrong_place", task, "in", place.zone, "others in", sorted(others))
         if body["apart"]:
             here = sum(
-                1 for other in case.tasks() if any(p.zone == place.zone for p in self.on.get(other, {}).values())
+                1
+                for other in case.tasks()
+                if any(p.zone == place.zone for p in self.on.get(other, {}).values())
             )
             if here > (body["legs"] + 1) // 2:
                 self._break("wrong_place", task, here, "tasks in", place.zone)
 
     def _zones(self, case: Case, but: str) -> set[str]:
-        return {p.zone for task in case.tasks() if task != but for p in self.on.get(task, {}).values()}
+        return {
+            p.zone for task in case.tasks() if task != but for p in self.on.get(task, {}).values()
+        }
 
     def _used(self, team: str) -> tuple[float, float]:
         cpus = gpus = 0.0
@@ -243,7 +295,8 @@
         self.calm_since = None
 
     def look(self, hung: set[str], rooms: list[tuple[Place, tuple[float, float, float]]]) -> None:
-        """`hung`: machines that stand still, whose tasks do nothing. `rooms`: machines that work, and what is free."""
+        """`hung`: machines that stand still, whose tasks do nothing. `rooms`: machines that work,
+        and what is free."""
         now = self._now()
         for case in self.cases.values():
             if case.aborted is not None and now - case.aborted > self._cancel_s:
@@ -269,7 +322,9 @@
         """Whether a task of the job waits that could run now."""
         if case.asked is not None:
             return False
-        waiting = [task for task in case.tasks() if task not in self.on and task not in case.completed]
+        waiting = [
+            task for task in case.tasks() if task not in self.on and task not in case.completed
+        ]
         if not waiting:
             return False
         body, most, used = case.body, self._teams[case.body["crew"]], self._used(case.body["crew"])
@@ -278,12 +333,24 @@
             return False
         zones = self._zones(case, waiting[0])
         for place, free in rooms:
-            if not self._allows(body, self._rigs[place.machine_type], place.zone) or place.spot and not body["loaners"]:
+            if (
+                not self._allows(body, self._rigs[place.machine_type], place.zone)
+                or place.spot
+                and not body["loaners"]
+            ):
                 continue
-            if body["together"] and zones - {place.zone} or any(f < n - EPS for f, n in zip(free, case.need)):  # noqa: B905
+            if (
+                body["together"]
+                and zones - {place.zone}
+                or any(f < n - EPS for f, n in zip(free, case.need, strict=True))
+            ):
                 continue
             if body["apart"]:
-                here = sum(1 for t in case.tasks() if any(p.zone == place.zone for p in self.on.get(t, {}).values()))
+                here = sum(
+                    1
+                    for t in case.tasks()
+                    if any(p.zone == place.zone for p in self.on.get(t, {}).values())
+                )
                 if here >= (body["legs"] + 1) // 2:
                     continue
             return True
--- a/roadbend/fakes/state.py
+++ b/roadbend/fakes/state.py
@@ -39,7 +39,9 @@
         self._late = (share, rng) if share and rng is not None else None
 
     def _carry_out_late(self) -> None:
-        due = sorted((row for row in self._to_come if row[0] <= self._now()), key=lambda row: row[0])
+        due = sorted(
+            (row for row in self._to_come if row[0] <= self._now()), key=lambda row: row[0]
+        )
         self._to_come = [row for row in self._to_come if row[0] > self._now()]
         for _, body in due:
             try:
@@ -72,7 +74,11 @@
         if self.down or host in self.refused:
             return Response(503, {"error": "trouble"})
         self._expire()
-        if self._late is not None and request.path == "/multi" and self._late[1].random() < self._late[0]:
+        if (
+            self._late is not None
+            and request.path == "/multi"
+            and self._late[1].random() < self._late[0]
+        ):
             # As if on a slow way: nobody hears of it, and newer ones come first.
             self._to_come.append((self._now() + self._late[1].uniform(2, 12), decode(request.body)))
             await trio.sleep(3600)
@@ -89,16 +95,24 @@
         query = {k: v[0] for k, v in parse_qs(request.query, keep_blank_values=True).items()}
         path, method = request.path, request.method
         if path == "/keys":
-            rows = sorted(k for k in self.keys if k.startswith(query["starts"]) and k > query.get("after", ""))
+            rows = sorted(
+                k for k in self.keys if k.startswith(query["starts"]) and k > query.get("after", "")
+            )
             most = min(1000, int(query.get("most", 1000)))
-            page = [{"path": k, "value": self.keys[k][0], "stamp": self.keys[k][1]} for k in rows[:most]]
-            return Response(200, {"entries": page, "more": len(rows) > most, "ledger": self.revision})
+            page = [
+                {"path": k, "value": self.keys[k][0], "stamp": self.keys[k][1]} for k in rows[:most]
+            ]
+            return Response(
+                200, {"entries": page, "more": len(rows) > most, "ledger": self.revision}
+            )
         if path.startswith("/keys/"):
             key = unquote(path[len("/keys/") :])
             if key not in self.keys:
                 return Response(404, {"ledger": self.revision})
             value, mod_revision, lease_id = self.keys[key]
-            return Response(200, {"path": key, "value": value, "stamp": mod_revision, "permit": lease_id})
+            return Response(
+                200, {"path": key, "value": value, "stamp": mod_revision, "permit": lease_id}
+            )
         if path == "/multi":
             return self.multi(decode(request.body))
         if path == "/leases":
@@ -128,11 +142,18 @@
         if len(apply) > self._most[1] or len(body.get("when") or []) > 4 * self._most[1]:
             raise ValueError("too many changes or conditions")
         for row in apply:
-            if "write" in row and len(json.dumps(row["value"], separators=(",", ":"))) > self._most[0]:
+            if (
+                "write" in row
+                and len(json.dumps(row["value"], separators=(",", ":"))) > self._most[0]
+            ):
                 raise ValueError(f"too large: {row['write']}")
             if row.get("permit") is not None and row["permit"] not in self.leases:
                 return Response(400, {"error": "no such lease"})
-        failed = [w["path"] for w in body.get("when") or [] if self.keys.get(w["path"], (0, 0))[1] != w["stamp"]]
+        failed = [
+            w["path"]
+            for w in body.get("when") or []
+            if self.keys.get(w["path"], (0, 0))[1] != w["stamp"]
+        ]
         if failed:
             return Response(409, {"failed": failed, "ledger": self.revision})
         if apply:
@@ -141,7 +162,9 @@
             if "write" in row:
                 key = row["write"]
                 self.keys[key] = (row["value"], self.revision, row.get("permit"))
-                self.log.append((key, {"write": key, "value": row["value"], "stamp": self.revision}))
+                self.log.append(
+                    (key, {"write": key, "value": row["value"], "stamp": self.revision})
+                )
             elif row["delete"] in self.keys:
                 del self.keys[row["delete"]]
                 self.log.append((row["delete"], {"delete": row["delete"], "stamp": self.revision}))
--- a/roadbend/fakes/test_fakes.py
+++ b/roadbend/fakes/test_fakes.py
@@ -31,7 +31,9 @@
         self.rules.submitted(body)
         self.rules.answered("POST", "/v1/jobs", body, status, {"status": "pending"}, self.now)
 
-    def ask(self, word: str | None, status: int = 200, began: float | None = None, path: str = PATH) -> None:
+    def ask(
+        self, word: str | None, status: int = 200, began: float | None = None, path: str = PATH
+    ) -> None:
         answer = {"status": word} if status == 200 else None
         began = self.now if began is None else began
         self.rules.answered("GET", path, None, status, answer, began)
@@ -168,15 +170,27 @@
 @pytest.mark.parametrize(
     "breach, rule",
     [
-        (breach_twice, "ran_twice"), (breach_quota, "quota"), (breach_place, "wrong_place"),
-        (breach_spot, "wrong_place"), (breach_together, "wrong_place"), (breach_apart, "wrong_place"),
-        (breach_cancelled, "ran_cancelled"), (breach_started_late, "ran_cancelled"), (breach_forgotten, "forgotten"),
-        (breach_repeat_refused, "forgotten"), (breach_unanswered, "forgotten"), (breach_invented, "invented"),
-        (breach_not_done, "not_done"), (breach_back, "went_back"), (breach_cancelled_by_nobody, "went_back"),
-        (breach_both, "went_back"), (breach_waiting, "left_waiting"), (breach_unfit, "accepted_unfit"),
+        (breach_twice, "ran_twice"),
+        (breach_quota, "quota"),
+        (breach_place, "wrong_place"),
+        (breach_spot, "wrong_place"),
+        (breach_together, "wrong_place"),
+        (breach_apart, "wrong_place"),
+        (breach_cancelled, "ran_cancelled"),
+        (breach_started_late, "ran_cancelled"),
+        (breach_forgotten, "forgotten"),
+        (breach_repeat_refused, "forgotten"),
+        (breach_unanswered, "forgotten"),
+        (breach_invented, "invented"),
+        (breach_not_done, "not_done"),
+        (breach_back, "went_back"),
+        (breach_cancelled_by_nobody, "went_back"),
+        (breach_both, "went_back"),
+        (breach_waiting, "left_waiting"),
+        (breach_unfit, "accepted_unfit"),
         (breach_lacking, "accepted_lacking"),
     ],
-)  # fmt: skip
+)
 def test_the_judge_sees_each_breach(breach, rule):
     desk = Desk()
     breach(desk)
@@ -185,7 +199,8 @@
 
 def test_the_judge_lets_pass_what_the_page_permits():
     d = Desk(legs=2)
-    # A question that began before the answer may bring an older one; an old machine's task leaves before the next.
+    # A question that began before the answer may bring an older one; an old machine's task leaves
+    # before the next.
     d.rules.entered(f"{NAME}/0", EAST)
     d.rules.left(f"{NAME}/0", "m-1")
     d.rules.entered(f"{NAME}/0", WEST)
@@ -193,7 +208,8 @@
     d.withdraw()
     d.now = 6.0
     d.ask("running", began=4.0)
-    # On a machine that hangs it does nothing; nothing waits where the team is at its limit or no machine has room.
+    # On a machine that hangs it does nothing; nothing waits where the team is at its limit or no
+    # machine has room.
     look(d, 60.0, hung=["m-2"])
     d.rules.left(f"{NAME}/0", "m-2")
     for n in range(2, 9):
@@ -210,7 +226,10 @@
 
 
 async def test_a_late_transaction_comes_after_newer_ones_and_fails_on_its_conditions():
-    state, body = FakeStateService(), {"when": [{"path": "a", "stamp": 0}], "apply": [{"write": "a", "value": 1}]}
+    state, body = (
+        FakeStateService(),
+        {"when": [{"path": "a", "stamp": 0}], "apply": [{"write": "a", "value": 1}]},
+    )
     async with trio.open_nursery() as nursery:
         network = Network(nursery)
         w = Serving(network, state)
@@ -219,7 +238,9 @@
             await w.send("POST", "/multi", body, 1)
         assert state.value("a") is None
         state.late_writes(0.0, None)
-        assert (await w.send("POST", "/multi", {**body, "apply": [{"write": "a", "value": 2}]}, 1))[0] == 200
+        assert (await w.send("POST", "/multi", {**body, "apply": [{"write": "a", "value": 2}]}, 1))[
+            0
+        ] == 200
         await trio.sleep(13)
         assert (await w.send("GET", "/keys/a", None, 1))[1]["value"] == 2
         assert state.late_done == [409]
@@ -277,7 +298,11 @@
     async with world(count=1) as w:
         w.cloud.refuse_deletion = True
         machine, worker = await started(w)
-        session, seq, heard = worker.session, worker.seq, w.nodes["node-0"].runtimes["east"].machines[machine]
+        session, seq, heard = (
+            worker.session,
+            worker.seq,
+            w.nodes["node-0"].runtimes["east"].machines[machine],
+        )
         run = {
             "deaf": lambda: w.deafen([machine], 16),
             "mute": lambda: w.mute([machine], 16),
@@ -289,7 +314,8 @@
             nursery.start_soon(run)
             before = heard.order
             await trio.sleep(8)
-            # Reports arrive from the deaf only; commands reach the mute and those whose reports are held back.
+            # Reports arrive from the deaf only; commands reach the mute and those whose reports are
+            # held back.
             assert (heard.order > before) == (trouble == "deaf")
             got = True
             try:
@@ -313,7 +339,9 @@
         session = worker.session
         await w.hang([machine], 20)
         await trio.sleep(0.3)
-        assert worker.session == session + 1 and machine not in w.board.where.get(f"{NAME}/0", set())
+        assert worker.session == session + 1 and machine not in w.board.where.get(
+            f"{NAME}/0", set()
+        )
 
 
 async def test_copies_of_reports_arrive_again_and_are_nobodys_news():
@@ -329,7 +357,11 @@
         w.nodes["node-0"].fleet.handle_report = handle_report
         await w.late_reports(1.0, 20, random.Random(2))
         await trio.sleep(45)
-        assert seen.count(503) >= 5 and w.board.running(NAME) == [f"{NAME}/0"] and len(w.board.starts) == 1
+        assert (
+            seen.count(503) >= 5
+            and w.board.running(NAME) == [f"{NAME}/0"]
+            and len(w.board.starts) == 1
+        )
 
 
 async def test_users_call_off_at_once_and_at_the_end_and_send_odd_things():
@@ -342,7 +374,9 @@
             nursery.start_soon(w.cancel_at_end, ["run-000004"])
             began = trio.current_time()
             await w.cancel_now(["run-000001", "run-000002"], 6.0)
-            assert {w.rules.cases[n].aborted - began < 1.0 for n in ("run-000001", "run-000002")} == {True}
+            assert {
+                w.rules.cases[n].aborted - began < 1.0 for n in ("run-000001", "run-000002")
+            } == {True}
             assert trio.current_time() - began > 5.9
             await w.odd_requests(20, random.Random(3))
         assert w.rules.cases["run-000004"].over and not ended
--- a/roadbend/fakes/user.py
+++ b/roadbend/fakes/user.py
@@ -1,4 +1,5 @@
-"""A user's commands for trying roadbend out: `python3 -m roadbend.standins.user ADDRESS submit ID`."""
+"""A user's commands for trying roadbend out: `python3 -m roadbend.standins.user ADDRESS submit
+ID`."""
 
 import argparse
 import sys
@@ -13,11 +14,23 @@
 
 def submission(arguments: argparse.Namespace) -> dict:
     return {
-        "id": arguments.id, "lane": "try", "crew": arguments.team, "shape": "daemon" if arguments.service else "batch",
-        "rank": "normal", "legs": arguments.tasks, "vcpus": 8.0, "gpus": 1.0, "memoryGb": 40.0, "bundle": "img-1",
-        "imageGb": 1.0, "loaners": True, "expectedS": 0.0 if arguments.service else arguments.seconds,
-        "milestoneS": 0.0, "stowS": 0.0, "dueS": None,
-    }  # fmt: skip
+        "id": arguments.id,
+        "lane": "try",
+        "crew": arguments.team,
+        "shape": "daemon" if arguments.service else "batch",
+        "rank": "normal",
+        "legs": arguments.tasks,
+        "vcpus": 8.0,
+        "gpus": 1.0,
+        "memoryGb": 40.0,
+        "bundle": "img-1",
+        "imageGb": 1.0,
+        "loaners": True,
+        "expectedS": 0.0 if arguments.service else arguments.seconds,
+        "milestoneS": 0.0,
+        "stowS": 0.0,
+        "dueS": None,
+    }
 
 
 async def act(arguments: argparse.Namespace) -> int:
@@ -26,8 +39,12 @@
     try:
         if arguments.verb == "submit":
             length = None if arguments.service else arguments.seconds
-            await Client(net, LENGTHS).request("POST", "/", {"id": arguments.id, "seconds": length}, within=within)
-            status, answer = await client.request("POST", "/v1/jobs", submission(arguments), within=within)
+            await Client(net, LENGTHS).request(
+                "POST", "/", {"id": arguments.id, "seconds": length}, within=within
+            )
+            status, answer = await client.request(
+                "POST", "/v1/jobs", submission(arguments), within=within
+            )
         elif arguments.verb == "query":
             status, answer = await client.request("GET", path, within=within)
         else:
--- a/roadbend/fakes/worker.py
+++ b/roadbend/fakes/worker.py
@@ -1,5 +1,5 @@
-"""A worker's stand-in: reports, leases, tokens, tasks. It also keeps a board of what runs where, and
-says so when a task is on two machines at once."""
+"""A worker's stand-in: reports, leases, tokens, tasks. It also keeps a board of what runs where,
+and says so when a task is on two machines at once."""
 
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -37,7 +37,8 @@
     starts: list[tuple[float, str, str]] = field(default_factory=list)
     # Called with every task that has completed.
     ends: list = field(default_factory=list)
-    # Gangs by job and attempt, and how much of a job is saved: checkpoints lie outside the machines.
+    # Gangs by job and attempt, and how much of a job is saved: checkpoints lie outside the
+    # machines.
     gangs: dict[tuple[str, int], Gang] = field(default_factory=dict)
     progress: dict[str, float] = field(default_factory=dict)
 
@@ -111,8 +112,19 @@
     ):
         self._gang_wait_s, self._gang_peer_s = gang_wait_s, gang_peer_s
         self._net, self._board, self._nodes = net, board, nodes
-        self.machine, self.address, self.machine_type, self.zone, self.spot = machine, address, machine_type, zone, spot
-        self._report_s, self._lease_s, self._fetch_s, self._broken = report_s, lease_s, fetch_s, broken
+        self.machine, self.address, self.machine_type, self.zone, self.spot = (
+            machine,
+            address,
+            machine_type,
+            zone,
+            spot,
+        )
+        self._report_s, self._lease_s, self._fetch_s, self._broken = (
+            report_s,
+            lease_s,
+            fetch_s,
+            broken,
+        )
         self.session, self.seq, self.token = 1, 0, 0
         self.tasks: dict[tuple[str, int], _Task] = {}
         self.recall: float | None = None
@@ -122,7 +134,8 @@
         self._at = sorted(nodes)[0] if nodes else ""
         self.orders: list[dict] = []
         self.place = Place(machine, machine_type, zone, spot)
-        # Set while the machine runs; while it hangs it does nothing at all, and goes on where it stood.
+        # Set while the machine runs; while it hangs it does nothing at all, and goes on where it
+        # stood.
         self._awake = trio.Event()
         self._awake.set()
         # Called with every report that was sent, by those who copy some.
@@ -140,7 +153,8 @@
         self._awake.set()
 
     async def _up(self) -> None:
-        """Goes on when the machine does; the first thing that it does then is to look at its lease."""
+        """Goes on when the machine does; the first thing that it does then is to look at its
+        lease."""
         if self.hung:
             await self._awake.wait()
             self._check_lease()
@@ -156,10 +170,17 @@
                 row["saved"] = True
             rows.append(row)
         return {
-            "hitch": self.machine, "address": self.address, "rig": self.machine_type, "yard": self.zone,
-            "loaners": self.spot, "stint": self.session, "tick": self.seq, "baton": self.token,
-            "recallS": self.recall, "legs": rows,
-        }  # fmt: skip
+            "hitch": self.machine,
+            "address": self.address,
+            "rig": self.machine_type,
+            "yard": self.zone,
+            "loaners": self.spot,
+            "stint": self.session,
+            "tick": self.seq,
+            "baton": self.token,
+            "recallS": self.recall,
+            "legs": rows,
+        }
 
     def _end(self, task: _Task, cause: str) -> None:
         if task.state == "ended":
@@ -200,8 +221,8 @@
             self._end(task, "done")
 
     async def _live_in(self, gang: Gang, task: _Task) -> None:
-        """A gang's task, by the page: it waits for the others, runs with them, notices when one is gone, saves with
-        them, and completes with them."""
+        """A gang's task, by the page: it waits for the others, runs with them, notices when one is
+        gone, saves with them, and completes with them."""
         board, job = self._board, task.task_index.rpartition("/")[0]
         body, since = board.body(job), trio.current_time()
         task.state, task.began = "gathering", since
@@ -249,7 +270,8 @@
                 return
 
     def _save_in(self, gang: Gang, task: _Task, body: dict, now: float) -> None:
-        """Told to stop with grace: progress stands, the task saves, and waits a little for the others."""
+        """Told to stop with grace: progress stands, the task saves, and waits a little for the
+        others."""
         if task.state == "running":
             task.state = "flushing"
             self._changed.set()
@@ -266,7 +288,12 @@
 
     def _kill(self, task: _Task, grace: float) -> None:
         gang, body = self._board.gang(task), self._board.body(task.task_index.rpartition("/")[0])
-        saves = gang is not None and task.state == "running" and body["milestoneS"] > 0 and grace >= body["stowS"]
+        saves = (
+            gang is not None
+            and task.state == "running"
+            and body["milestoneS"] > 0
+            and grace >= body["stowS"]
+        )
         if saves:
             gang.stopping = trio.current_time() if gang.stopping is None else gang.stopping
             task.grace = grace
@@ -291,7 +318,11 @@
 
     def take(self, answer: dict, sent: float, session: int) -> bool:
         """A 200: its token and session decide whether it counts."""
-        if session != self.session or answer.get("baton", -1) < self.token or trio.current_time() - sent > 4:
+        if (
+            session != self.session
+            or answer.get("baton", -1) < self.token
+            or trio.current_time() - sent > 4
+        ):
             return False
         if answer["baton"] > self.token:
             self.token = answer["baton"]
@@ -329,7 +360,8 @@
 
     async def _lease(self) -> None:
         while True:
-            # Also while it hangs: it may go on within its lease only, and finds the rest gone when it does.
+            # Also while it hangs: it may go on within its lease only, and finds the rest gone when
+            # it does.
             await trio.sleep(0.25)
             self._check_lease()
 
@@ -347,7 +379,9 @@
         for see in self.sent:
             see(self, body)
         try:
-            status, answer = await clients[self._at].request("POST", "/hello", body, within=timedelta(seconds=4))
+            status, answer = await clients[self._at].request(
+                "POST", "/hello", body, within=timedelta(seconds=4)
+            )
         except NoAnswer:
             status, answer = 0, None
         await self._up()
--- a/roadbend/fakes/world.py
+++ b/roadbend/fakes/world.py
@@ -22,9 +22,17 @@
 
 ZONES = ("east", "north", "west")
 MACHINE_TYPE = {
-    "name": "g2", "vcpus": 24.0, "gpus": 2.0, "memoryGb": 144.0, "cacheGb": 100.0, "pullGbPerS": 1.0,
-    "price": 6.0, "lowPrice": 2.0, "startupS": 10.0, "yards": list(ZONES),
-}  # fmt: skip
+    "name": "g2",
+    "vcpus": 24.0,
+    "gpus": 2.0,
+    "memoryGb": 144.0,
+    "cacheGb": 100.0,
+    "pullGbPerS": 1.0,
+    "price": 6.0,
+    "lowPrice": 2.0,
+    "startupS": 10.0,
+    "yards": list(ZONES),
+}
 
 
 def settings_for(at: int, count: int, **changes) -> Settings:
@@ -56,22 +64,43 @@
 
 def job(number: int, **changes) -> dict[str, Any]:
     body = {
-        "id": f"run-{number:06d}", "lane": "plans", "crew": "red", "shape": "batch", "rank": "normal", "legs": 1,
-        "vcpus": 8.0, "gpus": 1.0, "memoryGb": 40.0, "bundle": "img-1", "imageGb": 1.0, "rigs": None, "yard": None,
-        "together": False, "apart": False, "loaners": True, "expectedS": 20.0, "milestoneS": 0.0, "stowS": 0.0,
+        "id": f"run-{number:06d}",
+        "lane": "plans",
+        "crew": "red",
+        "shape": "batch",
+        "rank": "normal",
+        "legs": 1,
+        "vcpus": 8.0,
+        "gpus": 1.0,
+        "memoryGb": 40.0,
+        "bundle": "img-1",
+        "imageGb": 1.0,
+        "rigs": None,
+        "yard": None,
+        "together": False,
+        "apart": False,
+        "loaners": True,
+        "expectedS": 20.0,
+        "milestoneS": 0.0,
+        "stowS": 0.0,
         "dueS": 300.0,
-    }  # fmt: skip
+    }
     return {**body, **changes}
 
 
 class World:
-    def __init__(self, nursery: trio.Nursery, count: int, operator: Operator, capacity: int, changes: dict):
+    def __init__(
+        self, nursery: trio.Nursery, count: int, operator: Operator, capacity: int, changes: dict
+    ):
         self.nursery, self.count, self.operator, self._changes = nursery, count, operator, changes
         self.network = Network(nursery)
         sample = settings_for(0, count, **changes)
         self.state = FakeStateService(value_bytes=sample.value_bytes, txn_ops=sample.txn_ops)
         self.rules = Rules(
-            [MACHINE_TYPE], sample.teams.values(), sample.cancel_within.total_seconds(), trio.current_time
+            [MACHINE_TYPE],
+            sample.teams.values(),
+            sample.cancel_within.total_seconds(),
+            trio.current_time,
         )
         self.board = Board(self.rules)
         self._sample = sample
@@ -112,7 +141,11 @@
     # Troubles; each ends what it began.
 
     def workers(self) -> list[FakeWorker]:
-        return [m.worker for m in self.cloud.machines.values() if m.worker is not None and m.status == "running"]
+        return [
+            m.worker
+            for m in self.cloud.machines.values()
+            if m.worker is not None and m.status == "running"
+        ]
 
     async def outage(self, length: float) -> None:
         self.state.down = True
@@ -171,7 +204,8 @@
                     nursery.start_soon(worker.hang, length)
 
     async def late_reports(self, share: float, length: float, rng: random.Random) -> None:
-        """Copies of reports arrive again, from 2 s to well over a lease later, at any controller."""
+        """Copies of reports arrive again, from 2 s to well over a lease later, at any
+        controller."""
 
         async def again(body: dict) -> None:
             await trio.sleep(rng.uniform(2, 2.2 * self._sample.lease.total_seconds()))
@@ -189,9 +223,11 @@
             worker.sent.remove(see)
 
     async def cancel_now(self, names: list[str], hang_s: float = 0.0) -> None:
-        """Users call off jobs that run, within a fifth of a second; with `hang_s`, up to eight of their machines
-        hang that long."""
-        homes = sorted({m for name in names for t in self.board.running(name) for m in self.board.where[t]})[:8]
+        """Users call off jobs that run, within a fifth of a second; with `hang_s`, up to eight of
+        their machines hang that long."""
+        homes = sorted(
+            {m for name in names for t in self.board.running(name) for m in self.board.where[t]}
+        )[:8]
         async with trio.open_nursery() as nursery:
             if hang_s:
                 nursery.start_soon(self.hang, homes, hang_s)
@@ -214,7 +250,8 @@
         assert await self.until(told, within, 1.0), name
 
     async def cancel_at_end(self, names: list[str]) -> None:
-        """Jobs are called off, asked after and submitted again at the moment at which their last task ends."""
+        """Jobs are called off, asked after and submitted again at the moment at which their last
+        task ends."""
         end = trio.Event()
 
         def completed(task: str) -> None:
@@ -236,8 +273,8 @@
         await end.wait()
 
     async def odd_requests(self, length: float, rng: random.Random) -> None:
-        """Users repeat submissions of unfinished jobs, also spoilt ones, cancel jobs that are done, and send jobs that
-        fit no machine or lack a field."""
+        """Users repeat submissions of unfinished jobs, also spoilt ones, cancel jobs that are done,
+        and send jobs that fit no machine or lack a field."""
         number, end = 900_000, trio.current_time() + length
         while trio.current_time() < end:
             number, at = number + 1, rng.randrange(self.count)
@@ -248,7 +285,9 @@
                 await self.call(at, "POST", "/v1/jobs", old.body)
             elif kind == 1 and old is not None:
                 spoilt = {k: v for k, v in old.body.items() if k != rng.choice(FIELDS[1:])}
-                await self.call(at, "POST", "/v1/jobs", {**spoilt, "vcpus": rng.choice((-1, 99.0, "x"))})
+                await self.call(
+                    at, "POST", "/v1/jobs", {**spoilt, "vcpus": rng.choice((-1, 99.0, "x"))}
+                )
             elif kind == 2 and old is not None and old.done is not None:
                 await self.call(at, "POST", f"/v1/jobs/{old.name}/withdraw", {})
             elif kind == 3:
@@ -256,28 +295,37 @@
                 del lacking[rng.choice(FIELDS[1:])]
                 await self.call(at, "POST", "/v1/jobs", lacking)
             else:
-                odd = rng.choice(({"vcpus": 25.0}, {"rigs": ["none"]}, {"crew": "nobody"}, {"yard": "moon"}))
+                odd = rng.choice(
+                    ({"vcpus": 25.0}, {"rigs": ["none"]}, {"crew": "nobody"}, {"yard": "moon"})
+                )
                 await self.call(at, "POST", "/v1/jobs", job(number, **odd))
             await trio.sleep(rng.uniform(0.1, 1.0))
 
     async def over(self, within: float = 240) -> None:
-        """All troubles are over: users ask after every job until it is done, and the judge's clocks for what is
-        forgotten or left waiting run."""
+        """All troubles are over: users ask after every job until it is done, and the judge's clocks
+        for what is forgotten or left waiting run."""
         self.rules.calm()
 
         async def settled() -> bool:
-            open_jobs = [case for case in self.rules.cases.values() if case.accepted is not None and not case.over]
+            open_jobs = [
+                case
+                for case in self.rules.cases.values()
+                if case.accepted is not None and not case.over
+            ]
             for case in open_jobs:
                 await self.status(int(case.name[4:]) % self.count, case.name)
             return all(
-                self.board.lengths.get(c.name, 0) is None and len(self.board.running(c.name)) == c.body["legs"]
+                self.board.lengths.get(c.name, 0) is None
+                and len(self.board.running(c.name)) == c.body["legs"]
                 for c in self.rules.cases.values()
                 if c.accepted is not None and not c.over
             )
 
         ended = await self.until(settled, within, 5.0)
         assert self.rules.broken == [], self.rules.broken
-        open_jobs = [c.name for c in self.rules.cases.values() if c.accepted is not None and not c.over]
+        open_jobs = [
+            c.name for c in self.rules.cases.values() if c.accepted is not None and not c.over
+        ]
         assert ended, open_jobs
 
     def _serve(self, host: str, service) -> None:
@@ -288,11 +336,20 @@
 
     def _worker(self, machine: str, machine_type: str, zone: str, spot: bool) -> FakeWorker:
         return FakeWorker(
-            self.network.port(machine), self.board, self.addresses, machine=machine, address=f"{machine}:1",
-            machine_type=machine_type, zone=zone, spot=spot, broken=machine in self.broken_machines,
-            report_s=self._sample.report_every.total_seconds(), lease_s=self._sample.lease.total_seconds(),
-            gang_wait_s=self._sample.gang_wait.total_seconds(), gang_peer_s=self._sample.gang_peer.total_seconds(),
-        )  # fmt: skip
+            self.network.port(machine),
+            self.board,
+            self.addresses,
+            machine=machine,
+            address=f"{machine}:1",
+            machine_type=machine_type,
+            zone=zone,
+            spot=spot,
+            broken=machine in self.broken_machines,
+            report_s=self._sample.report_every.total_seconds(),
+            lease_s=self._sample.lease.total_seconds(),
+            gang_wait_s=self._sample.gang_wait.total_seconds(),
+            gang_peer_s=self._sample.gang_peer.total_seconds(),
+        )
 
     def start(self, at: int, previous_version: bool = False) -> Node:
         name = f"node-{at}"
@@ -300,7 +357,9 @@
         self._boots += 1
         boot = f"boot-{self._boots}"
         make = PreviousVersionNode if previous_version else Node
-        node = make(settings, self.operator, self.network.port(name), random.Random(self._boots), boot)
+        node = make(
+            settings, self.operator, self.network.port(name), random.Random(self._boots), boot
+        )
         scope = trio.CancelScope()
         self.nodes[name], self._scopes[name] = node, scope
 
@@ -318,14 +377,18 @@
         self._scopes[name].cancel()
         self.nodes.pop(name, None)
 
-    async def call(self, at: int, method: str, path: str, body: Any = None, within: float = 5) -> tuple[int, Any]:
+    async def call(
+        self, at: int, method: str, path: str, body: Any = None, within: float = 5
+    ) -> tuple[int, Any]:
         client, began = Client(self.network.port("user"), f"node-{at}:80"), trio.current_time()
         if path == "/v1/jobs":
             self.rules.submitted(body)
         elif path.endswith("/withdraw"):
             self.rules.withdrawing(path)
         try:
-            status, answer = await client.request(method, path, body, within=timedelta(seconds=within))
+            status, answer = await client.request(
+                method, path, body, within=timedelta(seconds=within)
+            )
         except NoAnswer:
             return 0, None
         finally:
@@ -369,7 +432,11 @@
 
 @asynccontextmanager
 async def world(
-    count: int = 3, capacity: int = 8, operator: Operator | None = None, previous_version: bool = False, **changes
+    count: int = 3,
+    capacity: int = 8,
+    operator: Operator | None = None,
+    previous_version: bool = False,
+    **changes,
 ) -> AsyncIterator[World]:
     async with trio.open_nursery() as nursery:
         made = World(nursery, count, operator or Operator(), capacity, changes)
--- a/roadbend/fleet/machines.py
+++ b/roadbend/fleet/machines.py
@@ -1,8 +1,9 @@
 """A part's machines as their owner knows them, and what a report means.
 
 Proof that a task is gone comes only from a report that carries this owner's token and is newer than
-all before it: such a report was sent after the response to the last one was resolved, so no order of
-ours, nor of a former owner, is still on its way to the worker. An older token proves presence only."""
+all before it: such a report was sent after the response to the last one was resolved, so no order
+of ours, nor of a former owner, is still on its way to the worker. An older token proves presence
+only."""
 
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
@@ -27,9 +28,10 @@
 
 @dataclass
 class Direct:
-    """An order to start that went straight to the machine. It may be carried out late, so that the absence or the
-    end of its attempt proves nothing before it is known what became of it: answered, with the machine's count then;
-    or fenced, by a token that the machine must show first, since with it the order is refused."""
+    """An order to start that went straight to the machine. It may be carried out late, so that the
+    absence or the end of its attempt proves nothing before it is known what became of it: answered,
+    with the machine's count then; or fenced, by a token that the machine must show first, since
+    with it the order is refused."""
 
     attempt: int
     session: int
@@ -48,8 +50,8 @@
     reported: datetime | None = None
     # When we last answered 200: its lease can't count from later than this.
     answered: datetime | None = None
-    # When something last showed that an answer of ours reached it. A machine that reports without hearing
-    # us looks healthy by `reported` alone.
+    # When something last showed that an answer of ours reached it. A machine that reports without
+    # hearing us looks healthy by `reported` alone.
     heard_us: datetime | None = None
     # It has carried our token: former owners' orders can't reach it any more.
     ours: bool = False
@@ -59,7 +61,8 @@
     incarnation: int = 0
     # A report came that was not newer than the last: a late copy, or a machine that began anew.
     doubted: bool = False
-    # The tasks as the last report had them, and the count of recorded changes then, if all was in order.
+    # The tasks as the last report had them, and the count of recorded changes then, if all was in
+    # order.
     rows: list | None = None
     calm: int | None = None
     # What the records leave free on it, and the mark of the records that this was worked out from.
@@ -78,14 +81,15 @@
         return self.heard_us is not None and now - self.heard_us < silent_after
 
     def note_report(self, now: datetime, report_every: timedelta) -> None:
-        """A worker that got its answer comes back after a report's time; one that didn't waits 4 s and
-        tries another controller first."""
+        """A worker that got its answer comes back after a report's time; one that didn't waits 4 s
+        and tries another controller first."""
         last, self.reported = self.reported, now
         if last is None or now - last < report_every * 1.25 + timedelta(seconds=0.7):
             self.heard_us = now
 
     def settled(self, key: Key, attempt: int, report: Report, current: bool) -> bool:
-        """Whether what a report shows of an attempt is the last word, as far as direct orders go."""
+        """Whether what a report shows of an attempt is the last word, as far as direct orders
+        go."""
         row = self.direct.get(key)
         if row is None or row.attempt != attempt or report.session > row.session:
             return True
@@ -94,8 +98,8 @@
         return row.order is not None and report.order > row.order
 
     def fence(self) -> None:
-        """Nobody knows what became of a direct order: from now on a higher token goes out, and nothing more is started
-        here before the machine shows it."""
+        """Nobody knows what became of a direct order: from now on a higher token goes out, and
+        nothing more is started here before the machine shows it."""
         self.incarnation += 1
         self.ours = self.expected = False
         self.rows = self.calm = None
@@ -166,7 +170,8 @@
         entry = recorded.get(key)
         ended = task.state == "ended"
         if entry is None or entry[1].number != task.attempt:
-            # Not in the records (any more): its end has been recorded, or it never should have been.
+            # Not in the records (any more): its end has been recorded, or it never should have
+            # been.
             if ended:
                 orders.append(messages.forget(task.job, task.task_index, task.attempt))
             else:
@@ -192,15 +197,21 @@
         stop = stops.get(key)
         if stop is not None and stop.attempt == task.attempt:
             # A task that saves for longer than it was given is ended by a kill without grace.
-            stuck = task.state == "flushing" and now - seen[key].since > stop.grace + timedelta(seconds=1)
+            stuck = task.state == "flushing" and now - seen[key].since > stop.grace + timedelta(
+                seconds=1
+            )
             grace = 0.0 if stuck else stop.grace.total_seconds()
             orders.append(messages.kill(task.job, task.task_index, task.attempt, grace))
     for key, (work, attempt) in recorded.items():
         if key in seen:
             continue
         job = jobs.get(key[0])
-        held = job is not None and any(low <= key[1] < high for low, high in job.alloc.get(part, ()))
-        wanted = held and key not in stops and machine.draining is None and machine.recall_at is None
+        held = job is not None and any(
+            low <= key[1] < high for low, high in job.alloc.get(part, ())
+        )
+        wanted = (
+            held and key not in stops and machine.draining is None and machine.recall_at is None
+        )
         if wanted and may_start:
             # Write-ahead has been done. Repeating an order is harmless: the worker ignores what it
             # holds, and this attempt has not been forgotten while it is in the records.
@@ -209,6 +220,8 @@
             facts.setdefault(key, Fact(attempt.number, machine.id, False, "absent"))
     machine.tasks = seen
     machine.direct = {
-        key: row for key, row in machine.direct.items() if key in recorded and recorded[key][1].number == row.attempt
+        key: row
+        for key, row in machine.direct.items()
+        if key in recorded and recorded[key][1].number == row.attempt
     }
     return orders
--- a/roadbend/fleet/messages.py
+++ b/roadbend/fleet/messages.py
@@ -71,7 +71,13 @@
 
 def split_task(name: str) -> tuple[str, int]:
     job, slash, task_index = name.rpartition("/")
-    if not slash or not job or not task_index.isascii() or not task_index.isdigit() or len(task_index) > 7:
+    if (
+        not slash
+        or not job
+        or not task_index.isascii()
+        or not task_index.isdigit()
+        or len(task_index) > 7
+    ):
         raise Malformed("leg: expected job/number")
     return job, int(task_index)
 
--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -22,15 +22,18 @@
 from roadbend.store.records import Attempt
 
 log = Log("fleet")
-# Bytes of names of machines that we tell their owner we hear, and reports of strangers that we remember.
+# Bytes of names of machines that we tell their owner we hear, and reports of strangers that we
+# remember.
 MAX_HEARD = 64 * 1024
 MAX_STRANGERS = 4096
 # Machines looked into at once; each takes a connection.
 MAX_PROBES = 48
-# How long a direct order to start may go without an answer, and how many of its lives a token can number.
+# How long a direct order to start may go without an answer, and how many of its lives a token can
+# number.
 DIRECT_WITHIN = timedelta(seconds=1.5)
 MAX_INCARNATIONS = (1 << records.INCARNATION_BITS) - 2
-# How long looking into a machine, or gathering deletions, may take; more says that we ourselves stood still.
+# How long looking into a machine, or gathering deletions, may take; more says that we ourselves
+# stood still.
 PROBE_WITHIN = timedelta(seconds=3)
 # For how many of the workers' leases machines of a zone that can't be reached are kept.
 CUT_LEASES = 6
@@ -48,7 +51,9 @@
 
 
 class Fleet:
-    def __init__(self, shared: Shared, net: Net, cloud: Cloud, peers: Peers, runtimes: dict[str, PartRuntime]):
+    def __init__(
+        self, shared: Shared, net: Net, cloud: Cloud, peers: Peers, runtimes: dict[str, PartRuntime]
+    ):
         self._peers = peers
         self._shared, self._net, self._cloud, self._runtimes = shared, net, cloud, runtimes
         # Reports of parts that we don't own, lately: part -> machine -> when, and which it was.
@@ -57,14 +62,16 @@
         self._was_listed: set[str] = set()
         self._deletion_batch: _DeletionBatch | None = None
         self._probing: set[tuple[str, str]] = set()
-        # By part: machines silent, machines known, and whether the silent ones are only spot machines.
+        # By part: machines silent, machines known, and whether the silent ones are only spot
+        # machines.
         self._quiet: dict[str, tuple[int, int, bool]] = {}
-        # Parts most of whose machines are silent: since when, and which; the records cease to name them as
-        # their leases end.
+        # Parts most of whose machines are silent: since when, and which; the records cease to name
+        # them as their leases end.
         self._cut: dict[str, tuple[datetime, frozenset[str]]] = {}
         self._direct = trio.CapacityLimiter(16)
         self._nursery: trio.Nursery | None = None
-        # When this process went on after standing still, lately, and for how long it had: nobody's silence.
+        # When this process went on after standing still, lately, and for how long it had: nobody's
+        # silence.
         self._stalls: deque[tuple[datetime, timedelta]] = deque(maxlen=64)
 
     def take_list(self, rows: list[Listed]) -> None:
@@ -81,7 +88,11 @@
         try:
             data = decode(request.body)
             runtime = self._runtimes.get(data.get("yard")) if isinstance(data, dict) else None
-            if runtime is not None and ownership.tenure(runtime.part) == runtime.tenure and ownership.may_renew(now):
+            if (
+                runtime is not None
+                and ownership.tenure(runtime.part) == runtime.tenure
+                and ownership.may_renew(now)
+            ):
                 token = runtime.calm(data, now)
                 if token is not None:
                     return Response(200, {"baton": token, "orders": []})
@@ -95,7 +106,8 @@
             if answer is None:
                 return Response(503, {"error": "old report"})
             if not ownership.may_renew(clock.now()):
-                # It waited for what the report called for; what we may answer is judged when the answer goes out.
+                # It waited for what the report called for; what we may answer is judged when the
+                # answer goes out.
                 return Response(503, {"error": "no state"})
             return Response(200, {"baton": answer[0], "orders": answer[1]})
         if report.zone not in ownership.parts():
@@ -125,7 +137,9 @@
 
     def _heard_elsewhere(self, part: str, machine: str, now: datetime) -> bool:
         return any(
-            link.alive(now) and link.known.heartbeat is not None and machine in link.known.heartbeat.heard.get(part, ())
+            link.alive(now)
+            and link.known.heartbeat is not None
+            and machine in link.known.heartbeat.heard.get(part, ())
             for link in self._peers.links.values()
         )
 
@@ -143,19 +157,26 @@
         except NoAnswer as error:
             log.debug("command-lost", machine=machine, error=error)
 
-    def order_now(self, runtime: PartRuntime, machine: str, rows: list[tuple[Key, Attempt]]) -> None:
+    def order_now(
+        self, runtime: PartRuntime, machine: str, rows: list[tuple[Key, Attempt]]
+    ) -> None:
         if self._nursery is not None:
             self._nursery.start_soon(self._order_now, runtime, machine, rows)
 
-    async def _order_now(self, runtime: PartRuntime, name: str, rows: list[tuple[Key, Attempt]]) -> None:
+    async def _order_now(
+        self, runtime: PartRuntime, name: str, rows: list[tuple[Key, Attempt]]
+    ) -> None:
         try:
             await self._start_directly(runtime, name, rows)
         except Exception:
             log.crash("order-failed", machine=name)
 
-    async def _start_directly(self, runtime: PartRuntime, name: str, rows: list[tuple[Key, Attempt]]) -> None:
-        """Starts that must not wait for the machine's next report. Once each; where no answer says what became of
-        it, the machine's token is raised, so that the order is refused should it arrive later (`machines.Direct`)."""
+    async def _start_directly(
+        self, runtime: PartRuntime, name: str, rows: list[tuple[Key, Attempt]]
+    ) -> None:
+        """Starts that must not wait for the machine's next report. Once each; where no answer says
+        what became of it, the machine's token is raised, so that the order is refused should it
+        arrive later (`machines.Direct`)."""
         machine = runtime.machines.get(name)
         if machine is None or machine.incarnation >= MAX_INCARNATIONS:
             return
@@ -165,7 +186,10 @@
             rows = [
                 (key, attempt)
                 for key, attempt in rows
-                if key in recorded and recorded[key][1] == attempt and key not in runtime.stops and runtime.live(key[0])
+                if key in recorded
+                and recorded[key][1] == attempt
+                and key not in runtime.stops
+                and runtime.live(key[0])
             ]
             if (
                 not rows
@@ -184,7 +208,9 @@
             body = {"baton": runtime.token(machine), "stint": session, "orders": orders}
             client, report = Client(self._net, machine.address, most=1, keep=0), None
             try:
-                status, answer = await client.request("POST", "/commands", body, within=DIRECT_WITHIN)
+                status, answer = await client.request(
+                    "POST", "/commands", body, within=DIRECT_WITHIN
+                )
                 if status == 200:
                     report = messages.read_report(answer)
                 elif status in (400, 409):
@@ -225,7 +251,9 @@
                         if stop.machine in runtime.machines:
                             sent[mark] = now
                             grace = stop.grace.total_seconds()
-                            orders.setdefault(stop.machine, []).append(messages.kill(*key, stop.attempt, grace))
+                            orders.setdefault(stop.machine, []).append(
+                                messages.kill(*key, stop.attempt, grace)
+                            )
                 for machine, rows in orders.items():
                     nursery.start_soon(self.command, runtime, machine, rows)
 
@@ -244,8 +272,8 @@
                     log.crash("watch-failed", part=runtime.part)
 
     def note_time(self, last: datetime) -> None:
-        """A second was to pass. Where far more did, this process stood still while its clocks ran on, and all
-        machines look silent; what they sent is still to be read."""
+        """A second was to pass. Where far more did, this process stood still while its clocks ran
+        on, and all machines look silent; what they sent is still to be read."""
         now = clock.now()
         still = now - last - timedelta(seconds=1)
         if still > self._shared.settings.report_every / 2:
@@ -253,8 +281,8 @@
             self._stalls.append((now, still))
 
     def _silence(self, since: datetime, now: datetime) -> timedelta:
-        """How long it has been silent, less our own. Under a load that makes us late all the time, the seconds
-        in which we did listen add up, so that the dead are still found."""
+        """How long it has been silent, less our own. Under a load that makes us late all the time,
+        the seconds in which we did listen add up, so that the dead are still found."""
         return now - since - sum((still for at, still in self._stalls if at > since), clock.ZERO)
 
     def _look(self, runtime: PartRuntime, nursery: trio.Nursery) -> None:
@@ -274,14 +302,25 @@
             listed = self.listed.get(name)
             if listed is not None and listed.status == "failed":
                 overdue = True
-            recalled = machine is not None and machine.recall_at is not None and now > machine.recall_at
+            recalled = (
+                machine is not None and machine.recall_at is not None and now > machine.recall_at
+            )
             doubted = machine is not None and machine.doubted
-            if overdue or doubted or recalled and last is not None and now - last > settings.report_every * 2:
+            if (
+                overdue
+                or doubted
+                or recalled
+                and last is not None
+                and now - last > settings.report_every * 2
+            ):
                 silent.append(name)
         self._quiet[runtime.part] = self._count_quiet(runtime, now)
         self._note_cut(runtime, index.keys(), now)
         # The longest silent first, and only so many at once.
-        ages = {name: m.heard_us or since if (m := runtime.machines.get(name)) else since for name in silent}
+        ages = {
+            name: m.heard_us or since if (m := runtime.machines.get(name)) else since
+            for name in silent
+        }
         for name in sorted(silent, key=ages.__getitem__):
             if len(self._probing) >= MAX_PROBES:
                 break
@@ -290,35 +329,47 @@
                 nursery.start_soon(self._probe, runtime, name)
 
     def _note_cut(self, runtime: PartRuntime, recorded: Iterable[str], now: datetime) -> None:
-        """Whether most of a part's machines are silent, those counted that the records name and that a new
-        owner has not heard at all: then it is the zone that can't be reached. An owner that took a part over
-        during a cut of its zone once deleted all of its machines, which went on working inside."""
+        """Whether most of a part's machines are silent, those counted that the records name and
+        that a new owner has not heard at all: then it is the zone that can't be reached. An owner
+        that took a part over during a cut of its zone once deleted all of its machines, which went
+        on working inside."""
         since, before = self._cut.get(runtime.part, (now, frozenset()))
-        report, known = self._shared.settings.report_every, runtime.machines.keys() | recorded | before
+        report, known = (
+            self._shared.settings.report_every,
+            runtime.machines.keys() | recorded | before,
+        )
         silent = known - {m.id for m in runtime.machines.values() if m.fresh(now, report * 2.2)}
         settled = now - runtime.tenure.since > report * 3
-        if settled and len(known) >= 3 and len(silent) > self._shared.operator.fence_share * len(known):
+        if (
+            settled
+            and len(known) >= 3
+            and len(silent) > self._shared.operator.fence_share * len(known)
+        ):
             self._cut[runtime.part] = (since, frozenset(silent))
         else:
             self._cut.pop(runtime.part, None)
 
     def cut_off(self, part: str, now: datetime) -> bool:
-        """Nothing is hired in such a part, and none of its machines deleted, until that has lasted long."""
+        """Nothing is hired in such a part, and none of its machines deleted, until that has lasted
+        long."""
         row = self._cut.get(part)
         return row is not None and now - row[0] < self._shared.settings.lease * CUT_LEASES
 
     def _count_quiet(self, runtime: PartRuntime, now: datetime) -> tuple[int, int, bool]:
-        """How many machines are silent, of how many, and whether all silent ones are spot among others."""
+        """How many machines are silent, of how many, and whether all silent ones are spot among
+        others."""
         after = self._shared.settings.report_every * 1.3
         known = [m for m in runtime.machines.values() if m.heard_us is not None]
         quiet = [m for m in known if now - m.heard_us > after]
         return len(quiet), len(known), all(m.spot for m in quiet) and not all(m.spot for m in known)
 
     def _common_cause(self, runtime: PartRuntime, name: str, now: datetime) -> bool:
-        """Whether this silence is rather the network's than the machine's: several fell silent together.
+        """Whether this silence is rather the network's than the machine's: several fell silent
+        together.
 
-        Deleting machines that are only cut off costs more than waiting. Told apart are waves in which the
-        cloud takes spot machines back: only spot machines are silent, or they have left the list."""
+        Deleting machines that are only cut off costs more than waiting. Told apart are waves in
+        which the cloud takes spot machines back: only spot machines are silent, or they have left
+        the list."""
         operator, s = self._shared.operator, self._shared.settings
         quiet, known, only_spot = self._quiet.get(runtime.part) or self._count_quiet(runtime, now)
         if self.cut_off(runtime.part, now):
@@ -344,20 +395,26 @@
             self._probing.discard((runtime.part, name))
 
     async def _inspect(self, runtime: PartRuntime, name: str, address: str) -> bool:
-        """Asks the machine itself. Its answer is newer than all that it said before we asked; if it counts
-        from further back, or shows a lower token than it has carried, it has begun anew."""
+        """Asks the machine itself. Its answer is newer than all that it said before we asked; if it
+        counts from further back, or shows a lower token than it has carried, it has begun anew."""
         machine = runtime.machines.get(name)
         before = (machine.order, machine.incarnation, machine.ours) if machine is not None else None
         client = Client(self._net, address, most=1, keep=0)
         for _ in range(2):
             try:
-                status, body = await client.request("GET", "/inspect", within=timedelta(seconds=0.7))
+                status, body = await client.request(
+                    "GET", "/inspect", within=timedelta(seconds=0.7)
+                )
                 report = messages.read_report(body) if status == 200 else None
             except (NoAnswer, Malformed):
                 continue
             if report is None or report.machine != name:
                 continue
-            if machine is not None and runtime.machines.get(name) is machine and machine.incarnation == before[1]:
+            if (
+                machine is not None
+                and runtime.machines.get(name) is machine
+                and machine.incarnation == before[1]
+            ):
                 machine.doubted = False
                 if report.order <= before[0] or before[2] and report.token < runtime.token(machine):
                     runtime.begin_incarnation(machine, report.order)
@@ -382,18 +439,33 @@
         machine = runtime.machines.get(name)
         if machine is not None:
             machine.doubted = False
-            if machine.heard_us != before or before is not None and clock.now() - before < settings.report_every * 1.3:
+            if (
+                machine.heard_us != before
+                or before is not None
+                and clock.now() - before < settings.report_every * 1.3
+            ):
                 return
         if self._shared.ownership.tenure(runtime.part) != runtime.tenure:
             return
         # A machine that reports to our peers is not dead: it is we who can't be reached.
         last = before or runtime.tenure.since
-        elsewhere = self._heard_elsewhere(runtime.part, name, clock.now()) and clock.now() - last < settings.lease * 1.5
-        if machine is not None and machine.reported is not None and machine.reported - last > timedelta(seconds=4):
-            # Deaf: its reports reach us, our answers don't reach it. It runs what it has until its lease ends;
-            # then it is replaced.
+        elsewhere = (
+            self._heard_elsewhere(runtime.part, name, clock.now())
+            and clock.now() - last < settings.lease * 1.5
+        )
+        if (
+            machine is not None
+            and machine.reported is not None
+            and machine.reported - last > timedelta(seconds=4)
+        ):
+            # Deaf: its reports reach us, our answers don't reach it. It runs what it has until its
+            # lease ends; then it is replaced.
             elsewhere = clock.now() - last < settings.lease * 0.8
-        recalled = machine is not None and machine.recall_at is not None and clock.now() > machine.recall_at
+        recalled = (
+            machine is not None
+            and machine.recall_at is not None
+            and clock.now() > machine.recall_at
+        )
         doubt = self._common_cause(runtime, name, clock.now())
         if (doubt or elsewhere) and not failed and not recalled:
             log.info("doubt", part=runtime.part, machine=name)
@@ -415,7 +487,8 @@
             except (NoAnswer, NoCapacity) as error:
                 log.info("fence-failed", part=runtime.part, machine=name, error=str(error)[:60])
                 if machine is not None:
-                    # The deletion may still be carried out: should it report again, it gets nothing new.
+                    # The deletion may still be carried out: should it report again, it gets nothing
+                    # new.
                     machine.draining, machine.fencing = "fence", False
         self._expire(runtime, name)
         await clock.pause(timedelta(seconds=2))
@@ -436,7 +509,9 @@
             self._deletion_batch = None
         try:
             await self._cloud.delete(
-                deletion_batch.names, urgent=True, still=lambda: clock.now() - deletion_batch.began < PROBE_WITHIN
+                deletion_batch.names,
+                urgent=True,
+                still=lambda: clock.now() - deletion_batch.began < PROBE_WITHIN,
             )
             deletion_batch.error = None
         except (NoAnswer, Busy, NoCapacity) as error:
@@ -451,7 +526,10 @@
         machine = runtime.machines.get(name)
         if machine is not None and machine.ours:
             # It has carried our token, so nobody else's answer counts; ours last did at `answered`.
-            sure = machine.answered is not None and now > machine.answered + s.lease * (1 + 2 * clock.DRIFT) + margin
+            sure = (
+                machine.answered is not None
+                and now > machine.answered + s.lease * (1 + 2 * clock.DRIFT) + margin
+            )
         else:
             # A former owner renews for cancel_within - lease at most after we took over.
             last = machine.answered if machine and machine.answered else runtime.tenure.since
--- a/roadbend/fleet/test_lives.py
+++ b/roadbend/fleet/test_lives.py
@@ -19,14 +19,23 @@
 def late(name, **more):
     """A report as it may come at any time, long after it was sent."""
     body = {
-        "hitch": name, "address": f"{name}:1", "rig": "g2", "yard": "east", "loaners": False,
-        "stint": 1, "tick": 9, "baton": 0, "recallS": None, "legs": [],
-    }  # fmt: skip
+        "hitch": name,
+        "address": f"{name}:1",
+        "rig": "g2",
+        "yard": "east",
+        "loaners": False,
+        "stint": 1,
+        "tick": 9,
+        "baton": 0,
+        "recallS": None,
+        "legs": [],
+    }
     return {**body, **more}
 
 
 async def test_a_late_copy_of_a_deleted_machine_makes_no_machine_that_takes_work():
-    """Under an earlier term the deletion is another controller's memory; under ours it may have left it."""
+    """Under an earlier term the deletion is another controller's memory; under ours it may have
+    left it."""
     async with world(count=1) as w:
         node = w.nodes["node-0"]
         runtime = node.runtimes["east"]
@@ -56,7 +65,8 @@
             before = runtime.machines[name].reported
             assert (await w.call(0, "POST", "/hello", body))[0] == 503
             assert runtime.machines[name].reported == before
-        # To a node that does not own the part, the newest of them counts once, the others not at all.
+        # To a node that does not own the part, the newest of them counts once, the others not at
+        # all.
         fleet = w.nodes["node-1"].fleet
         for body in (copies[2], copies[2], copies[0], copies[1]):
             assert (await w.call(1, "POST", "/hello", body))[0] == 421
@@ -64,7 +74,12 @@
             await trio.sleep(1)
         assert at[1] == (copies[2]["stint"], copies[2]["tick"])
         await trio.sleep(3)
-        assert w.nodes["node-1"].fleet.heard(fleet._foreign_reports["east"][name][0] + timedelta(seconds=7)) == {}
+        assert (
+            w.nodes["node-1"].fleet.heard(
+                fleet._foreign_reports["east"][name][0] + timedelta(seconds=7)
+            )
+            == {}
+        )
         assert w.board.running("run-000002") and len(w.board.starts) == 1
 
 
@@ -76,10 +91,13 @@
         await trio.sleep(10)
         runtime = w.nodes["node-0"].runtimes["east"]
         previous_version = [w.cloud.machines[name].worker.report() for _ in range(30)]
-        # What it held a moment ago: nothing, under the token that it had; the task was not there yet.
+        # What it held a moment ago: nothing, under the token that it had; the task was not there
+        # yet.
         copies = [{**body, "legs": []} for body in previous_version]
         w.cloud.reboot(name)
-        assert await w.until(lambda: runtime.machines[name].incarnation == 1 and runtime.machines[name].ours, 20)
+        assert await w.until(
+            lambda: runtime.machines[name].incarnation == 1 and runtime.machines[name].ours, 20
+        )
         for body in copies:
             assert (await w.call(0, "POST", "/hello", body))[0] == 503
         # The same attempt goes on where it was; nobody else was given the task meanwhile.
@@ -95,7 +113,9 @@
         assert await w.submit(0, job(4, yard="east", **SERVICE), None) == 201
         # Others beside it hear us, so it is not the controller that can't be reached.
         assert await w.submit(0, job(9, legs=3, yard="east", crew="blue", **SERVICE), None) == 201
-        assert await w.until(lambda: w.board.running("run-000004") and len(w.board.running("run-000009")) == 3, 60)
+        assert await w.until(
+            lambda: w.board.running("run-000004") and len(w.board.running("run-000009")) == 3, 60
+        )
         name = machine_of(w, "run-000004/0")
         w.network.deaf.add(name)
         began = trio.current_time()
@@ -103,9 +123,15 @@
         assert await w.submit(1, job(5, legs=2, yard="east", **SERVICE), None) == 201
         # Its work runs on until its own lease ends; only then, or after its deletion, elsewhere.
         assert await w.until(lambda: len(w.board.running("run-000005")) == 2, 60)
-        assert name not in {home for _, task, home in w.board.starts if task.startswith("run-000005")}
-        assert await w.until(lambda: w.board.running("run-000004") and machine_of(w, "run-000004/0") != name, 60)
-        moved = next(at for at, task, home in w.board.starts if task == "run-000004/0" and home != name)
+        assert name not in {
+            home for _, task, home in w.board.starts if task.startswith("run-000005")
+        }
+        assert await w.until(
+            lambda: w.board.running("run-000004") and machine_of(w, "run-000004/0") != name, 60
+        )
+        moved = next(
+            at for at, task, home in w.board.starts if task == "run-000004/0" and home != name
+        )
         assert moved - began < 40
         assert await w.until(lambda: name not in w.cloud.machines, 30)
 
@@ -133,19 +159,25 @@
 
 
 async def test_reboots_late_copies_and_restarts_together_start_nothing_twice():
-    """Seeded: machines begin anew, copies of what they said come late to anybody, controllers are back at
-    once in the middle of an election, the state service is out for a moment."""
+    """Seeded: machines begin anew, copies of what they said come late to anybody, controllers are
+    back at once in the middle of an election, the state service is out for a moment."""
     for seed in range(3):
         rng = random.Random(seed)
         async with world(operator=Operator(reoffer_every=timedelta(seconds=2))) as w:
             for n in range(10, 16):
                 tasks = rng.randint(1, 3)
-                assert await w.submit(n % 3, job(n, legs=tasks, dueS=60.0, crew="blue"), 15.0) == 201
+                assert (
+                    await w.submit(n % 3, job(n, legs=tasks, dueS=60.0, crew="blue"), 15.0) == 201
+                )
             assert await w.submit(0, job(20, legs=2, **SERVICE), None) == 201
             copies = []
             for _ in range(60):
                 await trio.sleep(rng.uniform(0.2, 1.5))
-                up = [m for m in w.cloud.machines.values() if m.worker is not None and m.status == "running"]
+                up = [
+                    m
+                    for m in w.cloud.machines.values()
+                    if m.worker is not None and m.status == "running"
+                ]
                 choice = rng.random()
                 if up and choice < 0.5:
                     copies.append(rng.choice(up).worker.report())
--- a/roadbend/fleet/test_machines.py
+++ b/roadbend/fleet/test_machines.py
@@ -25,9 +25,18 @@
         for task_index, attempt, state, cause in tasks
     ]
     body = {
-        "hitch": "m-1", "address": "m-1:1", "rig": "g2", "yard": "east", "loaners": False,
-        "stint": session, "tick": seq, "baton": token, "recallS": None, "legs": rows, **more,
-    }  # fmt: skip
+        "hitch": "m-1",
+        "address": "m-1:1",
+        "rig": "g2",
+        "yard": "east",
+        "loaners": False,
+        "stint": session,
+        "tick": seq,
+        "baton": token,
+        "recallS": None,
+        "legs": rows,
+        **more,
+    }
     return messages.read_report(body)
 
 
@@ -45,9 +54,17 @@
 
     def take(self, *args, **kwargs):
         return machines.read(
-            self.machine, report(*args, **kwargs), TERM, self.recorded, self.jobs, "east", self.stops, self.facts,
-            self.may_start, NOW,
-        )  # fmt: skip
+            self.machine,
+            report(*args, **kwargs),
+            TERM,
+            self.recorded,
+            self.jobs,
+            "east",
+            self.stops,
+            self.facts,
+            self.may_start,
+            NOW,
+        )
 
 
 def verbs(orders):
@@ -55,7 +72,8 @@
 
 
 def test_what_was_ordered_directly_is_gone_only_when_the_order_is_settled():
-    """A direct order may be carried out late; until it is known what became of it, absence proves nothing."""
+    """A direct order may be carried out late; until it is known what became of it, absence proves
+    nothing."""
     machine = Machine("m-1", "m-1:1", "g2", "east", False)
 
     def settled(seq: int, session: int = 1, current: bool = True) -> bool:
@@ -140,9 +158,18 @@
 
 @pytest.mark.parametrize(
     "change",
-    [{"stint": -1}, {"tick": "x"}, {"baton": None}, {"legs": {}}, {"legs": [{"leg": "x"}]}, {"yard": 3},
-     {"loaners": "yes"}, {"recallS": float("nan")}, {"hitch": ""}],
-)  # fmt: skip
+    [
+        {"stint": -1},
+        {"tick": "x"},
+        {"baton": None},
+        {"legs": {}},
+        {"legs": [{"leg": "x"}]},
+        {"yard": 3},
+        {"loaners": "yes"},
+        {"recallS": float("nan")},
+        {"hitch": ""},
+    ],
+)
 def test_malformed_reports_are_refused(change):
     with pytest.raises(Malformed):
         report(**change)
--- a/roadbend/fleet/test_standing_still.py
+++ b/roadbend/fleet/test_standing_still.py
@@ -9,9 +9,12 @@
 
 
 async def test_a_controller_that_stood_still_takes_no_machine_for_silent():
-    """Its machines' reports lie unread when it goes on; all of them looked silent, and were looked into at once."""
+    """Its machines' reports lie unread when it goes on; all of them looked silent, and were looked
+    into at once."""
     async with world(count=1, teams={"red": Team("red", 0, 0, 4, 40)}, capacity=20) as w:
-        assert await w.submit(0, job(1, legs=16, yard="east", shape="daemon", dueS=None), None) == 201
+        assert (
+            await w.submit(0, job(1, legs=16, yard="east", shape="daemon", dueS=None), None) == 201
+        )
         assert await w.until(lambda: len(w.board.running("run-000001")) == 16, 60)
         fleet, asked = w.nodes["node-0"].fleet, []
 
@@ -44,7 +47,10 @@
         assert still()
         node.ownership._forget("east", "for the story")
         assert not still()
-        for call in (node.cloud.delete([machine], still=still), node.cloud.rent("h-1", "g2", "east", False, 1, still)):
+        for call in (
+            node.cloud.delete([machine], still=still),
+            node.cloud.rent("h-1", "g2", "east", False, 1, still),
+        ):
             with pytest.raises(Busy):
                 await call
         assert list(w.cloud.machines) == [machine]
--- a/roadbend/http/client.py
+++ b/roadbend/http/client.py
@@ -26,12 +26,19 @@
         self._keep = keep
         self._idle: list[tuple[Any, h11.Connection]] = []
 
-    async def request(self, method: str, target: str, body: Any = None, *, within: timedelta) -> tuple[int, Any]:
+    async def request(
+        self, method: str, target: str, body: Any = None, *, within: timedelta
+    ) -> tuple[int, Any]:
         try:
             with trio.fail_after(within.total_seconds()):
                 async with self._slots:
                     return await self._once(method, target, body)
-        except (OSError, trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+        except (
+            OSError,
+            trio.TooSlowError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ) as error:
             raise NoAnswer(f"{type(error).__name__}") from None
         except (h11.ProtocolError, Malformed) as error:
             raise NoAnswer(f"nonsense: {error}") from None
@@ -74,13 +81,18 @@
                 elif isinstance(event, h11.ConnectionClosed):
                     raise Malformed("connection closed")
             answer = decode(bytes(data)) if data else None
-            if conn.our_state is h11.DONE and conn.their_state is h11.DONE and len(self._idle) < self._keep:
+            if (
+                conn.our_state is h11.DONE
+                and conn.their_state is h11.DONE
+                and len(self._idle) < self._keep
+            ):
                 conn.start_next_cycle()
                 reusable = True
             return status, answer
         finally:
             if reused and not reusable:
-                # A kept connection that failed says that its like are gone too (the other side restarted).
+                # A kept connection that failed says that its like are gone too (the other side
+                # restarted).
                 while self._idle:
                     await trio.aclose_forcefully(self._idle.pop()[0])
             if reusable:
--- a/roadbend/http/net.py
+++ b/roadbend/http/net.py
@@ -13,8 +13,8 @@
 
 
 class _Accepted(trio.abc.Stream):
-    """Those who serve wait for the next request, and nearly always it is not there yet: waiting first saves a
-    system call, and an exception, for each."""
+    """Those who serve wait for the next request, and nearly always it is not there yet: waiting
+    first saves a system call, and an exception, for each."""
 
     def __init__(self, stream: trio.SocketStream):
         self._stream = stream
@@ -46,7 +46,9 @@
             raise
         return trio.SocketStream(sock)
 
-    async def listen(self, address: str, handler: Handler, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+    async def listen(
+        self, address: str, handler: Handler, *, task_status=trio.TASK_STATUS_IGNORED
+    ) -> None:
         host, port = split(address)
         sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
         sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
--- a/roadbend/http/server.py
+++ b/roadbend/http/server.py
@@ -70,24 +70,33 @@
 
 
 class Server:
-    """`most`: connections at once. `favoured`: requests whose connections are kept before all others, and for
-    `stale` seconds at least without another request."""
+    """`most`: connections at once. `favoured`: requests whose connections are kept before all
+    others, and for `stale` seconds at least without another request."""
 
     def __init__(
-        self, handle: Handle, most: int, favoured: Callable[[Request], bool] | None = None, stale: float = IDLE_S
+        self,
+        handle: Handle,
+        most: int,
+        favoured: Callable[[Request], bool] | None = None,
+        stale: float = IDLE_S,
     ):
         self._handle, self._most = handle, most
         self._favoured, self._stale = favoured, stale
         self._links: set[_Link] = set()
         # Those that wait for a request, by kind, the longest waiting first.
-        self._waiting: tuple[OrderedDict[_Link, float], ...] = (OrderedDict(), OrderedDict(), OrderedDict())
-        # Heads of requests that h11 has parsed, with what they say and how long their bodies are, and of answers.
+        self._waiting: tuple[OrderedDict[_Link, float], ...] = (
+            OrderedDict(),
+            OrderedDict(),
+            OrderedDict(),
+        )
+        # Heads of requests that h11 has parsed, with what they say and how long their bodies are,
+        # and of answers.
         self._heads: dict[bytes, tuple[str, str, str, int]] = {}
         self._answers: dict[tuple, bytes] = {}
 
     async def serve(self, stream: trio.abc.Stream) -> None:
-        # Bounded: past the limit a connection that only waits makes room, or else the new one is refused at
-        # once instead of waiting for memory.
+        # Bounded: past the limit a connection that only waits makes room, or else the new one is
+        # refused at once instead of waiting for memory.
         if len(self._links) >= self._most and not self._make_room():
             await trio.aclose_forcefully(stream)
             return
@@ -107,8 +116,8 @@
             await trio.aclose_forcefully(stream)
 
     async def sweep(self) -> None:
-        """Ends connections that say nothing, dribble, or don't take their answer. One look at all of them now
-        and then is cheaper than a timer for each request."""
+        """Ends connections that say nothing, dribble, or don't take their answer. One look at all
+        of them now and then is cheaper than a timer for each request."""
         while True:
             await trio.sleep(SWEEP_S)
             now = trio.current_time()
@@ -124,9 +133,10 @@
         link.scope.cancel()
 
     def _make_room(self) -> bool:
-        """Ends the connection that has waited longest. Workers' are kept from users' storms: one of theirs goes
-        only when a living worker would long have used it, as after a cut that left it half open. One that has
-        just been opened goes last, for it may be a worker's that is about to speak."""
+        """Ends the connection that has waited longest. Workers' are kept from users' storms: one of
+        theirs goes only when a living worker would long have used it, as after a cut that left it
+        half open. One that has just been opened goes last, for it may be a worker's that is about
+        to speak."""
         for kind in (OTHER, FAVOURED, NEW):
             link, since = next(iter(self._waiting[kind].items()), (None, 0.0))
             if link is not None and (kind != FAVOURED or trio.current_time() - since > self._stale):
@@ -149,7 +159,9 @@
                     request = await self._read(conn, stream, data)
             except h11.RemoteProtocolError as error:
                 link.until = trio.current_time() + WRITE_S
-                await self._send(conn, stream, Response(error.error_status_hint or 400, {"error": "bad request"}))
+                await self._send(
+                    conn, stream, Response(error.error_status_hint or 400, {"error": "bad request"})
+                )
                 return
             finally:
                 self._waiting[link.kind].pop(link, None)
@@ -158,7 +170,9 @@
             if isinstance(request, Response):
                 response = request
             else:
-                link.kind = FAVOURED if self._favoured is not None and self._favoured(request) else OTHER
+                link.kind = (
+                    FAVOURED if self._favoured is not None and self._favoured(request) else OTHER
+                )
                 # What an answer takes is bounded by whoever makes it.
                 link.until = float("inf")
                 try:
@@ -170,7 +184,9 @@
             link.until = trio.current_time() + WRITE_S
             if known:
                 body = b"" if response.body is None else cbor2.dumps(response.body)
-                await stream.send_all(self._head(response.status, len(body), response.headers, response.close) + body)
+                await stream.send_all(
+                    self._head(response.status, len(body), response.headers, response.close) + body
+                )
                 if response.close:
                     return
                 continue
@@ -186,23 +202,42 @@
         return data
 
     def _known(self, data: bytes) -> Request | None:
-        """A whole request whose head, to the last byte, h11 has parsed before: it means the same again. Nearly all
-        are, and reading them anew took two fifths of the processor time of a fleet's controller."""
+        """A whole request whose head, to the last byte, h11 has parsed before: it means the same
+        again. Nearly all are, and reading them anew took two fifths of the processor time of a
+        fleet's controller."""
         end = data.find(b"\r\n\r\n") + 4
         known = self._heads.get(data[:end])
         if known is None or len(data) - end != known[3]:
             return None
         return Request(known[0], known[1], known[2], data[end:])
 
-    def _remember(self, data: bytes, head: h11.Request, request: Request, conn: h11.Connection) -> None:
-        """Only plain requests that came whole and in one piece, after which the connection stays open."""
+    def _remember(
+        self, data: bytes, head: h11.Request, request: Request, conn: h11.Connection
+    ) -> None:
+        """Only plain requests that came whole and in one piece, after which the connection stays
+        open."""
         end = data.find(b"\r\n\r\n") + 4
-        plain = request.method in ("GET", "POST") and head.http_version == b"1.1" and conn.their_state is h11.DONE
+        plain = (
+            request.method in ("GET", "POST")
+            and head.http_version == b"1.1"
+            and conn.their_state is h11.DONE
+        )
         odd = any(name in (b"transfer-encoding", b"expect", b"upgrade") for name, _ in head.headers)
-        if plain and not odd and 4 <= end <= MAX_HEAD and data[end:] == request.body and not conn.trailing_data[0]:
+        if (
+            plain
+            and not odd
+            and 4 <= end <= MAX_HEAD
+            and data[end:] == request.body
+            and not conn.trailing_data[0]
+        ):
             if len(self._heads) >= MAX_HEADS:
                 self._heads.clear()
-            self._heads[data[:end]] = (request.method, request.path, request.query, len(request.body))
+            self._heads[data[:end]] = (
+                request.method,
+                request.path,
+                request.query,
+                len(request.body),
+            )
 
     async def _read(self, conn, stream, first: bytes | None) -> Request | Response | None:
         head, body, size, data = None, [], 0, first
@@ -210,7 +245,9 @@
             event = conn.next_event()
             if event is h11.NEED_DATA:
                 if conn.they_are_waiting_for_100_continue:
-                    await stream.send_all(conn.send(h11.InformationalResponse(status_code=100, headers=[])))
+                    await stream.send_all(
+                        conn.send(h11.InformationalResponse(status_code=100, headers=[]))
+                    )
                 if data is None:
                     first = None
                     data = await stream.receive_some(65536)
@@ -225,14 +262,18 @@
                 body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 path, _, query = head.target.decode("ascii", "replace").partition("?")
-                request = Request(head.method.decode("ascii", "replace"), path, query, b"".join(body))
+                request = Request(
+                    head.method.decode("ascii", "replace"), path, query, b"".join(body)
+                )
                 if first is not None:
                     self._remember(first, head, request, conn)
                 return request
             else:  # the connection is closed
                 return None
 
-    def _answer(self, status: int, size: int, more: tuple[tuple[str, str], ...], close: bool) -> h11.Response:
+    def _answer(
+        self, status: int, size: int, more: tuple[tuple[str, str], ...], close: bool
+    ) -> h11.Response:
         headers = [("content-length", str(size))]
         if size:
             headers.append(("content-type", "application/cbor"))
@@ -241,7 +282,9 @@
             headers.append(("connection", "close"))
         return h11.Response(status_code=status, headers=headers)
 
-    def _head(self, status: int, size: int, more: tuple[tuple[str, str], ...], close: bool) -> bytes:
+    def _head(
+        self, status: int, size: int, more: tuple[tuple[str, str], ...], close: bool
+    ) -> bytes:
         """Heads of answers are alike: h11 writes each kind once."""
         key = (status, size, more, close)
         found = self._answers.get(key)
--- a/roadbend/http/test_server.py
+++ b/roadbend/http/test_server.py
@@ -26,7 +26,9 @@
         """The status; None where the connection is gone."""
         conn = h11.Connection(h11.CLIENT)
         try:
-            await self.stream.send_all(conn.send(h11.Request(method="POST", target=path, headers=[("host", "a")])))
+            await self.stream.send_all(
+                conn.send(h11.Request(method="POST", target=path, headers=[("host", "a")]))
+            )
             await self.stream.send_all(conn.send(h11.EndOfMessage()))
             data = await self.stream.receive_some(4096)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -41,7 +43,9 @@
 async def test_a_storm_of_users_keeps_out_no_worker():
     """Users and workers share a port and its sockets; users once could take all of them."""
     async with trio.open_nursery() as nursery:
-        server = Server(answer, most=8, favoured=lambda request: request.path == "/hello", stale=10.0)
+        server = Server(
+            answer, most=8, favoured=lambda request: request.path == "/hello", stale=10.0
+        )
         workers = [Caller(nursery, server) for _ in range(5)]
         assert [await w.ask("/hello") for w in workers] == [200] * 5
         users = []
@@ -58,10 +62,13 @@
 
 async def test_connections_left_half_open_by_a_cut_make_room_and_living_ones_do_not():
     async with trio.open_nursery() as nursery:
-        server = Server(answer, most=6, favoured=lambda request: request.path == "/hello", stale=10.0)
+        server = Server(
+            answer, most=6, favoured=lambda request: request.path == "/hello", stale=10.0
+        )
         lost = [Caller(nursery, server) for _ in range(6)]
         assert [await w.ask("/hello") for w in lost] == [200] * 6
-        # All are workers that were heard a moment ago: nobody makes room, and the new one is told so at once.
+        # All are workers that were heard a moment ago: nobody makes room, and the new one is told
+        # so at once.
         assert await Caller(nursery, server).ask("/hello") is None
         await trio.sleep(6)
         assert await lost[0].ask("/hello") == 200
@@ -97,7 +104,14 @@
         return Response(503 if more else 200, body, more, close="bye" in request.path)
 
     def request(method: str, path: str, body: bytes, *more: str) -> bytes:
-        lines = [f"{method} {path} HTTP/1.1", "host: a", f"content-length: {len(body)}", *more, "", ""]
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            "host: a",
+            f"content-length: {len(body)}",
+            *more,
+            "",
+            "",
+        ]
         return "\r\n".join(lines).encode() + body
 
     kinds = [
@@ -109,7 +123,8 @@
         request("POST", "/hello", b"x" * 66_000),
         request("GET", "/bye", b""),
         request("GET", "/up", b"", "connection: close"),
-        b"POST /hello HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        b"POST /hello HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n0\r\n\r\n",
         b"GET /up HTTP/1.0\r\n\r\n",
         b"GET /up HTTP/1.1\nhost: a\n\n",
         b"nonsense\r\n\r\n",
@@ -123,7 +138,11 @@
             try:
                 for one in data:
                     # What is answered before it has come whole is no longer listened to.
-                    at = [0, *sorted(rng.sample(range(1, len(one)), 2)), len(one)] if cut else [0, len(one)]
+                    at = (
+                        [0, *sorted(rng.sample(range(1, len(one)), 2)), len(one)]
+                        if cut
+                        else [0, len(one)]
+                    )
                     for low, high in itertools.pairwise(at):
                         with contextlib.suppress(trio.BrokenResourceError):
                             await mine.send_all(one[low:high])
--- a/roadbend/intake/limit.py
+++ b/roadbend/intake/limit.py
@@ -1,8 +1,9 @@
 """A limit on requests in progress that adapts to measured times.
 
 The gradient rule as published for adaptive concurrency limits (Netflix's "Performance Under Load",
-2018): the limit follows limit × (long-run time / recent time) plus room for a short queue. Each kind of
-request has a weight: submissions are refused first, so that polls, withdrawals and reports get through."""
+2018): the limit follows limit × (long-run time / recent time) plus room for a short queue. Each
+kind of request has a weight: submissions are refused first, so that polls, withdrawals and reports
+get through."""
 
 from datetime import timedelta
 
@@ -23,7 +24,8 @@
         return True
 
     def leave(self, took: timedelta | None) -> None:
-        """`took`: the measured time, or None where it says nothing (refused elsewhere, an outage)."""
+        """`took`: the measured time, or None where it says nothing (refused elsewhere, an
+        outage)."""
         self.busy -= 1
         if took is None:
             return
@@ -35,4 +37,6 @@
             self._long *= 0.95
         gradient = max(0.5, min(1.0, 2.0 * self._long / self._short))
         target = self.limit * gradient + max(1.0, self.limit**0.5 / 2)
-        self.limit = min(float(self._ceiling), max(float(self._floor), self.limit * 0.8 + target * 0.2))
+        self.limit = min(
+            float(self._ceiling), max(float(self._floor), self.limit * 0.8 + target * 0.2)
+        )
--- a/roadbend/intake/messages.py
+++ b/roadbend/intake/messages.py
@@ -17,7 +17,12 @@
 MAX_RIGS = 32
 MAX_SECONDS = 1e9
 
-STATUS_PENDING, STATUS_RUNNING, STATUS_DONE, STATUS_ABORTED = "pending", "running", "done", "aborted"
+STATUS_PENDING, STATUS_RUNNING, STATUS_DONE, STATUS_ABORTED = (
+    "pending",
+    "running",
+    "done",
+    "aborted",
+)
 
 
 class NeverRuns(Exception):
@@ -68,9 +73,15 @@
         raise Malformed("vcpus: a task that takes nothing")
     machine_types = data.get("rigs")
     if machine_types is not None:
-        if not isinstance(machine_types, list) or not machine_types or len(machine_types) > MAX_RIGS:
+        if (
+            not isinstance(machine_types, list)
+            or not machine_types
+            or len(machine_types) > MAX_RIGS
+        ):
             raise Malformed("rigs: expected a list of names")
-        machine_types = tuple(text(machine_type, "rigs", MAX_NAME) for machine_type in machine_types)
+        machine_types = tuple(
+            text(machine_type, "rigs", MAX_NAME) for machine_type in machine_types
+        )
     yard = data.get("yard")
     due = data.get("dueS")
     return job, Spec(
@@ -101,7 +112,10 @@
         raise NeverRuns("unknown team")
     # A service and a gang need all of their tasks at once, an array one at a time.
     total = spec.need.times(spec.task_count if spec.service or spec.gang else 1)
-    for want, most, name in ((total.cpus, team.cpus_max, "vcpus"), (total.gpus, team.gpus_max, "gpus")):
+    for want, most, name in (
+        (total.cpus, team.cpus_max, "vcpus"),
+        (total.gpus, team.gpus_max, "gpus"),
+    ):
         if 0 < most < want - 1e-9:
             raise NeverRuns(f"more {name} than the team's limit")
     fits = [
@@ -115,7 +129,9 @@
     ]
     if not fits:
         raise NeverRuns("a task fits no allowed machine type")
-    zones = {zone for machine_type in fits for zone in machine_type.zones if spec.zone in (None, zone)}
+    zones = {
+        zone for machine_type in fits for zone in machine_type.zones if spec.zone in (None, zone)
+    }
     if spec.apart and spec.task_count > 1 and (len(zones) < 2 or spec.together):
         raise NeverRuns("apart leaves no zone for the other half")
     if spec.gang and spec.apart and spec.task_count > 1:
--- a/roadbend/intake/test_intake.py
+++ b/roadbend/intake/test_intake.py
@@ -14,16 +14,51 @@
 NAN, INF = float("nan"), float("inf")
 
 MALFORMED = [
-    {"id": "job-1"}, {"id": "run-"}, {"id": "run-1 "}, {"id": "run-1\n"}, {"id": 7}, {"id": None},
-    {"shape": "gang"}, {"shape": None}, {"rank": "urgent"}, {"rank": ["high"]},
-    {"legs": 0}, {"legs": -1}, {"legs": 1.5}, {"legs": True}, {"legs": 100_001}, {"legs": None},
-    {"vcpus": -1}, {"vcpus": NAN}, {"vcpus": INF}, {"vcpus": "8"}, {"vcpus": None}, {"gpus": -0.5},
-    {"memoryGb": 10**400}, {"vcpus": 0, "gpus": 0, "memoryGb": 0},
-    {"crew": ""}, {"crew": 3}, {"lane": None}, {"bundle": "x" * 300}, {"bundle": None}, {"imageGb": -1},
-    {"rigs": "g2"}, {"rigs": [3]}, {"rigs": []}, {"yard": 4}, {"yard": ""},
-    {"together": 1}, {"apart": "no"}, {"loaners": 0}, {"expectedS": -1}, {"expectedS": NAN}, {"milestoneS": "x"},
-    {"stowS": INF}, {"dueS": -3}, {"dueS": "soon"},
-]  # fmt: skip
+    {"id": "job-1"},
+    {"id": "run-"},
+    {"id": "run-1 "},
+    {"id": "run-1\n"},
+    {"id": 7},
+    {"id": None},
+    {"shape": "gang"},
+    {"shape": None},
+    {"rank": "urgent"},
+    {"rank": ["high"]},
+    {"legs": 0},
+    {"legs": -1},
+    {"legs": 1.5},
+    {"legs": True},
+    {"legs": 100_001},
+    {"legs": None},
+    {"vcpus": -1},
+    {"vcpus": NAN},
+    {"vcpus": INF},
+    {"vcpus": "8"},
+    {"vcpus": None},
+    {"gpus": -0.5},
+    {"memoryGb": 10**400},
+    {"vcpus": 0, "gpus": 0, "memoryGb": 0},
+    {"crew": ""},
+    {"crew": 3},
+    {"lane": None},
+    {"bundle": "x" * 300},
+    {"bundle": None},
+    {"imageGb": -1},
+    {"rigs": "g2"},
+    {"rigs": [3]},
+    {"rigs": []},
+    {"yard": 4},
+    {"yard": ""},
+    {"together": 1},
+    {"apart": "no"},
+    {"loaners": 0},
+    {"expectedS": -1},
+    {"expectedS": NAN},
+    {"milestoneS": "x"},
+    {"stowS": INF},
+    {"dueS": -3},
+    {"dueS": "soon"},
+]
 
 
 @pytest.mark.parametrize("change", MALFORMED, ids=str)
@@ -34,7 +69,9 @@
 
 
 def test_zero_null_and_missing_are_fine_where_the_protocol_says_so():
-    body = job(1, gpus=0, imageGb=0, expectedS=0, milestoneS=0, stowS=0, rigs=None, yard=None, dueS=None)
+    body = job(
+        1, gpus=0, imageGb=0, expectedS=0, milestoneS=0, stowS=0, rigs=None, yard=None, dueS=None
+    )
     name, spec = read_submission(body)
     for key in ("rigs", "yard", "dueS"):
         body.pop(key)
@@ -63,9 +100,15 @@
 
 @pytest.mark.parametrize(
     "change",
-    [{"crew": "nobody"}, {"vcpus": 25.0}, {"rigs": ["other"]}, {"yard": "moon"}, {"shape": "daemon", "legs": 7},
-     {"legs": 2, "apart": True, "yard": "east"}],
-)  # fmt: skip
+    [
+        {"crew": "nobody"},
+        {"vcpus": 25.0},
+        {"rigs": ["other"]},
+        {"yard": "moon"},
+        {"shape": "daemon", "legs": 7},
+        {"legs": 2, "apart": True, "yard": "east"},
+    ],
+)
 def test_what_can_never_run_is_said_so(change):
     settings, machine_types = settings_for(0, 3), read_machine_types([MACHINE_TYPE])
     can_run(read_submission(job(1))[1], settings.teams, machine_types)
@@ -105,7 +148,9 @@
             with trio.fail_after(30):
                 assert (await stream.receive_some(100)).split(b" ")[1].startswith(want)
         stream = await net.connect("node-0:80")
-        await stream.send_all(b"POST /v1/jobs HTTP/1.1\r\nhost: x\r\ncontent-length: 900000\r\n\r\n" + b"x" * 70_000)
+        await stream.send_all(
+            b"POST /v1/jobs HTTP/1.1\r\nhost: x\r\ncontent-length: 900000\r\n\r\n" + b"x" * 70_000
+        )
         with trio.fail_after(30):
             assert b"413" in await stream.receive_some(100)
         stream = await net.connect("node-0:80")
@@ -180,7 +225,9 @@
             assert await w.submit(n % 3, job(n, dueS=30), None) == 201
             # Some before, some after the write-ahead, some after the order.
             await trio.sleep(0.07 * (n - 70))
-            assert (await w.call((n + 1) % 3, "POST", f"/v1/jobs/run-{n:06d}/withdraw", {}))[0] == 200
+            assert (await w.call((n + 1) % 3, "POST", f"/v1/jobs/run-{n:06d}/withdraw", {}))[
+                0
+            ] == 200
         told = trio.current_time()
         await trio.sleep(30)
         late = [row for row in w.board.starts if row[0] > told + 10]
--- a/roadbend/intake/users.py
+++ b/roadbend/intake/users.py
@@ -169,16 +169,21 @@
             return self._later("no state")
         shared.view.applied(rows, revision)
         log.info(
-            "accepted", job=name, team=spec.team, tasks=spec.task_count, service=spec.service,
-            expected=spec.expected.total_seconds(), due=None if spec.due is None else spec.due.total_seconds(),
+            "accepted",
+            job=name,
+            team=spec.team,
+            tasks=spec.task_count,
+            service=spec.service,
+            expected=spec.expected.total_seconds(),
+            due=None if spec.due is None else spec.due.total_seconds(),
             image=f"{spec.image}:{spec.image_gb:.1f}",
-        )  # fmt: skip
+        )
         self._submit(name)
         return Response(201, {"id": name, "status": STATUS_PENDING})
 
     async def _refuse(self, name: str, status: int, why: str) -> Response:
-        """A repeat of an accepted job is never refused, whatever its body, and even if the catalog has changed since.
-        That it is none must be known for certain."""
+        """A repeat of an accepted job is never refused, whatever its body, and even if the catalog
+        has changed since. That it is none must be known for certain."""
         end = self.ends.get(name)
         if end is not None:
             return self._ended(name, end, 200)
@@ -235,9 +240,11 @@
         return self._shared.view.loaded and contact is not None and now - contact < STALE
 
     def _later(self, why: str) -> Response:
-        """Where the state service refuses us alone, the connection is closed too: the next try reaches a
-        controller that it serves, instead of this one again."""
-        return Response(503, {"error": why}, wait_header(1), close=self._state_refuses_only_us(clock.now()))
+        """Where the state service refuses us alone, the connection is closed too: the next try
+        reaches a controller that it serves, instead of this one again."""
+        return Response(
+            503, {"error": why}, wait_header(1), close=self._state_refuses_only_us(clock.now())
+        )
 
     async def _withdraw(self, name: str) -> Response:
         if not messages.valid_id(name):
@@ -256,7 +263,11 @@
                     job = shared.view.jobs.get(name)
                 if job is None:
                     end = await self._fetch_end(name)
-                    return Response(404, {"error": "no such job"}) if end is None else await self._told_all(name, end)
+                    return (
+                        Response(404, {"error": "no such job"})
+                        if end is None
+                        else await self._told_all(name, end)
+                    )
                 done = self._known(job)[1]
                 rows = [
                     delete(records.job_key(name)),
@@ -266,7 +277,9 @@
                     rows.append(delete(records.gang_key(name)))
                 when = {records.job_key(name): job.mod_revision, records.fin_key(name): 0}
                 try:
-                    revision = await commit(shared.state, when, rows, within=timedelta(seconds=2.5), urgent=True)
+                    revision = await commit(
+                        shared.state, when, rows, within=timedelta(seconds=2.5), urgent=True
+                    )
                 except Conflict:
                     await shared.reader.sync()
                     continue
@@ -277,8 +290,9 @@
         return self._later("no state")
 
     async def _told_all(self, name: str, end: tuple[str, int]) -> Response:
-        """Once its user is told, no task of a cancelled job may be started. So owners are told first, and one that
-        can't be told is waited for until it can start nothing on records as old as that."""
+        """Once its user is told, no task of a cancelled job may be started. So owners are told
+        first, and one that can't be told is waited for until it can start nothing on records as old
+        as that."""
         if end[0] == STATUS_ABORTED:
             self._told(name)
             await self._spread()
--- a/roadbend/log.py
+++ b/roadbend/log.py
@@ -9,7 +9,9 @@
 
 def setup() -> None:
     level = LEVELS.get(os.environ.get("LOG_LEVEL", "error").strip().lower(), logging.ERROR)
-    logging.basicConfig(stream=sys.stderr, level=level, format="%(levelname).1s %(name)s %(message)s")
+    logging.basicConfig(
+        stream=sys.stderr, level=level, format="%(levelname).1s %(name)s %(message)s"
+    )
     logging.raiseExceptions = False
 
 
--- a/roadbend/node.py
+++ b/roadbend/node.py
@@ -31,26 +31,41 @@
 
 log = Log("node")
 MAX_TOLD = 256
-# Sockets kept for what we open ourselves (the state service 16, the cloud 6, machines asked and told 64, peers),
-# for peers' connections to us, and for connections that are just being closed.
+# Sockets kept for what we open ourselves (the state service 16, the cloud 6, machines asked and
+# told 64, peers), for peers' connections to us, and for connections that are just being closed.
 OWN_SOCKETS = 200
 
 
 class Node:
-    def __init__(self, settings: Settings, operator: Operator, net: Net, rng: random.Random, boot: str | None = None):
+    def __init__(
+        self,
+        settings: Settings,
+        operator: Operator,
+        net: Net,
+        rng: random.Random,
+        boot: str | None = None,
+    ):
         self.settings, self.operator, self.net = settings, operator, net
-        # The id of this life of the process ends with what it understands beyond version 2 of the frames.
+        # The id of this life of the process ends with what it understands beyond version 2 of the
+        # frames.
         self.boot = (boot or secrets.token_hex(6)) + frames.GANGS
         self.began = clock.now()
         self.budget = Budget(
-            settings.state_rps, settings.state_write_rps, settings.controllers, settings.state_write_rps_next
+            settings.state_rps,
+            settings.state_write_rps,
+            settings.controllers,
+            settings.state_write_rps_next,
         )
         self.state = StateClient(Client(net, settings.state, most=16, keep=8), self.budget, rng=rng)
-        self.cloud = Cloud(Client(net, settings.cloud, most=6, keep=2), settings.cloud_rps, settings.controllers)
+        self.cloud = Cloud(
+            Client(net, settings.cloud, most=6, keep=2), settings.cloud_rps, settings.controllers
+        )
         self.view = View()
         self.reader = Reader(self.view, self.state, operator)
         self.peers = Peers(net, settings.name, settings.peers, rng)
-        self.ownership = Ownership(settings, operator, self.boot, self.state, self.view, self.reader, self.peers)
+        self.ownership = Ownership(
+            settings, operator, self.boot, self.state, self.view, self.reader, self.peers
+        )
         self.shared = Shared(settings, operator, self.state, self.view, self.reader, self.ownership)
         self.runtimes: dict[str, PartRuntime] = {}
         self.fleet = Fleet(self.shared, net, self.cloud, self.peers, self.runtimes)
@@ -65,10 +80,14 @@
             Limit(ceiling=operator.users_at_once),
         )
         self.told: OrderedDict[str, datetime] = OrderedDict()
-        # Workers' connections are kept from storms of users, until a living worker would have reported twice.
+        # Workers' connections are kept from storms of users, until a living worker would have
+        # reported twice.
         stale = 2.5 * settings.report_every + timedelta(seconds=4)
         self.server = Server(
-            self.handle, max(64, settings.sockets - OWN_SOCKETS), self._from_worker, stale.total_seconds()
+            self.handle,
+            max(64, settings.sockets - OWN_SOCKETS),
+            self._from_worker,
+            stale.total_seconds(),
         )
         self.peers.handlers[frames.PING] = self._on_ping
         self.view.watchers.append(self._on_record)
@@ -97,8 +116,8 @@
         return Response(404, {"error": "no such path"})
 
     def up(self, now: datetime) -> bool:
-        """Not up while the state service refuses us and serves a peer; in a common outage all stay up
-        and answer 503 quickly."""
+        """Not up while the state service refuses us and serves a peer; in a common outage all stay
+        up and answer 503 quickly."""
         if self.reader.contact is None or not self.shared.machine_types:
             return False
         return not self.state_refuses_only_us(now)
@@ -150,7 +169,8 @@
         for part, term in heartbeat.owned.items():
             self.ownership.superseded(part, term)
         if self.shared.cancel(heartbeat.told):
-            # A calm report is answered at a look: what is to be stopped must be marked before the next one comes.
+            # A calm report is answered at a look: what is to be stopped must be marked before the
+            # next one comes.
             for runtime in self.runtimes.values():
                 runtime.stop_dead(clock.now())
 
@@ -162,8 +182,8 @@
                 self.told.popitem(last=False)
 
     async def spread(self) -> None:
-        """Returns when every controller that owns a part has heard all that we tell users is cancelled, or can start
-        nothing any more without having read it in the records."""
+        """Returns when every controller that owns a part has heard all that we tell users is
+        cancelled, or can start nothing any more without having read it in the records."""
         me, heard, read = self.settings.name, set(), []
         most = START_FRESH * (1 + 2 * clock.DRIFT)
 
@@ -183,7 +203,11 @@
                 nursery.start_soon(look)
                 while True:
                     # Until the records say who owns what, it may be any of them.
-                    owners = {own.node for own in self.view.owns.values()} if read else set(self.peers.links)
+                    owners = (
+                        {own.node for own in self.view.owns.values()}
+                        if read
+                        else set(self.peers.links)
+                    )
                     if owners <= heard | {me}:
                         break
                     await clock.pause(timedelta(milliseconds=10))
@@ -225,9 +249,14 @@
             await clock.pause(timedelta(seconds=1))
             now = clock.now()
             for part, runtime in list(self.runtimes.items()):
-                last = max((m.reported for m in runtime.machines.values() if m.reported), default=runtime.tenure.since)
+                last = max(
+                    (m.reported for m in runtime.machines.values() if m.reported),
+                    default=runtime.tenure.since,
+                )
                 heard = any(
-                    link.alive(now) and link.known.heartbeat and link.known.heartbeat.heard.get(part)
+                    link.alive(now)
+                    and link.known.heartbeat
+                    and link.known.heartbeat.heard.get(part)
                     for link in self.peers.links.values()
                 )
                 quiet = now - max(last, runtime.tenure.since) > self.settings.report_every * 2.5
--- a/roadbend/parts/ownership.py
+++ b/roadbend/parts/ownership.py
@@ -1,8 +1,8 @@
 """Owning parts.
 
-A part belongs to the controller that holds its leased key. Taking one over raises the term in the same
-transaction; the term is the workers' token and its record's stamp guards every write of an owner, so a
-former owner's late transactions fail whatever it believes."""
+A part belongs to the controller that holds its leased key. Taking one over raises the term in the
+same transaction; the term is the workers' token and its record's stamp guards every write of an
+owner, so a former owner's late transactions fail whatever it believes."""
 
 import threading
 from collections.abc import Callable
@@ -31,11 +31,11 @@
 from roadbend.store.view import Reader, View
 
 log = Log("parts")
-# An owner starts tasks only on records that it read this lately; so whoever records a cancellation knows from when
-# on nobody can start its tasks any more without knowing of it.
+# An owner starts tasks only on records that it read this lately; so whoever records a cancellation
+# knows from when on nobody can start its tasks any more without knowing of it.
 START_FRESH = timedelta(seconds=2)
-# How long the loop waits for a read at most. In an outage it must not stand there: it renews the lease of all our
-# parts, and hands over what isn't ours to keep.
+# How long the loop waits for a read at most. In an outage it must not stand there: it renews the
+# lease of all our parts, and hands over what isn't ours to keep.
 READ_WITHIN = timedelta(seconds=2)
 
 
@@ -88,7 +88,12 @@
     def may_start(self, now: datetime) -> bool:
         """Our lease counts and the records were read lately: cancellations reach us soon."""
         contact = self._reader.contact
-        return self._valid is not None and now < self._valid and contact is not None and now - contact < START_FRESH
+        return (
+            self._valid is not None
+            and now < self._valid
+            and contact is not None
+            and now - contact < START_FRESH
+        )
 
     def may_renew(self, now: datetime) -> bool:
         s = self._settings
@@ -152,7 +157,11 @@
     async def _keep_lease(self) -> None:
         ttl = self._operator.own_lease
         now = clock.now()
-        if self._lease_id is not None and self._renewed is not None and now - self._renewed < ttl / 3:
+        if (
+            self._lease_id is not None
+            and self._renewed is not None
+            and now - self._renewed < ttl / 3
+        ):
             return
         try:
             if self._lease_id is None:
@@ -163,11 +172,13 @@
                 await self._state.renew(self._lease_id)
                 mine = self._view.nodes.get(self._settings.name)
                 if mine is None or mine.boot != self._boot:
-                    # A late transaction of a former life, or of a lease that we gave up, took it away.
+                    # A late transaction of a former life, or of a lease that we gave up, took it
+                    # away.
                     await self._announce(self._lease_id)
         except Conflict:
-            # Somebody of this name wrote it meanwhile, or our own unanswered try went through; that may hang on
-            # a lease that nobody renews. It is written anew on what is there now, under a lease that we renew.
+            # Somebody of this name wrote it meanwhile, or our own unanswered try went through; that
+            # may hang on a lease that nobody renews. It is written anew on what is there now, under
+            # a lease that we renew.
             await self._read()
             return
         except NoLease:
@@ -180,13 +191,14 @@
         self._valid = now + ttl * (1 - 2 * clock.DRIFT) - timedelta(milliseconds=200)
 
     async def _announce(self, lease_id: int) -> None:
-        """Our name among the live ones. A former life may still have the same transaction on its way: with what
-        was there as the condition, it can't come after ours."""
+        """Our name among the live ones. A former life may still have the same transaction on its
+        way: with what was there as the condition, it can't come after ours."""
         key = records.node_key(self._settings.name)
         rows = [put(key, {"boot": self._boot}, lease_id)]
         when = {key: self._view.mod_revision(key)}
         self._view.applied(
-            rows, await commit(self._state, when, rows, within=self._operator.own_lease / 2, urgent=True)
+            rows,
+            await commit(self._state, when, rows, within=self._operator.own_lease / 2, urgent=True),
         )
 
     async def _read(self) -> bool:
@@ -256,17 +268,32 @@
         me = self._settings.name
         rows = [
             put(records.term_key(part), {"n": number, "node": me}),
-            put(records.own_key(part), {"node": me, "boot": self._boot, "term": number}, self._lease_id),
+            put(
+                records.own_key(part),
+                {"node": me, "boot": self._boot, "term": number},
+                self._lease_id,
+            ),
         ]
-        when = {records.term_key(part): old.mod_revision if old else 0, records.own_key(part): own_mod_revision}
+        when = {
+            records.term_key(part): old.mod_revision if old else 0,
+            records.own_key(part): own_mod_revision,
+        }
         try:
-            revision = await commit(self._state, when, rows, within=self._operator.own_lease / 2, urgent=True)
+            revision = await commit(
+                self._state, when, rows, within=self._operator.own_lease / 2, urgent=True
+            )
         except Conflict:
             # Somebody was faster, or an unanswered try of our own went through: the records tell.
             if not await self._read():
                 return
             own, term = self._view.owns.get(part), self._view.terms.get(part)
-            if not (own and term and own.boot == self._boot and own.node == me and own.term == term.number):
+            if not (
+                own
+                and term
+                and own.boot == self._boot
+                and own.node == me
+                and own.term == term.number
+            ):
                 return
             revision, number = term.mod_revision, term.number
         except NoLease:
@@ -274,8 +301,9 @@
             self._drop_all("lease ended")
             return
         self._view.applied(rows, revision)
-        # Whatever was written before our term must be in the view before we act on it. Where it can't be had, the
-        # part is not ours: the key that we wrote is given up as soon as the records are back.
+        # Whatever was written before our term must be in the view before we act on it. Where it
+        # can't be had, the part is not ours: the key that we wrote is given up as soon as the
+        # records are back.
         if not await self._read():
             return
         term = self._view.terms.get(part)
@@ -297,13 +325,19 @@
         rows = [delete(records.own_key(part))]
         try:
             revision = await commit(
-                self._state, {records.own_key(part): own.mod_revision}, rows, within=timedelta(seconds=2), urgent=True
+                self._state,
+                {records.own_key(part): own.mod_revision},
+                rows,
+                within=timedelta(seconds=2),
+                urgent=True,
             )
             self._view.applied(rows, revision)
         except Conflict:
             await self._read()
 
-    async def _maybe_hand_over(self, part: str, mine: Tenure, live: set[str], now: datetime) -> None:
+    async def _maybe_hand_over(
+        self, part: str, mine: Tenure, live: set[str], now: datetime
+    ) -> None:
         me = self._settings.name
         first = policy.preferred(part, self._zones, live)
         if first == me or first is None or now - mine.since < self._operator.hand_back_after:
@@ -311,10 +345,18 @@
         if self._zones.get(first) != part or self._zones.get(me) == part:
             return
         link = self._peers.links.get(first)
-        if link is None or not link.alive(now) or now - self._alive_since[first] < self._operator.hand_back_after:
+        if (
+            link is None
+            or not link.alive(now)
+            or now - self._alive_since[first] < self._operator.hand_back_after
+        ):
             return
         heartbeat = link.known.heartbeat
-        if heartbeat is None or heartbeat.contact_age is None or heartbeat.contact_age > timedelta(seconds=2):
+        if (
+            heartbeat is None
+            or heartbeat.contact_age is None
+            or heartbeat.contact_age > timedelta(seconds=2)
+        ):
             return
         if now < self._declining_until.get(f"{part}>{first}", now):
             return
--- a/roadbend/parts/policy.py
+++ b/roadbend/parts/policy.py
@@ -13,7 +13,9 @@
     names = sorted(names)
     if not names:
         return None
-    return max(names, key=lambda name: hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest())
+    return max(
+        names, key=lambda name: hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
+    )
 
 
 def preferred(part: str, zones: dict[str, str], live: Iterable[str]) -> str | None:
@@ -32,10 +34,11 @@
 ) -> datetime | None:
     """Until when an owner may renew its workers' leases.
 
-    A cancellation that we don't know of may have been accepted at any moment after the instant up to
-    which we know them all: the least, over the peers, of what our own reads or the peer's own list
-    covers. A worker's lease ends `lease` after a report that we answered, so the last answer must come
-    `cancel_within - lease` after that instant at the latest; drift and margin come off."""
+    A cancellation that we don't know of may have been accepted at any moment after the instant up
+    to which we know them all: the least, over the peers, of what our own reads or the peer's own
+    list covers. A worker's lease ends `lease` after a report that we answered, so the last answer
+    must come `cancel_within - lease` after that instant at the latest; drift and margin come
+    off."""
     if contact is None:
         return None
     known = min((peer.reach(contact) for peer in peers), default=contact)
--- a/roadbend/parts/test_parts.py
+++ b/roadbend/parts/test_parts.py
@@ -92,11 +92,21 @@
 async def test_a_non_owner_names_the_owner_and_a_report_for_nobody_is_refused():
     async with world() as w:
         body = {
-            "hitch": "m-9", "address": "m-9:1", "rig": "g2", "yard": "east", "loaners": False,
-            "stint": 1, "tick": 1, "baton": 0, "recallS": None, "legs": [],
-        }  # fmt: skip
+            "hitch": "m-9",
+            "address": "m-9:1",
+            "rig": "g2",
+            "yard": "east",
+            "loaners": False,
+            "stint": 1,
+            "tick": 1,
+            "baton": 0,
+            "recallS": None,
+            "legs": [],
+        }
         assert await w.call(1, "POST", "/hello", body) == (421, {"dispatcher": "node-0"})
         assert (await w.call(0, "POST", "/hello", body))[0] == 200
-        assert (await w.call(0, "POST", "/hello", body))[0] == 503, "an old report is not answered twice"
+        assert (await w.call(0, "POST", "/hello", body))[0] == 503, (
+            "an old report is not answered twice"
+        )
         assert (await w.call(0, "POST", "/hello", {**body, "yard": "moon"}))[0] == 503
         assert (await w.call(0, "POST", "/hello", {**body, "tick": -1}))[0] == 400
--- a/roadbend/peers/frames.py
+++ b/roadbend/peers/frames.py
@@ -1,6 +1,7 @@
 """A frame: length (4 bytes, of what follows), version (1), kind (1), call number (4), payload.
 
-A reply carries its call's number and the kind with the top bit set. docs/peers.md has the payloads."""
+A reply carries its call's number and the kind with the top bit set. docs/peers.md has the
+payloads."""
 
 import struct
 from collections.abc import Iterable
@@ -11,8 +12,8 @@
 REPLY = 0x80
 
 HELLO, PING, REQUEST, ASSIGN, REVOKE, INFORM = 1, 2, 3, 4, 5, 6
-# As REQUEST and INFORM, for a gang: spoken only to peers whose boot id, which every pulse brings, ends with GANGS.
-# Others drop a connection on which a kind comes that they don't know.
+# As REQUEST and INFORM, for a gang: spoken only to peers whose boot id, which every pulse brings,
+# ends with GANGS. Others drop a connection on which a kind comes that they don't know.
 GANG_REQUEST, GANG_INFORM = 7, 8
 GANGS = "+gangs"
 
--- a/roadbend/peers/heartbeat.py
+++ b/roadbend/peers/heartbeat.py
@@ -7,7 +7,8 @@
 from roadbend.peers.frames import Scanner, Writer
 
 _NEVER = 0xFFFFFFFF
-# Times in a pulse are whole milliseconds; one more keeps out what was told at the very edge of the list.
+# Times in a pulse are whole milliseconds; one more keeps out what was told at the very edge of the
+# list.
 _ROUNDING = timedelta(milliseconds=2)
 
 
@@ -60,9 +61,15 @@
         scan.end()
         age = None if contact == _NEVER else timedelta(milliseconds=contact)
         return Heartbeat(
-            boot, timedelta(milliseconds=uptime), age, (calls, writes, cloud), owned, heard,
-            timedelta(milliseconds=span), told,
-        )  # fmt: skip
+            boot,
+            timedelta(milliseconds=uptime),
+            age,
+            (calls, writes, cloud),
+            owned,
+            heard,
+            timedelta(milliseconds=span),
+            told,
+        )
 
 
 def _ms(length: timedelta) -> int:
@@ -71,26 +78,29 @@
 
 @dataclass
 class PeerState:
-    """What we know of a peer. `covered`: all cancellations that it told users of before that instant
-    are known to us, from the records or from its own word."""
+    """What we know of a peer. `covered`: all cancellations that it told users of before that
+    instant are known to us, from the records or from its own word."""
 
     heartbeat: Heartbeat | None = None
     asked: datetime | None = None
     heard_at: datetime | None = None
     vouched_until: datetime | None = None
 
-    def take(self, heartbeat: Heartbeat, asked: datetime, now: datetime, contact: datetime | None) -> None:
+    def take(
+        self, heartbeat: Heartbeat, asked: datetime, now: datetime, contact: datetime | None
+    ) -> None:
         base = self.reach(contact)
-        # Its list closes the gap only if it goes back to what we had, in one life of that process: what a former
-        # process told its users, this one can't know. The peer counted back from when it answered, which may
-        # have been as late as now, on a clock that may run faster than ours.
+        # Its list closes the gap only if it goes back to what we had, in one life of that process:
+        # what a former process told its users, this one can't know. The peer counted back from when
+        # it answered, which may have been as late as now, on a clock that may run faster than ours.
         back = min(heartbeat.uptime, heartbeat.span) * (1 - DRIFT) - _ROUNDING
         if base is not None and now - back <= base:
             self.vouched_until = max(base, asked)
         self.heartbeat, self.asked, self.heard_at = heartbeat, asked, now
 
     def speaks(self, dialect: str) -> bool:
-        """Whether the peer understands what came after version 2 of the frames; one that we have not heard may not."""
+        """Whether the peer understands what came after version 2 of the frames; one that we have
+        not heard may not."""
         return self.heartbeat is not None and self.heartbeat.boot.endswith(dialect)
 
     def reach(self, contact: datetime | None) -> datetime | None:
--- a/roadbend/peers/links.py
+++ b/roadbend/peers/links.py
@@ -1,4 +1,5 @@
-"""Links to the other controllers: one connection each way, calls with replies, a pulse every second."""
+"""Links to the other controllers: one connection each way, calls with replies, a pulse every
+second."""
 
 import math
 import random
@@ -57,7 +58,12 @@
             with trio.fail_after(within.total_seconds()):
                 await self._send(frames.pack(kind, number, payload))
                 return await receive.receive()
-        except (trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError, trio.EndOfChannel):
+        except (
+            trio.TooSlowError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.EndOfChannel,
+        ):
             raise NoReply(self.peer.name) from None
         finally:
             self._waiting.pop(number, None)
@@ -86,7 +92,9 @@
                     await trio.aclose_forcefully(stream)
 
     async def run(
-        self, heartbeat: Callable[[], Heartbeat], took: Callable[["Link", Heartbeat, datetime], None]
+        self,
+        heartbeat: Callable[[], Heartbeat],
+        took: Callable[["Link", Heartbeat, datetime], None],
     ) -> None:
         waits = Backoff(timedelta(milliseconds=200), timedelta(seconds=1), self._rng)
         while True:
@@ -112,7 +120,9 @@
             await clock.pause(waits.next())
 
     async def beat(
-        self, heartbeat: Callable[[], Heartbeat], took: Callable[["Link", Heartbeat, datetime], None]
+        self,
+        heartbeat: Callable[[], Heartbeat],
+        took: Callable[["Link", Heartbeat, datetime], None],
     ) -> bool:
         """Exchanges pulses once; says whether the peer has taken ours."""
         asked = clock.now()
@@ -157,7 +167,9 @@
 
 
 class Peers:
-    def __init__(self, net: Net, me: str, peers: tuple[Peer, ...], rng: random.Random | None = None):
+    def __init__(
+        self, net: Net, me: str, peers: tuple[Peer, ...], rng: random.Random | None = None
+    ):
         rng = rng or random.Random()
         self.links = {peer.name: Link(net, peer, me, rng) for peer in peers}
         self.handlers: dict[int, Handler] = {}
--- a/roadbend/peers/test_peers.py
+++ b/roadbend/peers/test_peers.py
@@ -25,7 +25,9 @@
         assert out == [(kind, kind * 7, bytes(kind)) for kind in range(1, 6)]
 
 
-@pytest.mark.parametrize("data", [b"\xff" * 16, b"\0\0\0\x01\x01\x01\0\0\0\0", b"\0\0\0\x06\x01\x01\0\0\0\0"])
+@pytest.mark.parametrize(
+    "data", [b"\xff" * 16, b"\0\0\0\x01\x01\x01\0\0\0\0", b"\0\0\0\x06\x01\x01\0\0\0\0"]
+)
 def test_malformed_frames_are_refused(data):
     with pytest.raises(BadFrame):
         list(Splitter().feed(data))
@@ -33,7 +35,11 @@
 
 async def test_a_stranger_or_garbage_loses_its_connection():
     peers = Peers(None, "a", (Peer("b", "z", "b:1"),))
-    for data in (b"GET / HTTP/1.1\r\n\r\n", frames.pack(frames.HELLO, 0, b"nobody"), frames.pack(frames.PING, 1, b"")):
+    for data in (
+        b"GET / HTTP/1.1\r\n\r\n",
+        frames.pack(frames.HELLO, 0, b"nobody"),
+        frames.pack(frames.PING, 1, b""),
+    ):
         mine, theirs = trio.testing.memory_stream_pair()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(peers.serve, theirs)
@@ -46,7 +52,14 @@
 
 def test_a_pulse_comes_back_as_it_went():
     heartbeat = Heartbeat(
-        "b1", 9 * S, None, (1.5, 0.25, 0.5), {"east": 7}, {"west": ("m-1", "m-2")}, 60 * S, ("run-1", "run-2")
+        "b1",
+        9 * S,
+        None,
+        (1.5, 0.25, 0.5),
+        {"east": 7},
+        {"west": ("m-1", "m-2")},
+        60 * S,
+        ("run-1", "run-2"),
     )
     assert Heartbeat.unpack(heartbeat.pack()) == heartbeat
 
@@ -67,8 +80,8 @@
     # Its list does not go back far enough.
     short = Heartbeat("b1", 500 * S, 20 * S, (0, 0), span=10 * S)
     assert known(short, t, t - 20 * S).reach(t - 20 * S) == t - 20 * S
-    # It may have counted back from when its answer came, not from when it was asked: it restarted just after our
-    # last contact, and its answer took 1.4 s.
+    # It may have counted back from when its answer came, not from when it was asked: it restarted
+    # just after our last contact, and its answer took 1.4 s.
     slow = Heartbeat("b2", 1.2 * S, None, (0, 0), span=100 * S)
     assert known(slow, t, t - 1 * S, 1.4 * S).reach(t - 1 * S) == t - 1 * S
     assert known(slow, t, t - 1.3 * S, 1.4 * S).reach(t - 1.3 * S) == t - 1.3 * S
--- a/roadbend/placement/batch.py
+++ b/roadbend/placement/batch.py
@@ -11,21 +11,29 @@
 from roadbend.store.records import Job, Need, Slice, Use, weigh
 from roadbend.store.view import View
 
-# Bytes that a transaction's values may have in all; the protocol allows 64 KiB, conditions included.
+# Bytes that a transaction's values may have in all; the protocol allows 64 KiB, conditions
+# included.
 MAX_BODY = 56 * 1024
 
 
 class Batch:
     """One transaction in the making: working copies of what it changes, and its conditions."""
 
-    def __init__(self, view: View, part: str, tenure: Tenure, settings: Settings, most: int | None = None):
-        self._view, self._part, self._most = view, part, min(settings.txn_ops, most or settings.txn_ops)
+    def __init__(
+        self, view: View, part: str, tenure: Tenure, settings: Settings, most: int | None = None
+    ):
+        self._view, self._part, self._most = (
+            view,
+            part,
+            min(settings.txn_ops, most or settings.txn_ops),
+        )
         self._value = settings.value_bytes
         self.when: dict[str, int] = {records.term_key(part): tenure.mod_revision}
         self.rows: dict[str, dict] = {}
         self.slices: dict[str, Slice] = {}
         self.teams: dict[str, Use] = {}
-        # Attempts that this transaction takes out of the records, and what changes in the teams' use.
+        # Attempts that this transaction takes out of the records, and what changes in the teams'
+        # use.
         self.ended: set[Key] = set()
         self.change: dict[str, tuple[float, float]] = {}
         self._sizes: dict[str, int] = {}
@@ -37,7 +45,10 @@
 
     def room_for(self, *keys: str) -> bool:
         fresh = sum(1 for key in keys if key not in self.rows)
-        return len(self.rows) + fresh <= self._most and sum(self._sizes.values()) < MAX_BODY - self._value
+        return (
+            len(self.rows) + fresh <= self._most
+            and sum(self._sizes.values()) < MAX_BODY - self._value
+        )
 
     def slice(self, job: str, team: str, need: Need, shard: int) -> Slice:
         key = records.slice_key(self._part, job, shard)
--- a/roadbend/placement/ends.py
+++ b/roadbend/placement/ends.py
@@ -23,7 +23,8 @@
 log = Log("placement")
 # Shards of a job that is still running leave the records when there are this many to go.
 FOLD = 4
-# For how long a job keeps off a machine on which it failed, and what fails everywhere at most rests.
+# For how long a job keeps off a machine on which it failed, and what fails everywhere at most
+# rests.
 AVOID = timedelta(seconds=20)
 BACKOFF_MOST = timedelta(seconds=24)
 
@@ -59,14 +60,25 @@
             touched[at] = replace(piece, run=run, done=done)
             ended.append((task_index, fact))
         # What a version with larger values wrote and is too large now is split as it is written.
-        plans = {n: split(runtime, batch, work, piece) for n, piece in touched.items() if not batch.fits(piece)}
+        plans = {
+            n: split(runtime, batch, work, piece)
+            for n, piece in touched.items()
+            if not batch.fits(piece)
+        }
         for n in [n for n, plan in plans.items() if not plan]:
-            # Not in one transaction of today's size: these ends wait until fewer of its tasks are left.
+            # Not in one transaction of today's size: these ends wait until fewer of its tasks are
+            # left.
             more = more or bool(batch.rows)
             del plans[n], touched[n]
-            ended = [(task_index, fact) for task_index, fact in ended if work.shard_of(task_index, runtime.width) != n]
+            ended = [
+                (task_index, fact)
+                for task_index, fact in ended
+                if work.shard_of(task_index, runtime.width) != n
+            ]
         if job is not None and job.spec.gang and any(fact.done for _, fact in ended):
-            if not end_gang(batch, job, touched, [piece for n, piece in work.shards.items() if n not in touched]):
+            if not end_gang(
+                batch, job, touched, [piece for n, piece in work.shards.items() if n not in touched]
+            ):
                 return True
             for task_index, fact in ended:
                 batch.ended.add((name, task_index))
@@ -82,7 +94,9 @@
             over = idle
         else:
             # A wide array's shards leave the records a few at a time, not one by one.
-            over = {n: p for n, p in idle.items() if not ranges.minus(within(runtime, held, n), p.done)}
+            over = {
+                n: p for n, p in idle.items() if not ranges.minus(within(runtime, held, n), p.done)
+            }
             over = over if len(over) >= FOLD else {}
         keys = [records.slice_key(part, name, n) for n in touched.keys() | over.keys()]
         keys += [piece.key for plan in plans.values() for piece in plan]
@@ -97,7 +111,11 @@
             some = sorted(over.keys() | touched.keys())[: max(1, batch.free - 2)]
             over = {n: p for n, p in over.items() if n in some}
             touched = {n: p for n, p in touched.items() if n in some and n not in plans}
-            ended = [(task_index, f) for task_index, f in ended if work.shard_of(task_index, runtime.width) in some]
+            ended = [
+                (task_index, f)
+                for task_index, f in ended
+                if work.shard_of(task_index, runtime.width) in some
+            ]
             whole, more = False, True
         for n, piece in touched.items():
             if n in plans:
@@ -110,11 +128,15 @@
         for piece in over.values():
             batch.drop_slice(piece)
         if job is not None and over:
-            all_done = ranges.normal([*job.done, *(pair for piece in over.values() for pair in piece.done)])
+            all_done = ranges.normal(
+                [*job.done, *(pair for piece in over.values() for pair in piece.done)]
+            )
             if whole and ranges.size(all_done) >= job.spec.task_count:
                 batch.end_job(job, "done", job.spec.task_count)
             else:
-                batch.set_job(replace(job.with_part(part, ranges.minus(held, all_done)), done=all_done))
+                batch.set_job(
+                    replace(job.with_part(part, ranges.minus(held, all_done)), done=all_done)
+                )
         for task_index, fact in ended:
             batch.ended.add((name, task_index))
             batch.charge(work.team, work.need, -1)
@@ -123,11 +145,14 @@
 
 
 def end_gang(batch: Batch, job: Job, touched: dict[int, Slice], others: list[Slice]) -> bool:
-    """One task that is done means that all are, and the job is: once, whoever reports first. What of it may still be on
-    machines stays in the slices until that is proven gone, as with a cancelled job."""
+    """One task that is done means that all are, and the job is: once, whoever reports first. What
+    of it may still be on machines stays in the slices until that is proven gone, as with a
+    cancelled job."""
     keys = [piece.key for piece in touched.values()]
     keys += [piece.key for piece in others if not piece.run]
-    if not batch.room_for(*keys, records.job_key(job.id), records.fin_key(job.id), records.gang_key(job.id)):
+    if not batch.room_for(
+        *keys, records.job_key(job.id), records.fin_key(job.id), records.gang_key(job.id)
+    ):
         return False
     for piece in [*touched.values(), *others]:
         if not piece.run:
@@ -139,8 +164,9 @@
 
 
 def split(runtime: PartRuntime, batch: Batch, work: Work, piece: Slice) -> list[Slice]:
-    """A slice that is larger than values may be now, in pieces that one transaction takes: its attempts go where they
-    would be written today, so a task is in one record before and after. Empty where that can't be done yet."""
+    """A slice that is larger than values may be now, in pieces that one transaction takes: its
+    attempts go where they would be written today, so a task is in one record before and after.
+    Empty where that can't be done yet."""
     homes: dict[int, dict[int, Attempt]] = {}
     for task_index, attempt in piece.run.items():
         homes.setdefault(task_index // runtime.width, {})[task_index] = attempt
@@ -154,7 +180,11 @@
         other = replace(other, run={**other.run, **rows})
         if batch.fits(other):
             pieces.append(other)
-            kept = {task_index: attempt for task_index, attempt in kept.items() if task_index not in rows}
+            kept = {
+                task_index: attempt
+                for task_index, attempt in kept.items()
+                if task_index not in rows
+            }
     pieces.append(replace(piece, run=kept))
     return pieces if batch.fits(pieces[-1]) and batch.room_for(*(row.key for row in pieces)) else []
 
@@ -168,10 +198,23 @@
 
 
 def note_end(runtime: PartRuntime, job: str, task_index: int, fact: Fact, now: datetime) -> None:
-    log.debug("ended", part=runtime.part, task=f"{job}/{task_index}", machine=fact.machine, cause=fact.cause)
-    if fact.cause in gangs.REPLACED and (known := runtime.live(job)) is not None and known.spec.gang:
+    log.debug(
+        "ended",
+        part=runtime.part,
+        task=f"{job}/{task_index}",
+        machine=fact.machine,
+        cause=fact.cause,
+    )
+    if (
+        fact.cause in gangs.REPLACED
+        and (known := runtime.live(job)) is not None
+        and known.spec.gang
+    ):
         attempt, machines = runtime.lost_on.get(job, (0, set()))
-        runtime.lost_on[job] = (fact.attempt, {fact.machine, *(machines if attempt == fact.attempt else ())})
+        runtime.lost_on[job] = (
+            fact.attempt,
+            {fact.machine, *(machines if attempt == fact.attempt else ())},
+        )
     if fact.cause == "done":
         machine = runtime.machines.get(fact.machine)
         if machine is not None:
@@ -189,6 +232,16 @@
                 machine.failures[job] = now
             times = runtime.backoff.get(job, (0, now))[0] + 1
             # A job that fails everywhere comes back ever more slowly and waits for its user.
-            pause = min(BACKOFF_MOST, timedelta(seconds=0.5 * 2 ** min(times, 8))) if times > 3 else clock.ZERO
+            pause = (
+                min(BACKOFF_MOST, timedelta(seconds=0.5 * 2 ** min(times, 8)))
+                if times > 3
+                else clock.ZERO
+            )
             runtime.backoff[job] = (times, now + pause)
-            log.info("task-error", part=runtime.part, task=f"{job}/{task_index}", machine=fact.machine, times=times)
+            log.info(
+                "task-error",
+                part=runtime.part,
+                task=f"{job}/{task_index}",
+                machine=fact.machine,
+                times=times,
+            )
--- a/roadbend/placement/forecast.py
+++ b/roadbend/placement/forecast.py
@@ -1,5 +1,5 @@
-"""When will queued tasks start on the machines there are? Pure; used for hiring just in time and for
-telling peers how long a reoffered job would wait here."""
+"""When will queued tasks start on the machines there are? Pure; used for hiring just in time and
+for telling peers how long a reoffered job would wait here."""
 
 import heapq
 from bisect import bisect_left, bisect_right, insort
@@ -27,7 +27,12 @@
     free_from: float = 0.0
 
     def earliest(self, need: Need) -> float:
-        room, want_cpus, want_gpus, want_memory = self.room, need.cpus - EPS, need.gpus - EPS, need.memory - EPS
+        room, want_cpus, want_gpus, want_memory = (
+            self.room,
+            need.cpus - EPS,
+            need.gpus - EPS,
+            need.memory - EPS,
+        )
         cpus, gpus, memory = room.cpus, room.gpus, room.memory
         if want_cpus <= cpus and want_gpus <= gpus and want_memory <= memory:
             return max(room.ready_in, self.free_from)
@@ -53,8 +58,9 @@
 
 
 class Board:
-    """The lines in the order in which each could take the least that anybody asks for. Work that is laid on a
-    line only ever makes it later, so a job looks no further down than to where it finds its places."""
+    """The lines in the order in which each could take the least that anybody asks for. Work that is
+    laid on a line only ever makes it later, so a job looks no further down than to where it finds
+    its places."""
 
     def __init__(self, lines: Iterable[Line], least: Need):
         self.lines = list(lines)
@@ -82,14 +88,15 @@
 
 
 class Starts:
-    """Where tasks of one job would begin to run, the soonest first, as they are laid on the lines one by
-    one. Lines are looked at once a job, not once a task, and only as far as a sooner place may be found."""
+    """Where tasks of one job would begin to run, the soonest first, as they are laid on the lines
+    one by one. Lines are looked at once a job, not once a task, and only as far as a sooner place
+    may be found."""
 
     def __init__(self, job: Job, board: Board, machine_types: Container[str] = ()):
         self._job, self._board, self._rigs = job, board, machine_types
         self._rows: list[tuple[float, bool, int, float, Line]] = []
-        # The last line that was looked at in the board's order; those before it, and some that were there
-        # when they were looked at and have come later since, are known here.
+        # The last line that was looked at in the board's order; those before it, and some that were
+        # there when they were looked at and have come later since, are known here.
         self._last: tuple[float, int] = (-1.0, -1)
         self._known: set[int] = set()
 
@@ -108,7 +115,9 @@
             if n not in self._known:
                 self._known.add(n)
                 room = lines[n].room
-                if room.machine_type not in self._rigs and allowed(self._job, room.machine_type, room.zone, room.spot):
+                if room.machine_type not in self._rigs and allowed(
+                    self._job, room.machine_type, room.zone, room.spot
+                ):
                     self._push(n, lines[n])
 
     def _push(self, n: int, line: Line) -> None:
@@ -142,22 +151,32 @@
 
 
 def earliest(job: Job, lines: list[Line]) -> tuple[float, Line | None]:
-    """Where a task would begin to run first, its fetch counted, and from when it would be there. For one task a
-    plain look at every line is the cheapest."""
+    """Where a task would begin to run first, its fetch counted, and from when it would be there.
+    For one task a plain look at every line is the cheapest."""
     spec = job.spec
     best, found = (NEVER, False), (NEVER, None)
     for line in lines:
         room = line.room
         start = line.earliest(spec.need)
-        if start <= best[0] and start < NEVER and allowed(job, room.machine_type, room.zone, room.spot):
-            runs = (round(start + room.fetch(spec.image, spec.image_gb), 6), spec.spot and not room.spot)
+        if (
+            start <= best[0]
+            and start < NEVER
+            and allowed(job, room.machine_type, room.zone, room.spot)
+        ):
+            runs = (
+                round(start + room.fetch(spec.image, spec.image_gb), 6),
+                spec.spot and not room.spot,
+            )
             if runs < best:
                 best, found = runs, (start, line)
     return found
 
 
-def lay(queue: list[Pending], lines: list[Line], run_of: Callable[[Job], float], most: int) -> dict[str, list[float]]:
-    """Lays the queue on the machines, at most so many tasks of it; when each job's tasks would begin."""
+def lay(
+    queue: list[Pending], lines: list[Line], run_of: Callable[[Job], float], most: int
+) -> dict[str, list[float]]:
+    """Lays the queue on the machines, at most so many tasks of it; when each job's tasks would
+    begin."""
     starts: dict[str, list[float]] = {}
     board = Board(lines, least_of(item.job.spec.need for item in queue))
     for item in queue:
@@ -182,8 +201,8 @@
 
 
 def slack(item: Pending, waited: float, run: float, times: float = 1.0) -> float:
-    """How many seconds from now a task may start and still be in time; without a deadline, a service
-    wants to start at once and an array may wait for about twice its run time."""
+    """How many seconds from now a task may start and still be in time; without a deadline, a
+    service wants to start at once and an array may wait for about twice its run time."""
     spec = item.job.spec
     if spec.gang:
         # Those who wait for each other are to begin at once.
--- a/roadbend/placement/gangs.py
+++ b/roadbend/placement/gangs.py
@@ -1,7 +1,7 @@
-"""Gangs: all tasks of a job run at the same time or none does. One part owns a gang whole and starts its tasks
-under one attempt number, recorded in one transaction; what is stopped is stopped whole, and the next attempt begins
-when every task of the last one is proven gone. While its tasks still wait for each other, one that was lost is
-replaced."""
+"""Gangs: all tasks of a job run at the same time or none does. One part owns a gang whole and
+starts its tasks under one attempt number, recorded in one transaction; what is stopped is stopped
+whole, and the next attempt begins when every task of the last one is proven gone. While its tasks
+still wait for each other, one that was lost is replaced."""
 
 from __future__ import annotations
 
@@ -21,8 +21,8 @@
     from roadbend.placement.runtime import PartRuntime
 
 log = Log("placement")
-# A task in one of these has not begun; `running` is also said by tasks that are about to exit.
-# Of the time that a task waits for the others, the part within which another may still join in time.
+# A task in one of these has not begun; `running` is also said by tasks that are about to exit. Of
+# the time that a task waits for the others, the part within which another may still join in time.
 JOIN = 0.75
 NOT_BEGUN = ("fetching", "gathering")
 
@@ -35,8 +35,8 @@
 
 
 def gathers(runtime: PartRuntime, job: Job, work: Work) -> bool:
-    """Whether what is left of a gang surely still waits for the rest, so that a task may join it: every task was
-    shown waiting, none is being stopped, and there is time for another fetch."""
+    """Whether what is left of a gang surely still waits for the rest, so that a task may join it:
+    every task was shown waiting, none is being stopped, and there is time for another fetch."""
     now = clock.now()
     if len({attempt.number for attempt in work.run.values()}) != 1:
         return False
@@ -55,12 +55,17 @@
 
 
 def waiting(runtime: PartRuntime, job: Job, unplaced: Ranges) -> Pending | None:
-    """What of a gang may be placed: all of it, once nothing of an earlier attempt is recorded any more; or what is
-    missing of one that still gathers."""
+    """What of a gang may be placed: all of it, once nothing of an earlier attempt is recorded any
+    more; or what is missing of one that still gathers."""
     if ranges.size(unplaced) == job.spec.task_count:
         return Pending(job, unplaced, False)
     work = runtime.works().get(job.id)
-    if work is None or not work.run or unplaced_here(job, work) != unplaced or not gathers(runtime, job, work):
+    if (
+        work is None
+        or not work.run
+        or unplaced_here(job, work) != unplaced
+        or not gathers(runtime, job, work)
+    ):
         return None
     return Pending(job, unplaced, False)
 
@@ -72,18 +77,26 @@
 def number(runtime: PartRuntime, job: str) -> int | None:
     """The attempt that a task joins."""
     work = runtime.works().get(job)
-    return next((attempt.number for attempt in work.run.values()), None) if work is not None else None
+    return (
+        next((attempt.number for attempt in work.run.values()), None) if work is not None else None
+    )
 
 
-def stop_whole(runtime: PartRuntime, job: Job, why: str, now: datetime, grace: timedelta | None = None) -> None:
-    """All tasks are told at once, so that each is within `gang_peer` of the first. One that has saved waits for the
-    others; what it is given counts that."""
+def stop_whole(
+    runtime: PartRuntime, job: Job, why: str, now: datetime, grace: timedelta | None = None
+) -> None:
+    """All tasks are told at once, so that each is within `gang_peer` of the first. One that has
+    saved waits for the others; what it is given counts that."""
     work = runtime.works().get(job.id)
     if work is None:
         return
     if grace is None:
         saves = job.spec.checkpoint > clock.ZERO
-        grace = job.spec.save + runtime.shared.settings.gang_peer + timedelta(seconds=1) if saves else clock.ZERO
+        grace = (
+            job.spec.save + runtime.shared.settings.gang_peer + timedelta(seconds=1)
+            if saves
+            else clock.ZERO
+        )
     for task_index, attempt in work.run.items():
         old = runtime.stops.get((job.id, task_index))
         if old is None or old.attempt != attempt.number:
@@ -91,13 +104,17 @@
 
 
 def keep_whole(runtime: PartRuntime, now: datetime) -> None:
-    """A gang of which a task is gone is over, unless it still gathers: the others would notice by themselves, after
-    `gang_peer` or `gang_wait`, and are told now."""
+    """A gang of which a task is gone is over, unless it still gathers: the others would notice by
+    themselves, after `gang_peer` or `gang_wait`, and are told now."""
     for name, work in runtime.works().items():
         job = runtime.live(name)
         if job is None or not job.spec.gang or not work.run:
             continue
-        gone = [(task_index, fact) for (other, task_index), fact in runtime.facts.items() if other == name]
+        gone = [
+            (task_index, fact)
+            for (other, task_index), fact in runtime.facts.items()
+            if other == name
+        ]
         if any(fact.done for _, fact in gone):
             continue
         if not gone and len(work.run) == job.spec.task_count:
@@ -105,7 +122,9 @@
         rest = {task_index for task_index in work.run} - {task_index for task_index, _ in gone}
         if not rest:
             continue
-        if all(fact.cause in REPLACED for _, fact in gone) and still_gathers(runtime, job, work, rest):
+        if all(fact.cause in REPLACED for _, fact in gone) and still_gathers(
+            runtime, job, work, rest
+        ):
             continue
         log.info("gang-over", part=runtime.part, job=name, left=len(rest))
         stop_whole(runtime, job, "peers", now, clock.ZERO)
@@ -123,6 +142,10 @@
         row = seen(runtime, job.id, task_index, attempt)
         if (job.id, task_index) in runtime.stops or row is not None and row.state not in NOT_BEGUN:
             return False
-        if row is not None and row.state == "gathering" and now - row.since > runtime.shared.settings.gang_wait * JOIN:
+        if (
+            row is not None
+            and row.state == "gathering"
+            and now - row.since > runtime.shared.settings.gang_wait * JOIN
+        ):
             return False
     return True
