--- a/roadbend/placement/policy.py
+++ b/roadbend/placement/policy.py
@@ -37,7 +37,11 @@
         return 0.0 if image in self.images or self.pull <= 0 else gb / self.pull
 
     def fits(self, need: Need) -> bool:
-        return need.cpus <= self.cpus + EPS and need.gpus <= self.gpus + EPS and need.memory <= self.memory + EPS
+        return (
+            need.cpus <= self.cpus + EPS
+            and need.gpus <= self.gpus + EPS
+            and need.memory <= self.memory + EPS
+        )
 
     def take(self, need: Need) -> None:
         self.cpus -= need.cpus
@@ -101,8 +105,9 @@
 
 
 def lateness(job: Job, now: datetime, times: tuple[float, ...]) -> int:
-    """How many of the times of its due time at which a job's aims count are out of reach, by what its owner
-    said and nothing else: every part that holds a slice of it judges alike at one moment."""
+    """How many of the times of its due time at which a job's aims count are out of reach, by what
+    its owner said and nothing else: every part that holds a slice of it judges alike at one
+    moment."""
     if job.spec.due is None:
         return 0
     end = now + job.spec.expected - job.at
@@ -110,8 +115,9 @@
 
 
 def rank(item: Pending, late: int = 0) -> tuple:
-    """`late`: work whose deadline is out of reach goes behind what can still be in time. When there is more than
-    all machines can do, the order of deadlines alone would make nearly everything a little late."""
+    """`late`: work whose deadline is out of reach goes behind what can still be in time. When there
+    is more than all machines can do, the order of deadlines alone would make nearly everything a
+    little late."""
     job = item.job
     deadline = job.deadline
     return (
@@ -129,8 +135,9 @@
 def suitable(
     job: Job, rooms: Iterable[Room], barred: Container[str] = (), machine_types: Container[str] = ()
 ) -> list[Room]:
-    """Rooms on which a task of the job may go now or once they are up, the best first. A room that has
-    been begun stays the best until it is full, so the order holds while tasks are taken from it."""
+    """Rooms on which a task of the job may go now or once they are up, the best first. A room that
+    has been begun stays the best until it is full, so the order holds while tasks are taken from
+    it."""
     spec = job.spec
     need, image, spot = spec.need, spec.image, spec.spot
     rows = []
@@ -146,7 +153,14 @@
         ):
             # Work that may run on spot machines leaves the others to work that may not.
             rows.append(
-                (room.ready_in, spot and not room.spot, image not in room.images, room.scrap(need), room.id, room)
+                (
+                    room.ready_in,
+                    spot and not room.spot,
+                    image not in room.images,
+                    room.scrap(need),
+                    room.id,
+                    room,
+                )
             )
     rows.sort(key=_by_key)
     return [row[5] for row in rows]
@@ -172,11 +186,14 @@
 class Allowance:
     """What teams' limits leave, in cores and GPUs; it shrinks with what is taken.
 
-    `holds` says of which jobs the tasks that found no room yet keep their team's limit from work of lower priority:
-    for a while, until the machine that was hired for them is up, and not for ever."""
+    `holds` says of which jobs the tasks that found no room yet keep their team's limit from work of
+    lower priority: for a while, until the machine that was hired for them is up, and not for
+    ever."""
 
     def __init__(
-        self, left: Callable[[str], tuple[float, float] | None], holds: Callable[[str], bool] = lambda job: False
+        self,
+        left: Callable[[str], tuple[float, float] | None],
+        holds: Callable[[str], bool] = lambda job: False,
     ):
         self._left, self._holds = left, holds
         self._rows: dict[str, tuple[float, float] | None] = {}
@@ -184,7 +201,8 @@
         self._held: dict[str, list[tuple[int, float, float]]] = {}
 
     def most(self, spec: Spec) -> int:
-        """How many more of a job's tasks its team's limit permits; none for a team that nobody knows."""
+        """How many more of a job's tasks its team's limit permits; none for a team that nobody
+        knows."""
         if spec.team not in self._rows:
             self._rows[spec.team] = self._left(spec.team)
         left = self._rows[spec.team]
@@ -198,7 +216,9 @@
     def hold(self, job: Job, tasks: int) -> None:
         if tasks and self._holds(job.id):
             need = job.spec.need.times(tasks)
-            self._held.setdefault(job.spec.team, []).append((job.spec.priority, need.cpus, need.gpus))
+            self._held.setdefault(job.spec.team, []).append(
+                (job.spec.priority, need.cpus, need.gpus)
+            )
 
     def take(self, spec: Spec, tasks: int) -> None:
         cpus, gpus = self._rows[spec.team]
@@ -231,8 +251,8 @@
     """Takes the tasks in order; gives what was placed, what was not, and whether it stopped after
     `most_jobs` jobs. `bars` names the machines and the types that a job must keep off.
 
-    Of a team's limit only what is placed is taken: a wide job that finds no room must not keep the team's other
-    jobs from machines that would fit them."""
+    Of a team's limit only what is placed is taken: a wide job that finds no room must not keep the
+    team's other jobs from machines that would fit them."""
     placed: list[tuple[Pending, int, Room]] = []
     left: list[Pending] = []
     queue = list(queue)
@@ -310,26 +330,39 @@
     """Preemption as the protocol permits: work of lower priority, or, for work within its team's
     guarantee, what another team runs beyond its own."""
     spec = item.job.spec
-    return row.priority < spec.priority or (item.guaranteed and row.beyond and row.team != spec.team)
+    return row.priority < spec.priority or (
+        item.guaranteed and row.beyond and row.team != spec.team
+    )
 
 
 def victims(
     item: Pending, rooms: Iterable[Room], running: Mapping[str, list[Victim]]
 ) -> tuple[Room, list[Victim]] | None:
-    """The machine on which room is made at the least loss, and what is stopped there. Fewest and cheapest
-    losses win, the image first."""
+    """The machine on which room is made at the least loss, and what is stopped there. Fewest and
+    cheapest losses win, the image first."""
     best = None
     need = item.job.spec.need
     for room in rooms:
         rows = running.get(room.id)
-        if not rows or room.ready_in > 0 or not allowed(item.job, room.machine_type, room.zone, room.spot):
+        if (
+            not rows
+            or room.ready_in > 0
+            or not allowed(item.job, room.machine_type, room.zone, room.spot)
+        ):
             continue
         rows = [row for row in rows if may_stop(item, row)]
         if not rows:
             continue
         rows.sort(key=lambda row: row.loss)
         trial = Room(
-            room.id, room.machine_type, room.zone, room.spot, room.cpus, room.gpus, room.memory, total=room.total
+            room.id,
+            room.machine_type,
+            room.zone,
+            room.spot,
+            room.cpus,
+            room.gpus,
+            room.memory,
+            total=room.total,
         )
         chosen, loss = [], 0.0
         for row in rows:
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -1,7 +1,8 @@
 """An owner's work on its part, for one term: queue, placement, records, silent machines.
 
-The truth about attempts is in the slice records as the view shows them. What is kept here besides is
-what can be lost: what machines last showed, the ends not yet recorded, stops that were decided."""
+The truth about attempts is in the slice records as the view shows them. What is kept here besides
+is what can be lost: what machines last showed, the ends not yet recorded, stops that were
+decided."""
 
 import threading
 from collections import deque
@@ -49,7 +50,8 @@
     """The machines with the queue laid on them: what bids and reoffers look at."""
 
     lines: list[Line]
-    # When the waiting tasks of each job would begin, in seconds; those beyond the forecast are missing.
+    # When the waiting tasks of each job would begin, in seconds; those beyond the forecast are
+    # missing.
     starts: dict[str, list[float]]
 
 
@@ -70,7 +72,8 @@
         # Pairs that just failed: a job's task is not put on the same machine again at once.
         self.avoid: dict[str, dict[str, datetime]] = {}
         self.backoff: dict[str, tuple[int, datetime]] = {}
-        # Rooms that boot, filled in by rental, and machines hired in this term that have not reported yet.
+        # Rooms that boot, filled in by rental, and machines hired in this term that have not
+        # reported yet.
         self.booting: list[Room] = []
         self.rented: set[str] = set()
         self.left: list[Pending] = []
@@ -84,18 +87,23 @@
         self.reservations: dict[str, tuple[str, datetime]] = {}
         # Types that waiting services are kept from for now.
         self.withheld_types: dict[str, frozenset[str]] = {}
-        # Conditions of the last transaction, if nobody knows whether it was, or will be, carried out.
+        # Conditions of the last transaction, if nobody knows whether it was, or will be, carried
+        # out.
         self.unsettled: dict[str, int] = {}
         # Machines without its image that a service keeps off for a moment.
         self.without_image: dict[str, set[str]] = {}
-        # Machines named in the transaction whose answer is out; they must not be returned meanwhile.
+        # Machines named in the transaction whose answer is out; they must not be returned
+        # meanwhile.
         self.in_flight: set[str] = set()
-        # Starts that were just recorded and must not wait for a report, and who tells their machines.
+        # Starts that were just recorded and must not wait for a report, and who tells their
+        # machines.
         self.urgent: dict[str, list[tuple[Key, Attempt]]] = {}
         self.order_now: Callable[[PartRuntime, str, list[tuple[Key, Attempt]]], None] | None = None
-        # Machines on which a gang that gathers has lost a task, by job: its attempt goes on elsewhere.
+        # Machines on which a gang that gathers has lost a task, by job: its attempt goes on
+        # elsewhere.
         self.lost_on: dict[str, tuple[int, set[str]]] = {}
-        # Fewer changes in a transaction than the settings say, once the service has found one too large.
+        # Fewer changes in a transaction than the settings say, once the service has found one too
+        # large.
         self.most_rows: int | None = None
         self.reserved_at: dict[str, datetime] = {}
 
@@ -111,8 +119,8 @@
         return None if job in self.shared.cancelled else self.shared.view.jobs.get(job)
 
     def pending(self) -> list[Pending]:
-        """The queue, in order; worked out anew only when the records have changed or a moment has passed.
-        Callers do not change it."""
+        """The queue, in order; worked out anew only when the records have changed or a moment has
+        passed. Callers do not change it."""
         view, now = self.shared.view, clock.now()
         mark = (view.version, len(self.shared.cancelled))
         if self._queue[0] == mark and now - self._queue[1] < REUSE:
@@ -121,12 +129,22 @@
         out: list[Pending] = []
         for name in view.held.get(self.part, ()):
             job = view.jobs[name]
-            if name in self.shared.cancelled or name in self.backoff and self.backoff[name][1] > now:
+            if (
+                name in self.shared.cancelled
+                or name in self.backoff
+                and self.backoff[name][1] > now
+            ):
                 continue
             tasks = self.unplaced(job)
             if job.spec.gang:
                 if tasks and (item := gangs.waiting(self, job, tasks)) is not None:
-                    out.append(replace(item, guaranteed=name in sure, overdue=name in late.get(job.spec.team, ())))
+                    out.append(
+                        replace(
+                            item,
+                            guaranteed=name in sure,
+                            overdue=name in late.get(job.spec.team, ()),
+                        )
+                    )
                 continue
             tasks = ranges.first(tasks, MAX_PENDING)
             if not tasks:
@@ -138,13 +156,18 @@
             if tasks:
                 out.append(Pending(job, tasks, name in sure))
         wall, deadlines = clock.wall(), self.shared.deadlines
-        out.sort(key=lambda item: policy.rank(item, policy.lateness(item.job, wall, deadlines(item.job.spec))))
+        out.sort(
+            key=lambda item: policy.rank(
+                item, policy.lateness(item.job, wall, deadlines(item.job.spec))
+            )
+        )
         self._queue = (mark, now, out)
         return out
 
     def layout(self, least: int, avoid: frozenset[str]) -> Layout:
-        """The machines with the queue from a priority on laid on them. One layout serves all that is asked
-        of a moment, for in a burst bids come by the dozen; what took long to work out serves longer."""
+        """The machines with the queue from a priority on laid on them. One layout serves all that
+        is asked of a moment, for in a burst bids come by the dozen; what took long to work out
+        serves longer."""
         now, mark = clock.now(), (least, avoid, len(self.booting))
         for key, at, window, layout in self._layouts:
             if key == mark and now - at < window:
@@ -154,12 +177,15 @@
         queue = [item for item in self.pending() if item.job.spec.priority >= least]
         starts = forecast.lay(queue, lines, self.run_seconds, self.most_forecast(lines))
         layout = Layout(lines, starts)
-        self._layouts.append((mark, now, max(REUSE * 2, self.shared.rest(clock.now() - now)), layout))
+        self._layouts.append(
+            (mark, now, max(REUSE * 2, self.shared.rest(clock.now() - now)), layout)
+        )
         return layout
 
     @staticmethod
     def most_forecast(lines: list[Line]) -> int:
-        """How far down the queue a forecast looks: to about where every machine has been filled anew."""
+        """How far down the queue a forecast looks: to about where every machine has been filled
+        anew."""
         return max(128, 6 * len(lines))
 
     def unplaced(self, job: Job) -> Ranges:
@@ -182,9 +208,14 @@
         return ranges.minus(held, ranges.union(work.done, ((n, n + 1) for n in work.run)))
 
     def rooms(self, ended: Container[Key] = (), least: Need | None = None) -> list[Room]:
-        """Machines that may be given work, with what the records leave free on them; `ended`: attempts
-        that the transaction in the making takes out. `least`: only those that have so much room."""
-        now, machine_types, marks = clock.now(), self.shared.machine_types, self.shared.view.marks.get(self.part, {})
+        """Machines that may be given work, with what the records leave free on them; `ended`:
+        attempts that the transaction in the making takes out. `least`: only those that have so much
+        room."""
+        now, machine_types, marks = (
+            clock.now(),
+            self.shared.machine_types,
+            self.shared.view.marks.get(self.part, {}),
+        )
         back: dict[str, list[Need]] = {}
         for key in ended:
             work = self.works().get(key[0])
@@ -203,15 +234,27 @@
             for need in back.get(machine.id, ()):
                 cpus, gpus, memory = cpus + need.cpus, gpus + need.gpus, memory + need.memory
             if least is not None and (
-                least.gpus > gpus + policy.EPS or least.cpus > cpus + policy.EPS or least.memory > memory + policy.EPS
+                least.gpus > gpus + policy.EPS
+                or least.cpus > cpus + policy.EPS
+                or least.memory > memory + policy.EPS
             ):
                 continue
             out.append(
                 Room(
-                    machine.id, machine.machine_type, machine.zone, machine.spot, cpus, gpus, memory, machine.images,
-                    whole, 0.0, machine_type.spot_price if machine.spot else machine_type.price, machine_type.pull,
+                    machine.id,
+                    machine.machine_type,
+                    machine.zone,
+                    machine.spot,
+                    cpus,
+                    gpus,
+                    memory,
+                    machine.images,
+                    whole,
+                    0.0,
+                    machine_type.spot_price if machine.spot else machine_type.price,
+                    machine_type.pull,
                 )
-            )  # fmt: skip
+            )
         return out
 
     def _left(self, machine: str, whole: Need) -> tuple[float, float, float]:
@@ -228,8 +271,8 @@
             and machine.recall_at is None
             and not machine.fencing
             and machine.foreign == 0
-            # Until a machine has carried our token it may be a late copy of a report that we see; one that
-            # we hired in this term and that reports for the first time is no such thing.
+            # Until a machine has carried our token it may be a late copy of a report that we see;
+            # one that we hired in this term and that reports for the first time is no such thing.
             and (machine.ours or machine.expected)
             and machine.fresh(now, silent)
             and len(machine.failures) < self.shared.operator.error_limit
@@ -252,14 +295,21 @@
                     continue
                 if work.job not in lengths:
                     job = self.shared.view.jobs.get(work.job)
-                    lengths[work.job] = None if job is None or job.spec.service else self.run_seconds(job)
+                    lengths[work.job] = (
+                        None if job is None or job.spec.service else self.run_seconds(job)
+                    )
                 run = lengths[work.job]
                 if run is None:
                     continue
                 seen = machine.tasks.get(key)
-                if seen is not None and seen.attempt == attempt.number and seen.running_since is not None:
+                if (
+                    seen is not None
+                    and seen.attempt == attempt.number
+                    and seen.running_since is not None
+                ):
                     spent = (now - seen.running_since).total_seconds()
-                    # An estimate that has been passed says little: the longer it ran, the longer it may.
+                    # An estimate that has been passed says little: the longer it ran, the longer it
+                    # may.
                     left = max(run - spent, 0.25 * spent, 1.0)
                 else:
                     spec = self.shared.view.jobs[work.job].spec
@@ -272,14 +322,19 @@
     # Reports.
 
     def token(self, machine: Machine | None = None) -> int:
-        """What goes out as the token: the term, and below it which of the machine's lives this is, so that
-        what a former life said, however late it comes, is told from what this one says."""
-        return self.tenure.term << records.INCARNATION_BITS | (machine.incarnation if machine is not None else 0)
+        """What goes out as the token: the term, and below it which of the machine's lives this is,
+        so that what a former life said, however late it comes, is told from what this one says."""
+        return self.tenure.term << records.INCARNATION_BITS | (
+            machine.incarnation if machine is not None else 0
+        )
 
     def calm(self, data: Any, now: datetime) -> int | None:
-        """A report that brings nothing new, which nearly all do: known to be answered with no orders by
-        comparing it with the last one. Gives the token to answer with; None: it must be looked at."""
-        machine = self.machines.get(data.get("hitch")) if isinstance(data.get("hitch"), str) else None
+        """A report that brings nothing new, which nearly all do: known to be answered with no
+        orders by comparing it with the last one. Gives the token to answer with; None: it must be
+        looked at."""
+        machine = (
+            self.machines.get(data.get("hitch")) if isinstance(data.get("hitch"), str) else None
+        )
         if machine is None or machine.calm is None:
             return None
         session, seq = data.get("stint"), data.get("tick")
@@ -303,11 +358,13 @@
     async def report(self, report: Report) -> tuple[int, list[dict]] | None:
         """Token and orders for the response; None for a report that is not newer than what we had.
 
-        What a report brings may call for orders: room came free, a machine came up. Its response waits
-        the little while that recording takes, so that the next task starts now and not a report later."""
+        What a report brings may call for orders: room came free, a machine came up. Its response
+        waits the little while that recording takes, so that the next task starts now and not a
+        report later."""
         now = clock.now()
         if report.machine in self.shared.deleted:
-            # A report that was held back on its way: the machine is gone, and must not come to life here.
+            # A report that was held back on its way: the machine is gone, and must not come to life
+            # here.
             return None
         with self.lock:
             machine = self.machines.get(report.machine)
@@ -317,11 +374,15 @@
                 return None
             if machine is None:
                 if report.token >> records.INCARNATION_BITS == self.tenure.term:
-                    # Only machines that we answered in this term carry its token, and we know them all
-                    # until they are deleted: a late copy from a machine that is no more.
+                    # Only machines that we answered in this term carry its token, and we know them
+                    # all until they are deleted: a late copy from a machine that is no more.
                     return None
-                machine = Machine(report.machine, report.address, report.machine_type, report.zone, report.spot)
-                machine.expected = report.machine in self.rented and report.session == 1 and not report.tasks
+                machine = Machine(
+                    report.machine, report.address, report.machine_type, report.zone, report.spot
+                )
+                machine.expected = (
+                    report.machine in self.rented and report.session == 1 and not report.tasks
+                )
                 self.rented.discard(report.machine)
                 self.machines[machine.id] = machine
                 log.info(
@@ -332,7 +393,9 @@
                     spot=machine.spot,
                 )
                 self.wake_up.set()
-            elif report.order <= machine.order or machine.ours and report.token < self.token(machine):
+            elif (
+                report.order <= machine.order or machine.ours and report.token < self.token(machine)
+            ):
                 # A late copy, or a machine that began anew: only the machine itself can tell.
                 machine.doubted = True
                 return None
@@ -357,7 +420,10 @@
         with trio.move_on_after(ANSWER_WAIT.total_seconds()):
             while self.ended < want:
                 await self.step_ended.wait()
-        if self.shared.ownership.tenure(self.part) != self.tenure or machine.incarnation != incarnation:
+        if (
+            self.shared.ownership.tenure(self.part) != self.tenure
+            or machine.incarnation != incarnation
+        ):
             return None
         now = clock.now()
         with self.lock:
@@ -369,7 +435,12 @@
     def _note_calm(self, machine: Machine, report: Report, orders: list[dict]) -> None:
         machine.rows = report.rows
         recorded = self.by_machine().get(machine.id, {})
-        still = not orders and machine.ours and machine.recall_at is None and machine.tasks.keys() == recorded.keys()
+        still = (
+            not orders
+            and machine.ours
+            and machine.recall_at is None
+            and machine.tasks.keys() == recorded.keys()
+        )
         if still and not any(key in self.facts for key in recorded):
             machine.calm = self.shared.view.marks.get(self.part, {}).get(machine.id, 0)
         else:
@@ -383,16 +454,31 @@
         may_start = self.shared.ownership.may_start(now) and not machine.fencing
         jobs = {key[0]: job for key in recorded if (job := self.live(key[0])) is not None}
         orders = fleet.read(
-            machine, report, self.token(machine), recorded, jobs, self.part, self.stops, self.facts, may_start, now
+            machine,
+            report,
+            self.token(machine),
+            recorded,
+            jobs,
+            self.part,
+            self.stops,
+            self.facts,
+            may_start,
+            now,
         )
         self._learn(machine, recorded, now)
         return orders
 
     def begin_incarnation(self, machine: Machine, order: tuple[int, int]) -> None:
-        """The machine itself has shown that it began anew: what its former life said proves nothing any
-        more, and what it held is gone only once a report of this life under its own token lacks it."""
+        """The machine itself has shown that it began anew: what its former life said proves nothing
+        any more, and what it held is gone only once a report of this life under its own token lacks
+        it."""
         with self.lock:
-            log.info("machine-anew", part=self.part, machine=machine.id, incarnation=machine.incarnation + 1)
+            log.info(
+                "machine-anew",
+                part=self.part,
+                machine=machine.id,
+                incarnation=machine.incarnation + 1,
+            )
             machine.begin_anew(order)
         self.wake_up.set()
 
@@ -422,7 +508,10 @@
             if job is None or key in self.stops:
                 continue
             if job.spec.checkpoint > clock.ZERO:
-                grace = min(max(left - timedelta(seconds=1), clock.ZERO), job.spec.save + timedelta(seconds=2))
+                grace = min(
+                    max(left - timedelta(seconds=1), clock.ZERO),
+                    job.spec.save + timedelta(seconds=2),
+                )
                 if job.spec.gang:
                     # All of it saves together, or nothing is saved.
                     gangs.stop_whole(self, job, "notice", now)
@@ -457,7 +546,8 @@
                 try:
                     again = await self.step()
                 except Unavailable:
-                    # Whether it was carried out shows in the records; every later write is conditional.
+                    # Whether it was carried out shows in the records; every later write is
+                    # conditional.
                     await clock.pause(timedelta(milliseconds=200))
                     again = False
                 except Exception:
@@ -484,7 +574,9 @@
             self.stop_dead(now)
             gangs.keep_whole(self, now)
             self._tidy(now)
-            batch = Batch(self.shared.view, self.part, self.tenure, self.shared.settings, self.most_rows)
+            batch = Batch(
+                self.shared.view, self.part, self.tenure, self.shared.settings, self.most_rows
+            )
             more = ends.record_ends(self, batch, now)
             more = starts.start(self, batch, now) or more
             starts.reserve(self, batch, now)
@@ -493,7 +585,9 @@
         rows = list(batch.rows.values())
         self.in_flight = {a.machine for piece in batch.slices.values() for a in piece.run.values()}
         try:
-            revision = await commit(self.shared.state, batch.when, rows, within=timedelta(seconds=3))
+            revision = await commit(
+                self.shared.state, batch.when, rows, within=timedelta(seconds=3)
+            )
         except TooLarge as error:
             # Certainly not carried out, and never would be: next time in smaller pieces.
             log.error("too-large", part=self.part, changes=len(rows), error=str(error))
@@ -517,31 +611,38 @@
         return more
 
     def _order_urgent(self) -> None:
-        """What must start at once is ordered directly, as soon as it is recorded; the rest with the next report."""
+        """What must start at once is ordered directly, as soon as it is recorded; the rest with the
+        next report."""
         urgent, self.urgent = self.urgent, {}
         if self.order_now is not None:
             for machine, rows in urgent.items():
                 self.order_now(self, machine, rows)
 
     async def _settle(self) -> bool:
-        """A transaction without an answer may be carried out late. Starts are bounded by what is set aside
-        and not by the team's record, so a late one would come on top of what was started since. Before
-        anything else is written, one of its conditions is made false for good, or the records show that it
-        was carried out."""
+        """A transaction without an answer may be carried out late. Starts are bounded by what is
+        set aside and not by the team's record, so a late one would come on top of what was started
+        since. Before anything else is written, one of its conditions is made false for good, or the
+        records show that it was carried out."""
         view, unsettled = self.shared.view, self.unsettled
         with trio.move_on_after(2):
             await self.shared.reader.sync()
-            if any(view.mod_revision(key) != mod_revision for key, mod_revision in unsettled.items()):
+            if any(
+                view.mod_revision(key) != mod_revision for key, mod_revision in unsettled.items()
+            ):
                 self.unsettled = {}
                 return True
             for key, mod_revision in unsettled.items():
-                value = view.value(key) if mod_revision and key != records.term_key(self.part) else None
+                value = (
+                    view.value(key) if mod_revision and key != records.term_key(self.part) else None
+                )
                 if value is None:
                     continue
                 when = {key: mod_revision, records.term_key(self.part): self.tenure.mod_revision}
                 rows = [put(key, value)]
                 try:
-                    revision = await commit(self.shared.state, when, rows, within=timedelta(seconds=1.5))
+                    revision = await commit(
+                        self.shared.state, when, rows, within=timedelta(seconds=1.5)
+                    )
                 except (Conflict, Unavailable):
                     return False
                 view.applied(rows, revision)
@@ -556,9 +657,15 @@
 
     def _tidy(self, now: datetime) -> None:
         for rows in (self.facts, self.stops):
-            for key in [k for k, row in rows.items() if (a := self._recorded(k)) is None or a.number != row.attempt]:
+            for key in [
+                k
+                for k, row in rows.items()
+                if (a := self._recorded(k)) is None or a.number != row.attempt
+            ]:
                 del rows[key]
-        for job in [job for job, (attempt, _) in self.lost_on.items() if gangs.number(self, job) != attempt]:
+        for job in [
+            job for job, (attempt, _) in self.lost_on.items() if gangs.number(self, job) != attempt
+        ]:
             del self.lost_on[job]
         for job, pairs in list(self.avoid.items()):
             for machine in [m for m, until in pairs.items() if until <= now]:
@@ -567,15 +674,22 @@
                 del self.avoid[job]
         if self.reservations:
             waiting = {item.job.id for item in self.left}
-            for name in [n for n, (job, until) in self.reservations.items() if until <= now or job not in waiting]:
+            for name in [
+                n
+                for n, (job, until) in self.reservations.items()
+                if until <= now or job not in waiting
+            ]:
                 del self.reservations[name]
-        for job in [j for j, (_, until) in self.backoff.items() if until + timedelta(minutes=5) < now]:
+        for job in [
+            j for j, (_, until) in self.backoff.items() if until + timedelta(minutes=5) < now
+        ]:
             del self.backoff[job]
 
     # Gone for certain.
 
     def gone(self, machine: str, cause: str) -> None:
-        """Proof from outside a report: the cloud's answer to a deletion, or a lease that ran out."""
+        """Proof from outside a report: the cloud's answer to a deletion, or a lease that ran
+        out."""
         with self.lock:
             for key, (_, attempt) in self.by_machine().get(machine, {}).items():
                 self.facts.setdefault(key, Fact(attempt.number, machine, False, cause))
--- a/roadbend/placement/shared.py
+++ b/roadbend/placement/shared.py
@@ -14,9 +14,11 @@
 from roadbend.store.records import Job, Spec
 from roadbend.store.view import Reader, View
 
-# For how many times as long as it took to work out a layout or a round of hiring it serves, with a whole core.
+# For how many times as long as it took to work out a layout or a round of hiring it serves, with a
+# whole core.
 REST = 12
-# Most cancellations remembered that peers told of, beside those whose jobs the records still name as live.
+# Most cancellations remembered that peers told of, beside those whose jobs the records still name
+# as live.
 MAX_CANCELLED = 4096
 
 
@@ -44,15 +46,17 @@
     factors: dict[str, float] = field(default_factory=dict)
 
     def rest(self, took: timedelta) -> timedelta:
-        """For how long what took so long to work out serves before it is worked out anew. Of a core of which we
-        have a quarter it may take a quarter of what it might of a whole one; a controller that holds the parts
-        of others, too, looks at each of them less often. So reports are still answered."""
+        """For how long what took so long to work out serves before it is worked out anew. Of a core
+        of which we have a quarter it may take a quarter of what it might of a whole one; a
+        controller that holds the parts of others, too, looks at each of them less often. So reports
+        are still answered."""
         return took * (REST / self.settings.cpu * max(1, len(self.ownership.tenures)))
 
     def cancel(self, jobs: Iterable[str]) -> bool:
-        """Takes in what peers told their users; says whether any of it is news. Once the records have ceased to
-        name a job as live they say it all, so only those beyond the bound that they don't name are dropped: one
-        that still runs here is never forgotten, however many are called off in an outage."""
+        """Takes in what peers told their users; says whether any of it is news. Once the records
+        have ceased to name a job as live they say it all, so only those beyond the bound that they
+        don't name are dropped: one that still runs here is never forgotten, however many are called
+        off in an outage."""
         now, news = clock.now(), [job for job in jobs if job not in self.cancelled]
         for job in news:
             self.cancelled[job] = now
@@ -67,17 +71,23 @@
         return self.factors.get(job_class, 1.0)
 
     def start_within(self, spec: Spec) -> timedelta | None:
-        """How soon a task should start, where an aim says so, of its class or of work in a guarantee."""
+        """How soon a task should start, where an aim says so, of its class or of work in a
+        guarantee."""
         rows = [
             o.within
             for o in self.settings.objectives
-            if o.within is not None and (o.kind == "wait" and o.job_class == spec.job_class or o.kind == "guarantee")
+            if o.within is not None
+            and (o.kind == "wait" and o.job_class == spec.job_class or o.kind == "guarantee")
         ]
         return min(rows, default=None) if spec.service or spec.gang else None
 
     def deadlines(self, spec: Spec) -> tuple[float, ...]:
         """The times of its due time at which a job's aims count, the first one first."""
-        rows = {o.times for o in self.settings.objectives if o.kind == "deadline" and o.job_class == spec.job_class}
+        rows = {
+            o.times
+            for o in self.settings.objectives
+            if o.kind == "deadline" and o.job_class == spec.job_class
+        }
         return tuple(sorted(x for x in rows if x >= 1.0)) or (1.0,)
 
     def patience(self, spec: Spec, boot: timedelta) -> timedelta:
@@ -95,7 +105,10 @@
 
     def guaranteed(self) -> set[str]:
         if self.guarantee[0] != self.view.membership:
-            self.guarantee = (self.view.membership, within_guarantee(self.view.jobs.values(), self.settings))
+            self.guarantee = (
+                self.view.membership,
+                within_guarantee(self.view.jobs.values(), self.settings),
+            )
         return self.guarantee[1]
 
     def begun(self, job: Job) -> bool:
@@ -103,14 +116,18 @@
         return bool(job.done) or any(work is not None and (work.run or work.done) for work in rows)
 
     def overdue(self, now: datetime) -> dict[str, dict[str, int]]:
-        """Team -> jobs that have begun nothing for long, with their priority. Whatever the order of work
-        is, such a job comes next, and other parts leave its team's room to it; but not for ever, for it
-        may be one that no machine can be had for."""
+        """Team -> jobs that have begun nothing for long, with their priority. Whatever the order of
+        work is, such a job comes next, and other parts leave its team's room to it; but not for
+        ever, for it may be one that no machine can be had for."""
         if now - self.overdue_at >= timedelta(seconds=1):
             self.overdue_at, wall, limit = now, clock.wall(), self.operator.begin_within
             self.overdue_jobs = {}
             for job in self.view.jobs.values():
-                if limit <= wall - job.at < limit * 3 and job.id not in self.cancelled and not self.begun(job):
+                if (
+                    limit <= wall - job.at < limit * 3
+                    and job.id not in self.cancelled
+                    and not self.begun(job)
+                ):
                     self.overdue_jobs.setdefault(job.spec.team, {})[job.id] = job.spec.priority
         return self.overdue_jobs
 
@@ -120,7 +137,8 @@
         return None if row is None else (row.cpus_max or float("inf"), row.gpus_max or float("inf"))
 
     def most_for(self, team: str, part: str) -> tuple[float, float] | None:
-        """What a part may use for a team at most: the limit less what other parts have set aside."""
+        """What a part may use for a team at most: the limit less what other parts have set
+        aside."""
         most = self.limits(team)
         if most is None:
             return None
--- a/roadbend/placement/starts.py
+++ b/roadbend/placement/starts.py
@@ -1,4 +1,5 @@
-"""Starts: which of what waits goes where now, within teams' limits; room that is made by preemption."""
+"""Starts: which of what waits goes where now, within teams' limits; room that is made by
+preemption."""
 
 from __future__ import annotations
 
@@ -24,7 +25,8 @@
 log = Log("placement")
 # How long room that is being made is kept for the task that it is made for.
 RESERVATION_LIFETIME = timedelta(seconds=15)
-# How long what waits for a machine keeps its team's limit from lesser work, and what is set aside from other parts.
+# How long what waits for a machine keeps its team's limit from lesser work, and what is set aside
+# from other parts.
 HOLD = timedelta(seconds=20)
 # For how long a job leaves its team's room to one of another part that has begun nothing.
 YIELD = timedelta(seconds=30)
@@ -41,20 +43,27 @@
     if not queue:
         runtime.left = []
         return False
-    # Most machines are full. Only services that must start soon look at those, for what could be cleared there.
+    # Most machines are full. Only services that must start soon look at those, for what could be
+    # cleared there.
     soon = any(runtime.shared.start_within(item.job.spec) is not None for item in queue)
     least = None if soon else policy.least_of(item.job.spec.need for item in queue)
     rooms = runtime.rooms(batch.ended, least)
     hold_back(runtime, queue)
     image_first(runtime, queue, rooms)
     overdue = runtime.shared.overdue(now)
-    limits = Allowance(partial(team_left, runtime, batch), lambda job: now - runtime.queued.get(job, now) < HOLD)
+    limits = Allowance(
+        partial(team_left, runtime, batch), lambda job: now - runtime.queued.get(job, now) < HOLD
+    )
     placed, left, more = policy.place(
         [item for item in queue if not yields(runtime, item, overdue)],
         rooms,
         batch.free,
         partial(bars, runtime)
-        if runtime.avoid or runtime.reservations or runtime.withheld_types or runtime.without_image or runtime.lost_on
+        if runtime.avoid
+        or runtime.reservations
+        or runtime.withheld_types
+        or runtime.without_image
+        or runtime.lost_on
         else None,
         limits,
     )
@@ -62,7 +71,11 @@
     groups: dict[tuple[str, int], list[tuple[Pending, int, Room]]] = {}
     for item, task_index, room in placed:
         work = runtime.works().get(item.job.id)
-        at = task_index // runtime.width if work is None else work.shard_of(task_index, runtime.width)
+        at = (
+            task_index // runtime.width
+            if work is None
+            else work.shard_of(task_index, runtime.width)
+        )
         # The tasks of a gang go into one transaction, whatever shards they are in.
         at = -1 if item.job.spec.gang else at
         groups.setdefault((item.job.id, at), []).append((item, task_index, room))
@@ -82,18 +95,26 @@
         batch.charge(team, job.spec.need, len(rows))
         runtime.waits.append(now - runtime.queued.get(name, now))
         if job.spec.gang or runtime.shared.start_within(job.spec) is not None:
-            batch.after.append(partial(order_directly, runtime, pieces, {task_index for _, task_index, _ in rows}))
+            batch.after.append(
+                partial(order_directly, runtime, pieces, {task_index for _, task_index, _ in rows})
+            )
         for _, task_index, room in rows:
             log.debug(
-                "start", part=runtime.part, task=f"{name}/{task_index}", machine=room.id,
-                wait=f"{(clock.wall() - job.at).total_seconds():.1f}", cached=job.spec.image in room.images,
-            )  # fmt: skip
+                "start",
+                part=runtime.part,
+                task=f"{name}/{task_index}",
+                machine=room.id,
+                wait=f"{(clock.wall() - job.at).total_seconds():.1f}",
+                cached=job.spec.image in room.images,
+            )
     if runtime.left and not more:
         preempt(runtime, batch, rooms, least is None, now)
     return more
 
 
-def fill(runtime: PartRuntime, batch: Batch, job: Job, rows: list[tuple[Pending, int, Room]]) -> list[Slice]:
+def fill(
+    runtime: PartRuntime, batch: Batch, job: Job, rows: list[tuple[Pending, int, Room]]
+) -> list[Slice]:
     """The slices with the new attempts; a gang's tasks have one attempt number."""
     work, pieces = runtime.works().get(job.id), {}
     common = None
@@ -103,11 +124,17 @@
             runtime.seq += 1
             common = (runtime.tenure.term << 32) | runtime.seq
     for _, task_index, room in rows:
-        at = task_index // runtime.width if work is None else work.shard_of(task_index, runtime.width)
+        at = (
+            task_index // runtime.width
+            if work is None
+            else work.shard_of(task_index, runtime.width)
+        )
         piece = pieces.get(at) or batch.slice(job.id, job.spec.team, job.spec.need, at)
         if common is None:
             runtime.seq += 1
-        attempt = Attempt((runtime.tenure.term << 32) | runtime.seq if common is None else common, room.id)
+        attempt = Attempt(
+            (runtime.tenure.term << 32) | runtime.seq if common is None else common, room.id
+        )
         pieces[at] = replace(piece, run={**piece.run, task_index: attempt})
     return list(pieces.values())
 
@@ -116,11 +143,14 @@
     for piece in pieces:
         for task_index in tasks & piece.run.keys():
             attempt = piece.run[task_index]
-            runtime.urgent.setdefault(attempt.machine, []).append(((piece.job, task_index), attempt))
+            runtime.urgent.setdefault(attempt.machine, []).append(
+                ((piece.job, task_index), attempt)
+            )
 
 
 def team_left(runtime: PartRuntime, batch: Batch, team: str) -> tuple[float, float] | None:
-    """What a team's limit leaves this part, after what the transaction in the making starts and ends."""
+    """What a team's limit leaves this part, after what the transaction in the making starts and
+    ends."""
     most = runtime.shared.most_for(team, runtime.part)
     if most is None:
         return None
@@ -129,8 +159,8 @@
 
 
 def within(limits: Allowance, items: Iterable[Pending]) -> list[Pending]:
-    """As much of the items, in their order, as the teams' limits permit all together: no room is made, and no
-    machine hired, for what could not use it."""
+    """As much of the items, in their order, as the teams' limits permit all together: no room is
+    made, and no machine hired, for what could not use it."""
     out = []
     for item in items:
         item = limits.cut(item)
@@ -148,7 +178,8 @@
         return False
     view, here = runtime.shared.view, item.job.spec
     scarce = runtime.shared.room_left(here, runtime.part) < 2 * item.count
-    # Only for so long: one that has not begun by then waits for something else than the team's room.
+    # Only for so long: one that has not begun by then waits for something else than the team's
+    # room.
     since = clock.wall() - runtime.shared.operator.begin_within - YIELD
     return scarce and any(
         priority >= here.priority and runtime.part not in view.jobs[name].alloc
@@ -157,7 +188,9 @@
     )
 
 
-def set_aside(runtime: PartRuntime, batch: Batch, team: str, need: Need, tasks: int, keys: list[str]) -> bool:
+def set_aside(
+    runtime: PartRuntime, batch: Batch, team: str, need: Need, tasks: int, keys: list[str]
+) -> bool:
     """Sees to it that the team's record sets enough aside for this part, in the same transaction.
     Some more than is needed is taken while there is plenty, so that parts seldom meet there."""
     limits, team_key = runtime.shared.limits(team), records.team_key(team)
@@ -186,11 +219,15 @@
     waiting: dict[str, tuple[float, float]] = {}
     overdue = runtime.shared.overdue(now)
     for item in runtime.pending():
-        # What has waited here for longer may wait for a machine that can't be had; other parts may have room.
+        # What has waited here for longer may wait for a machine that can't be had; other parts may
+        # have room.
         if now - runtime.queued.get(item.job.id, now) < HOLD and not yields(runtime, item, overdue):
             spec = item.job.spec
             cpus, gpus = waiting.get(spec.team, (0.0, 0.0))
-            waiting[spec.team] = (cpus + item.count * spec.need.cpus, gpus + item.count * spec.need.gpus)
+            waiting[spec.team] = (
+                cpus + item.count * spec.need.cpus,
+                gpus + item.count * spec.need.gpus,
+            )
     for name, use in view.teams.items():
         have = use.parts.get(runtime.part)
         key, limits = records.team_key(name), runtime.shared.limits(name)
@@ -206,10 +243,14 @@
         if not pressed and (any(u > policy.EPS for u in used) or name in waiting):
             continue
         fresh = [min(h, u + w) for h, u, w in zip(have, used, wants, strict=True)]
-        if all(h - f <= policy.EPS for h, f in zip(have, fresh, strict=True)) or not batch.room_for(key):
+        if all(h - f <= policy.EPS for h, f in zip(have, fresh, strict=True)) or not batch.room_for(
+            key
+        ):
             continue
         runtime.reserved_at[name] = now
-        batch.set_team(use.with_part(runtime.part, *(max(f, u) for f, u in zip(fresh, used, strict=True))))
+        batch.set_team(
+            use.with_part(runtime.part, *(max(f, u) for f, u in zip(fresh, used, strict=True)))
+        )
 
 
 def hold_back(runtime: PartRuntime, queue: list[Pending]) -> None:
@@ -224,16 +265,22 @@
             and job.id not in runtime.withheld_types
             and wall - job.at < runtime.shared.patience(job.spec, boot)
         ):
-            dear = renting.expensive_machine_types(job, machine_types, runtime.shared.operator.dear, runtime.part)
+            dear = renting.expensive_machine_types(
+                job, machine_types, runtime.shared.operator.dear, runtime.part
+            )
             if dear:
                 runtime.withheld_types[job.id] = frozenset(dear)
 
 
 def image_first(runtime: PartRuntime, queue: list[Pending], rooms: list[Room]) -> None:
-    """A service that would be late by its fetch keeps off machines without its image for a moment, where
-    one that has the image can be cleared for it sooner: images lead placement, also against free room."""
+    """A service that would be late by its fetch keeps off machines without its image for a moment,
+    where one that has the image can be cleared for it sooner: images lead placement, also against
+    free room."""
     runtime.without_image = {}
-    wall, pulls = clock.wall(), [machine_type.pull for machine_type in runtime.shared.machine_types.values()]
+    wall, pulls = (
+        clock.wall(),
+        [machine_type.pull for machine_type in runtime.shared.machine_types.values()],
+    )
     for item in queue:
         spec = item.job.spec
         within = runtime.shared.start_within(spec)
@@ -244,7 +291,9 @@
         if left < within * 0.4 or fetch + runtime.shared.settings.report_every / 2 < left:
             continue
         if any(clearable(runtime, room, spec) for room in rooms if spec.image in room.images):
-            runtime.without_image[item.job.id] = {room.id for room in rooms if spec.image not in room.images}
+            runtime.without_image[item.job.id] = {
+                room.id for room in rooms if spec.image not in room.images
+            }
 
 
 def clearable(runtime: PartRuntime, room: Room, spec: Spec) -> bool:
@@ -255,13 +304,17 @@
     for key, (work, _) in runtime.by_machine().get(room.id, {}).items():
         job = runtime.live(key[0])
         if job is not None and job.spec.priority < spec.priority:
-            cpus, gpus, memory = cpus + work.need.cpus, gpus + work.need.gpus, memory + work.need.memory
+            cpus, gpus, memory = (
+                cpus + work.need.cpus,
+                gpus + work.need.gpus,
+                memory + work.need.memory,
+            )
     return spec.need.cpus <= cpus and spec.need.gpus <= gpus and spec.need.memory <= memory
 
 
 def bars(runtime: PartRuntime, item: Pending) -> tuple[Container[str], Container[str]]:
-    """Machines and types that an item keeps off: those where its job just failed, and room that is being
-    made for other work, which is not filled while its victims go."""
+    """Machines and types that an item keeps off: those where its job just failed, and room that is
+    being made for other work, which is not filled while its victims go."""
     name = item.job.id
     reserved = {machine for machine, (job, _) in runtime.reservations.items() if job != name}
     if name in runtime.lost_on:
@@ -272,7 +325,9 @@
     ), runtime.withheld_types.get(name, ())
 
 
-def preempt(runtime: PartRuntime, batch: Batch, rooms: list[Room], all_of_them: bool, now: datetime) -> None:
+def preempt(
+    runtime: PartRuntime, batch: Batch, rooms: list[Room], all_of_them: bool, now: datetime
+) -> None:
     waiting = [item for item in runtime.left if item.job.spec.priority > 0 or item.guaranteed]
     if not waiting:
         return
@@ -299,7 +354,8 @@
                 if loss is None:
                     rows_of = runtime.works()[job.id].run.items()
                     loss = sum(
-                        work_lost(runtime, (job.id, task_index), other, job, now) for task_index, other in rows_of
+                        work_lost(runtime, (job.id, task_index), other, job, now)
+                        for task_index, other in rows_of
                     )
                     losses[job.id] = loss
             else:
@@ -322,7 +378,11 @@
         for _ in range(item.count - made):
             if most <= 0:
                 return
-            open_to = [room for room in rooms if room.machine_type not in kept_from and room.id not in without_image]
+            open_to = [
+                room
+                for room in rooms
+                if room.machine_type not in kept_from and room.id not in without_image
+            ]
             found = policy.victims(item, open_to, running)
             if found is None:
                 break
@@ -333,10 +393,14 @@
             most -= 1
 
 
-def stop_for(runtime: PartRuntime, item: Pending, room: Room, chosen: list[Victim], now: datetime) -> None:
+def stop_for(
+    runtime: PartRuntime, item: Pending, room: Room, chosen: list[Victim], now: datetime
+) -> None:
     for victim in chosen:
         key, attempt, job = victim.handle
-        log.info("preempt", part=runtime.part, task=f"{key[0]}/{key[1]}", machine=room.id, by=item.job.id)
+        log.info(
+            "preempt", part=runtime.part, task=f"{key[0]}/{key[1]}", machine=room.id, by=item.job.id
+        )
         if job.spec.gang:
             gangs.stop_whole(runtime, job, "preempted", now)
             continue
@@ -353,7 +417,8 @@
     running: dict[str, list[Victim]],
     now: datetime,
 ) -> set[str]:
-    """Room for all of a gang, or nothing is stopped for it. What it needs is kept for it together, free room too."""
+    """Room for all of a gang, or nothing is stopped for it. What it needs is kept for it together,
+    free room too."""
     need = item.job.spec.need
     free = {r.id: r.count(need) for r in all_rooms if r.id not in runtime.reservations}
     allowed = {r.id for r in all_rooms if policy.allowed(item.job, r.machine_type, r.zone, r.spot)}
--- a/roadbend/placement/test_placement.py
+++ b/roadbend/placement/test_placement.py
@@ -18,7 +18,9 @@
 
 def pending(number=1, count=1, guaranteed=False, age=0, **changes) -> Pending:
     name, spec = read_submission(job(number, **changes))
-    return Pending(Job(name, spec, clock.wall() - timedelta(seconds=age)), ((0, count),), guaranteed)
+    return Pending(
+        Job(name, spec, clock.wall() - timedelta(seconds=age)), ((0, count),), guaranteed
+    )
 
 
 def room(name, cpus=24.0, gpus=2.0, memory=144.0, spot=False, images=(), **more) -> Room:
@@ -74,7 +76,10 @@
 
     def order(*items):
         return [
-            item.job.id for item in sorted(items, key=lambda i: policy.rank(i, policy.lateness(i.job, wall, times)))
+            item.job.id
+            for item in sorted(
+                items, key=lambda i: policy.rank(i, policy.lateness(i.job, wall, times))
+            )
         ]
 
     lost = pending(1, age=200, expectedS=20.0, dueS=100.0)
@@ -85,7 +90,10 @@
     # What has begun nothing for long, and what is within its team's guarantee, still goes first.
     overdue = Pending(lost.job, lost.tasks, False, True)
     assert order(first, overdue) == ["run-000001", "run-000003"]
-    assert order(first, pending(4, guaranteed=True, age=200, dueS=100.0)) == ["run-000004", "run-000003"]
+    assert order(first, pending(4, guaranteed=True, age=200, dueS=100.0)) == [
+        "run-000004",
+        "run-000003",
+    ]
     # Nothing but the job itself and the time of day is asked: parts can't disagree about it.
     assert policy.lateness(pending(5, age=500, dueS=None).job, wall, times) == 0
 
@@ -97,7 +105,10 @@
     assert stopped(pending(rank="best_effort"), full, rows) is None
     assert stopped(pending(rank="production"), full, rows) == ("a", ["normal"])
     beyond = {"a": [victim("borrowed", 3, 30.0, beyond=True)]}
-    assert stopped(pending(rank="best_effort", guaranteed=True), full, beyond) == ("a", ["borrowed"])
+    assert stopped(pending(rank="best_effort", guaranteed=True), full, beyond) == (
+        "a",
+        ["borrowed"],
+    )
     assert stopped(pending(rank="best_effort"), full, beyond) is None
     # Its own team's work is not stopped for a guarantee.
     assert stopped(pending(rank="best_effort", guaranteed=True, crew="blue"), full, beyond) is None
@@ -126,12 +137,16 @@
 
 def test_the_forecast_counts_a_fetch_only_where_the_image_is_missing():
     item = pending(imageGb=40.0)
-    without_image, warm = Line(room("cold", pull=0.5)), Line(room("warm", pull=0.5, images=["img-1"], ready_in=20.0))
+    without_image, warm = (
+        Line(room("cold", pull=0.5)),
+        Line(room("warm", pull=0.5, images=["img-1"], ready_in=20.0)),
+    )
     assert forecast.earliest(item.job, [without_image, warm]) == (20.0, warm)
     without_image.put(item.job, 0.0, 10.0)
     # The image is on its way; the next task of this job begins there at once.
     assert (
-        without_image.releases[0][0] == 90.0 and forecast.earliest(item.job, [without_image, warm])[1] is without_image
+        without_image.releases[0][0] == 90.0
+        and forecast.earliest(item.job, [without_image, warm])[1] is without_image
     )
 
 
@@ -158,26 +173,41 @@
 
 
 def test_the_forecast_finds_the_same_places_as_one_that_looks_at_every_machine():
-    """Lines are looked at only as far as a sooner place may be; half of the processor time went there."""
+    """Lines are looked at only as far as a sooner place may be; half of the processor time went
+    there."""
     rng = random.Random(11)
     for _ in range(60):
         lines = []
         for n in range(rng.randrange(1, 25)):
             room_ = room(
-                f"m-{n}", rng.choice((0, 6, 12, 24)), rng.choice((0, 1, 2)), 144.0, rng.random() < 0.5, pull=1.0
+                f"m-{n}",
+                rng.choice((0, 6, 12, 24)),
+                rng.choice((0, 1, 2)),
+                144.0,
+                rng.random() < 0.5,
+                pull=1.0,
             )
             room_.images = frozenset(rng.sample(("img-1", "img-2", "img-3"), rng.randrange(3)))
             room_.ready_in = rng.choice((0.0, 0.0, 0.0, rng.uniform(1, 40)))
-            ends = [(rng.uniform(1, 90), Need(rng.choice((6.0, 12.0)), 1, 0)) for _ in range(rng.randrange(3))]
+            ends = [
+                (rng.uniform(1, 90), Need(rng.choice((6.0, 12.0)), 1, 0))
+                for _ in range(rng.randrange(3))
+            ]
             lines.append(Line(room_, sorted(ends, key=lambda row: row[0])))
         queue = [
             pending(
-                n, rng.randrange(1, 9), vcpus=rng.choice((5.0, 8.0, 11.5)), bundle=f"img-{rng.randrange(1, 4)}",
-                imageGb=rng.uniform(1, 20), loaners=rng.random() < 0.7, legs=9,
-                shape=rng.choice(("batch", "daemon")), dueS=None,
+                n,
+                rng.randrange(1, 9),
+                vcpus=rng.choice((5.0, 8.0, 11.5)),
+                bundle=f"img-{rng.randrange(1, 4)}",
+                imageGb=rng.uniform(1, 20),
+                loaners=rng.random() < 0.7,
+                legs=9,
+                shape=rng.choice(("batch", "daemon")),
+                dueS=None,
             )
             for n in range(1, rng.randrange(2, 9))
-        ]  # fmt: skip
+        ]
 
         def run(job):
             return forecast.run_seconds(job, 1.0)
@@ -190,7 +220,9 @@
     """What each of many jobs costs must not be a look at each of many machines."""
 
     def cost(machines):
-        lines = [Line(room(f"m-{n}", gpus=0.0), [(10.0 + n, Need(8, 1, 40))]) for n in range(machines)]
+        lines = [
+            Line(room(f"m-{n}", gpus=0.0), [(10.0 + n, Need(8, 1, 40))]) for n in range(machines)
+        ]
         queue = [pending(n, 2, legs=2) for n in range(1, 41)]
         return calls(lambda: forecast.lay(queue, lines, lambda _: 500.0, 9999))
 
--- a/roadbend/rental/cloud.py
+++ b/roadbend/rental/cloud.py
@@ -89,8 +89,9 @@
     """Over the limit, the cloud is out, or the reason has passed: not executed."""
 
 
-# Whether there is still reason for a call, asked right before it goes out: it may have waited for its turn,
-# and the process may have stood still meanwhile while another controller took the part over.
+# Whether there is still reason for a call, asked right before it goes out: it may have waited for
+# its turn, and the process may have stood still meanwhile while another controller took the part
+# over.
 Still = Callable[[], bool]
 
 
@@ -136,7 +137,9 @@
         if still is not None and not still():
             raise Busy("no longer")
         self._bucket.spend(1)
-        status, answer = await self._client.request(method, target, body, within=timedelta(seconds=5))
+        status, answer = await self._client.request(
+            method, target, body, within=timedelta(seconds=5)
+        )
         if status == 503 and isinstance(answer, dict) and answer.get("error") == "no capacity":
             raise NoCapacity
         if status == 429:
@@ -150,7 +153,9 @@
     async def catalog(self) -> dict[str, MachineType]:
         answer = await self._call("GET", "/catalog", rank=CATALOG)
         try:
-            machine_types = read_machine_types(answer.get("rigs") if isinstance(answer, dict) else None)
+            machine_types = read_machine_types(
+                answer.get("rigs") if isinstance(answer, dict) else None
+            )
         except Malformed as error:
             raise NoAnswer(f"nonsense: {error}") from None
         if not machine_types:
@@ -158,7 +163,13 @@
         return machine_types
 
     async def rent(
-        self, name: str, machine_type: str, zone: str, spot: bool, count: int, still: Still | None = None
+        self,
+        name: str,
+        machine_type: str,
+        zone: str,
+        spot: bool,
+        count: int,
+        still: Still | None = None,
     ) -> list[str]:
         body = {"hire": name, "rig": machine_type, "yard": zone, "loaners": spot, "howMany": count}
         answer = await self._call("POST", "/machines", body, rank=HIRE, still=still)
@@ -167,14 +178,19 @@
             raise NoAnswer("nonsense: hire")
         return rows
 
-    async def delete(self, names: list[str], urgent: bool = False, still: Still | None = None) -> None:
+    async def delete(
+        self, names: list[str], urgent: bool = False, still: Still | None = None
+    ) -> None:
         """Returns when all of them are gone; where it raises, none is proven gone."""
         for at in range(0, len(names), MAX_NAMES):
             body = {"hitches": names[at : at + MAX_NAMES]}
-            await self._call("POST", "/machines/delete", body, rank=RETURN, urgent=urgent, still=still)
+            await self._call(
+                "POST", "/machines/delete", body, rank=RETURN, urgent=urgent, still=still
+            )
 
     def list_pause(self, machines: int) -> timedelta:
-        """How often the list is read, of several pages at every controller: for a quarter of the calls."""
+        """How often the list is read, of several pages at every controller: for a quarter of the
+        calls."""
         pages = 1 + machines // 500
         return timedelta(seconds=max(4.0, pages * self.sharers / (0.25 * self.rps)))
 
--- a/roadbend/rental/policy.py
+++ b/roadbend/rental/policy.py
@@ -14,7 +14,8 @@
 ROUNDS = 1.5
 # How much more a place may cost, times the least, when a task would be late on anything.
 HASTE = 1.6
-# And how much more, times the least, work that is late hires at all the same: it holds up what comes behind it.
+# And how much more, times the least, work that is late hires at all the same: it holds up what
+# comes behind it.
 LATE_PAYS = 3.0
 
 
@@ -27,7 +28,9 @@
     price: float
 
 
-def options(machine_types: Iterable[MachineType], part: str, refused: set[tuple[str, bool]]) -> list[Option]:
+def options(
+    machine_types: Iterable[MachineType], part: str, refused: set[tuple[str, bool]]
+) -> list[Option]:
     out = []
     for machine_type in machine_types:
         if part not in machine_type.zones:
@@ -41,14 +44,23 @@
 def empty_room(name: str, option: Option, part: str) -> Room:
     room = option.machine_type.room
     return Room(
-        name, option.machine_type.name, part, option.spot, room.cpus, room.gpus, room.memory,
-        total=room, ready_in=option.machine_type.startup.total_seconds(), price=option.price, pull=option.machine_type.pull,
-    )  # fmt: skip
+        name,
+        option.machine_type.name,
+        part,
+        option.spot,
+        room.cpus,
+        room.gpus,
+        room.memory,
+        total=room,
+        ready_in=option.machine_type.startup.total_seconds(),
+        price=option.price,
+        pull=option.machine_type.pull,
+    )
 
 
 def cost(item: Pending, option: Option, part: str, alike: int) -> float | None:
-    """Price a task. An array fills a machine only as far as it has tasks, and pays for boot and fetch
-    over a few rounds of its run; a service stays, and what comes later fills the rest."""
+    """Price a task. An array fills a machine only as far as it has tasks, and pays for boot and
+    fetch over a few rounds of its run; a service stays, and what comes later fills the rest."""
     if not allowed(item.job, option.machine_type.name, part, option.spot):
         return None
     count = empty_room("", option, part).count(item.job.spec.need)
@@ -65,13 +77,16 @@
 
 def cheapest(item: Pending, choices: list[Option], part: str, alike: int) -> Option | None:
     priced = [
-        (price, at) for at, option in enumerate(choices) if (price := cost(item, option, part, alike)) is not None
+        (price, at)
+        for at, option in enumerate(choices)
+        if (price := cost(item, option, part, alike)) is not None
     ]
     return choices[min(priced)[1]] if priced else None
 
 
 def least_cost(item: Pending, machine_types: Iterable[MachineType], alike: int) -> float | None:
-    """The least price a task in any zone, whether it can be had or not: what is dear is told by it."""
+    """The least price a task in any zone, whether it can be had or not: what is dear is told by
+    it."""
     machine_types = list(machine_types)
     prices = [
         price
@@ -82,14 +97,21 @@
     return min(prices, default=None)
 
 
-def expensive_machine_types(job: Job, machine_types: Iterable[MachineType], dear: float, part: str) -> set[str]:
-    """Types on which a task of this job costs over `dear` times the least, when machines are full. A job
-    that must spread over zones can't go where the cheap type is: there only this part's types compare."""
+def expensive_machine_types(
+    job: Job, machine_types: Iterable[MachineType], dear: float, part: str
+) -> set[str]:
+    """Types on which a task of this job costs over `dear` times the least, when machines are full.
+    A job that must spread over zones can't go where the cheap type is: there only this part's types
+    compare."""
     prices: dict[str, float] = {}
     if job.spec.zone_cap < job.spec.task_count:
-        machine_types = [machine_type for machine_type in machine_types if part in machine_type.zones]
+        machine_types = [
+            machine_type for machine_type in machine_types if part in machine_type.zones
+        ]
     for machine_type in machine_types:
-        for option in options([machine_type], machine_type.zones[0], set()) if machine_type.zones else ():
+        for option in (
+            options([machine_type], machine_type.zones[0], set()) if machine_type.zones else ()
+        ):
             price = cost(Pending(job, 0, False), option, machine_type.zones[0], 1_000_000)
             if price is not None:
                 prices[machine_type.name] = min(price, prices.get(machine_type.name, price))
@@ -106,21 +128,29 @@
     slack: float
     image_gb: float = 0.0
     avoid: frozenset[str] = frozenset()
-    # The slack to the later deadlines at which the job's aims count, and what a place costs at the least,
-    # in any zone and whether it can be had or not.
+    # The slack to the later deadlines at which the job's aims count, and what a place costs at the
+    # least, in any zone and whether it can be had or not.
     later: tuple[float, ...] = ()
     least: float | None = None
 
 
 def ready_after(option: Option, image_gb: float, boot_factor: float) -> float:
-    return option.machine_type.startup.total_seconds() * boot_factor + image_gb / option.machine_type.pull
-
-
-def in_reach(timing: Timing, choices: list[Option], part: str, boot_factor: float) -> tuple[float, bool]:
-    """The slack to the next deadline that a new machine could still meet, and whether there is any. What
-    has missed a deadline no longer hurries for it: dear machines hired then would be early for nothing."""
+    return (
+        option.machine_type.startup.total_seconds() * boot_factor
+        + image_gb / option.machine_type.pull
+    )
+
+
+def in_reach(
+    timing: Timing, choices: list[Option], part: str, boot_factor: float
+) -> tuple[float, bool]:
+    """The slack to the next deadline that a new machine could still meet, and whether there is any.
+    What has missed a deadline no longer hurries for it: dear machines hired then would be early for
+    nothing."""
     if timing.least is not None:
-        prices = [c for o in choices if (c := cost(timing.item, o, part, timing.item.count)) is not None]
+        prices = [
+            c for o in choices if (c := cost(timing.item, o, part, timing.item.count)) is not None
+        ]
         if min(prices, default=0.0) <= timing.least * LATE_PAYS:
             return timing.slack, True
     soonest = min((ready_after(o, timing.image_gb, boot_factor) for o in choices), default=0.0)
@@ -131,32 +161,46 @@
 
 
 def _choose(
-    timing: Timing, choices: list[Option], part: str, boot_factor: float, alike: int, slack: float, reach: bool
+    timing: Timing,
+    choices: list[Option],
+    part: str,
+    boot_factor: float,
+    alike: int,
+    slack: float,
+    reach: bool,
 ) -> Option | None:
     """The machine to hire for tasks that would start too late on what there is."""
     item = timing.item
     usable = [o for o in choices if o.machine_type.name not in timing.avoid]
     if not reach and timing.least is not None:
-        # Too late for every aim: it takes what is cheap, and else the next place that comes free; being
-        # the oldest, it is the first to get one.
+        # Too late for every aim: it takes what is cheap, and else the next place that comes free;
+        # being the oldest, it is the first to get one.
         usable = [o for o in usable if (cost(item, o, part, alike) or 1e18) <= timing.least * HASTE]
     # Those that would be in time, if any; a slow boot or fetch may cost more than it saves.
     soon = [o for o in usable if ready_after(o, timing.image_gb, boot_factor) <= slack]
     if not soon and usable:
         # Late anyway: the sooner the better, within reason.
-        least = min((c for o in usable if (c := cost(item, o, part, alike)) is not None), default=0.0)
+        least = min(
+            (c for o in usable if (c := cost(item, o, part, alike)) is not None), default=0.0
+        )
         fair = [o for o in usable if (cost(item, o, part, alike) or 1e18) <= least * HASTE]
         soon = sorted(fair, key=lambda o: ready_after(o, timing.image_gb, boot_factor))[:1]
     return cheapest(item, soon or usable, part, alike)
 
 
 def wanted(
-    queue: list[Timing], lines: list[Line], choices: list[Option], part: str, boot_factor: float, most: int = 1_000_000
+    queue: list[Timing],
+    lines: list[Line],
+    choices: list[Option],
+    part: str,
+    boot_factor: float,
+    most: int = 1_000_000,
 ) -> dict[tuple[str, bool], int]:
     """How many machines of which type and kind to hire, just in time; looks at `most` tasks.
 
-    Tasks are laid on the machines in their order, as these come free. One that would start too late,
-    and that a new machine would start sooner, calls for that machine; those behind it may share it."""
+    Tasks are laid on the machines in their order, as these come free. One that would start too
+    late, and that a new machine would start sooner, calls for that machine; those behind it may
+    share it."""
     out: dict[tuple[str, bool], int] = {}
     board = Board(lines, least_of(timing.item.job.spec.need for timing in queue))
     alike: dict[object, int] = {}
@@ -183,7 +227,9 @@
                 if at == 0 or option is not None or spec.gang:
                     count = min(left, wide)
                     if count not in chosen:
-                        chosen[count] = _choose(timing, choices, part, boot_factor, count, slack, reach)
+                        chosen[count] = _choose(
+                            timing, choices, part, boot_factor, count, slack, reach
+                        )
                     option = chosen[count]
                 if option is not None:
                     room = empty_room(f"new-{len(board.lines)}", option, part)
@@ -201,10 +247,12 @@
     return out
 
 
-def warm_places(arrivals: list[int], boot: timedelta, window: timedelta, parts: int, most: int) -> int:
+def warm_places(
+    arrivals: list[int], boot: timedelta, window: timedelta, parts: int, most: int
+) -> int:
     """Places to keep for services that must start sooner than a machine boots: what arrives on
-    average while one boots, and one deviation more, over the parts. `arrivals`: the replicas of each
-    service that came; wide ones make the deviation larger. Zero when none arrive."""
+    average while one boots, and one deviation more, over the parts. `arrivals`: the replicas of
+    each service that came; wide ones make the deviation larger. Zero when none arrive."""
     if not arrivals:
         return 0
     share = boot / window
@@ -212,7 +260,9 @@
     return min(most, math.ceil((mean + spread) / max(1, parts)))
 
 
-def to_return(idle: list[tuple[str, datetime, int]], now: datetime, after: timedelta, surplus: int) -> list[str]:
+def to_return(
+    idle: list[tuple[str, datetime, int]], now: datetime, after: timedelta, surplus: int
+) -> list[str]:
     """Empty machines (id, empty since, warm places on it) that have been empty for long enough, the
     longest idle first, as far as the warm room is not cut into."""
     out = []
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -1,4 +1,5 @@
-"""Hiring for a part's queue, returning what is empty, deleting what never came up, adopting strays."""
+"""Hiring for a part's queue, returning what is empty, deleting what never came up, adopting
+strays."""
 
 import random
 from dataclasses import dataclass, replace
@@ -15,7 +16,16 @@
 from roadbend.placement.shared import Shared
 from roadbend.placement.starts import within
 from roadbend.rental import policy
-from roadbend.rental.cloud import MAX_HIRED, MAX_NAMES, Busy, Cloud, Listed, NoCapacity, Still, read_machine_types
+from roadbend.rental.cloud import (
+    MAX_HIRED,
+    MAX_NAMES,
+    Busy,
+    Cloud,
+    Listed,
+    NoCapacity,
+    Still,
+    read_machine_types,
+)
 from roadbend.retry import Backoff, drawn
 from roadbend.store import records
 from roadbend.store.client import Conflict, NoLease, Unavailable, commit, put
@@ -47,7 +57,12 @@
 
 class Rental:
     def __init__(
-        self, shared: Shared, cloud: Cloud, fleet: Fleet, runtimes: dict[str, PartRuntime], rng: random.Random
+        self,
+        shared: Shared,
+        cloud: Cloud,
+        fleet: Fleet,
+        runtimes: dict[str, PartRuntime],
+        rng: random.Random,
     ):
         self._rng = rng
         self._shared, self._cloud, self._fleet, self._runtimes = shared, cloud, fleet, runtimes
@@ -75,8 +90,11 @@
                 machine_types = await self._cloud.catalog()
                 self._shared.machine_types = machine_types
                 await self._keep_catalog(machine_types)
-                # Until it is in the records, a controller that starts in a cloud outage would not know it.
-                await clock.pause(timedelta(seconds=20 if self._shared.view.catalog is not None else 1))
+                # Until it is in the records, a controller that starts in a cloud outage would not
+                # know it.
+                await clock.pause(
+                    timedelta(seconds=20 if self._shared.view.catalog is not None else 1)
+                )
             except (NoAnswer, Busy, NoCapacity) as error:
                 log.info("no-catalog", error=str(error)[:60])
                 await clock.pause(timedelta(seconds=1 if not self._shared.machine_types else 4))
@@ -95,7 +113,9 @@
         rows = [put(records.CATALOG_KEY, value)]
         when = {records.CATALOG_KEY: view.catalog_mod_revision}
         try:
-            view.applied(rows, await commit(self._shared.state, when, rows, within=timedelta(seconds=3)))
+            view.applied(
+                rows, await commit(self._shared.state, when, rows, within=timedelta(seconds=3))
+            )
         except (Conflict, NoLease, Unavailable):
             pass
 
@@ -128,7 +148,9 @@
                 # The list lags: what we deleted still appears in it, and is no stray.
                 continue
             if row.status in ("booting", "running") and row.id not in boots:
-                boots[row.id] = Boot(row.id, row.machine_type, row.spot, now - row.age, row.status == "running")
+                boots[row.id] = Boot(
+                    row.id, row.machine_type, row.spot, now - row.age, row.status == "running"
+                )
 
     # A part's loop.
 
@@ -154,7 +176,11 @@
     def closed(self, part: str, now: datetime) -> set[tuple[str, bool]]:
         if self._fleet.cut_off(part, now):
             # What is hired behind a cut comes up unheard.
-            return {(machine_type, spot) for machine_type in self._shared.machine_types for spot in (True, False)}
+            return {
+                (machine_type, spot)
+                for machine_type in self._shared.machine_types
+                for spot in (True, False)
+            }
         return {
             (machine_type, spot)
             for (p, machine_type, spot), row in self.refused.items()
@@ -171,12 +197,16 @@
                 # It may still come, but others are hired in its place.
                 continue
             price = machine_type.spot_price if boot.spot else machine_type.price
-            room = policy.empty_room(boot.id, policy.Option(machine_type, boot.spot, price), runtime.part)
+            room = policy.empty_room(
+                boot.id, policy.Option(machine_type, boot.spot, price), runtime.part
+            )
             room.ready_in = max(1.0, (machine_type.startup - (now - boot.since)).total_seconds())
             out.append(room)
         return out
 
-    def _plan(self, runtime: PartRuntime, now: datetime) -> tuple[dict[tuple[str, bool], int], Job | None, int]:
+    def _plan(
+        self, runtime: PartRuntime, now: datetime
+    ) -> tuple[dict[tuple[str, bool], int], Job | None, int]:
         """What to hire, the service to keep room for, and how many places there are beyond that."""
         part, operator = runtime.part, self._shared.operator
         boots = self._boots.setdefault(part, {})
@@ -189,11 +219,15 @@
         # The forecast writes on the rooms that it is given.
         lines = runtime.lines([replace(room) for room in fresh])
         most = runtime.most_forecast(lines)
-        want = policy.wanted(queue, lines, choices, part, operator.boot_factor, most) if queue else {}
+        want = (
+            policy.wanted(queue, lines, choices, part, operator.boot_factor, most) if queue else {}
+        )
         model, keep = self._warm(part)
         have = self._warm_now(runtime, model, fresh) if model is not None else 0
         if model is not None and have < keep:
-            dear = policy.expensive_machine_types(model, self._shared.machine_types.values(), operator.dear, part)
+            dear = policy.expensive_machine_types(
+                model, self._shared.machine_types.values(), operator.dear, part
+            )
             fit = [o for o in choices if o.machine_type.name not in dear]
             option = policy.cheapest(placing.Pending(model, ((0, 1),), True), fit, part, keep)
             if option is not None and not any(
@@ -204,7 +238,12 @@
         return want, model, have - keep
 
     async def _round(
-        self, runtime: PartRuntime, now: datetime, want: dict[tuple[str, bool], int], model: Job | None, surplus: int
+        self,
+        runtime: PartRuntime,
+        now: datetime,
+        want: dict[tuple[str, bool], int],
+        model: Job | None,
+        surplus: int,
     ) -> None:
         part, operator = runtime.part, self._shared.operator
         boots = self._boots.setdefault(part, {})
@@ -214,11 +253,15 @@
         late = []
         for boot in list(boots.values()):
             machine_type = self._shared.machine_types.get(boot.machine_type)
-            limit = operator.boot_patience * machine_type.startup if machine_type else timedelta(seconds=120)
+            limit = (
+                operator.boot_patience * machine_type.startup
+                if machine_type
+                else timedelta(seconds=120)
+            )
             if boot.stray:
                 limit = min(limit, operator.find_owner)
-            # What we hired in an earlier term may long be up, and report to us only now: an owner that got its
-            # part back once deleted healthy machines here.
+            # What we hired in an earlier term may long be up, and report to us only now: an owner
+            # that got its part back once deleted healthy machines here.
             since = max(boot.since, runtime.tenure.since)
             unheard = boot.id not in runtime.machines and boot.id not in runtime.by_machine()
             if now - since > limit and unheard and not self._fleet.cut_off(part, now):
@@ -231,12 +274,15 @@
                 runtime.gone(name, "deleted")
 
     def _warm(self, part: str) -> tuple[Job | None, int]:
-        """The service to keep room for, and how many places of this part: for classes whose aim is a
-        start sooner than a machine boots, as many as measured arrivals justify."""
+        """The service to keep room for, and how many places of this part: for classes whose aim is
+        a start sooner than a machine boots, as many as measured arrivals justify."""
         operator, wall = self._shared.operator, clock.wall()
         arrivals: list[int] = []
         model = None
-        boot = max((machine_type.startup for machine_type in self._shared.machine_types.values()), default=clock.ZERO)
+        boot = max(
+            (machine_type.startup for machine_type in self._shared.machine_types.values()),
+            default=clock.ZERO,
+        )
         for job in self._shared.view.jobs.values():
             within = self._shared.start_within(job.spec)
             # Boots take up to half as long again as they nominally do.
@@ -252,7 +298,8 @@
         machine_types = self._shared.machine_types
         zones = {zone for machine_type in machine_types.values() for zone in machine_type.zones}
         dear = {
-            zone: policy.expensive_machine_types(model, machine_types.values(), operator.dear, zone) for zone in zones
+            zone: policy.expensive_machine_types(model, machine_types.values(), operator.dear, zone)
+            for zone in zones
         }
         hosts = {
             zone
@@ -274,7 +321,10 @@
             model, self._shared.machine_types.values(), self._shared.operator.dear, runtime.part
         )
         for room in runtime.rooms() + [replace(room) for room in fresh]:
-            if not placing.allowed(model, room.machine_type, room.zone, room.spot) or room.machine_type in dear:
+            if (
+                not placing.allowed(model, room.machine_type, room.zone, room.spot)
+                or room.machine_type in dear
+            ):
                 continue
             for key, (work, _) in index.get(room.id, {}).items():
                 job = self._shared.view.jobs.get(key[0])
@@ -286,7 +336,8 @@
     def _timed(self, runtime: PartRuntime, queue: list[placing.Pending]) -> list[policy.Timing]:
         out, wall, operator = [], clock.wall(), self._shared.operator
         boot = max(
-            (machine_type.startup for machine_type in self._shared.machine_types.values()), default=clock.ZERO
+            (machine_type.startup for machine_type in self._shared.machine_types.values()),
+            default=clock.ZERO,
         ).total_seconds()
         for item in queue:
             spec = item.job.spec
@@ -295,16 +346,23 @@
             # Estimates are often wrong: the time kept for the run is longer than the likely one.
             kept = 0.0 if spec.service else run * operator.caution
             avoid = runtime.withheld_types.get(item.job.id, frozenset())
-            # The last task decides; for the later deadline, which is the last chance, some more is kept.
+            # The last task decides; for the later deadline, which is the last chance, some more is
+            # kept.
             sure = kept * 1.3 + 0.5 * boot
             first, *more = self._shared.deadlines(spec)
             later = [forecast.slack(item, waited, sure, x) for x in more]
             first = forecast.slack(item, waited, kept, first)
-            least = policy.least_cost(item, self._shared.machine_types.values(), item.count) if later else None
+            least = (
+                policy.least_cost(item, self._shared.machine_types.values(), item.count)
+                if later
+                else None
+            )
             out.append(policy.Timing(item, run, first, spec.image_gb, avoid, tuple(later), least))
         return out
 
-    def _within_limits(self, runtime: PartRuntime, left: list[placing.Pending]) -> list[placing.Pending]:
+    def _within_limits(
+        self, runtime: PartRuntime, left: list[placing.Pending]
+    ) -> list[placing.Pending]:
         """Nothing is hired for tasks that their team's limit keeps waiting anyway."""
 
         def room(team: str) -> tuple[float, float] | None:
@@ -325,7 +383,9 @@
         waits = Backoff(timedelta(milliseconds=300), timedelta(seconds=10), self._rng)
         for _ in range(6):
             try:
-                got = await self._cloud.rent(name, machine_type, part, spot, count, self._still(runtime))
+                got = await self._cloud.rent(
+                    name, machine_type, part, spot, count, self._still(runtime)
+                )
                 break
             except NoCapacity:
                 self._refuse(key)
@@ -341,7 +401,13 @@
             if machine not in runtime.machines:
                 runtime.rented.add(machine)
         log.info(
-            "hired", part=part, machine_type=machine_type, spot=spot, wanted=count, got=len(got), machines=",".join(got)
+            "hired",
+            part=part,
+            machine_type=machine_type,
+            spot=spot,
+            wanted=count,
+            got=len(got),
+            machines=",".join(got),
         )
         if len(got) < count:
             self._refuse(key)
@@ -349,21 +415,25 @@
             self.refused.pop(key, None)
 
     def _still(self, runtime: PartRuntime) -> Still:
-        """Machines are hired and given back for a part only while it is ours: a new owner may have put work on
-        what we found empty before we stood still."""
+        """Machines are hired and given back for a part only while it is ours: a new owner may have
+        put work on what we found empty before we stood still."""
         ownership = self._shared.ownership
-        return lambda: ownership.tenure(runtime.part) == runtime.tenure and ownership.may_start(clock.now())
+        return lambda: (
+            ownership.tenure(runtime.part) == runtime.tenure and ownership.may_start(clock.now())
+        )
 
     def _refuse(self, key: tuple[str, str, bool]) -> None:
         operator, now = self._shared.operator, clock.now()
         old = self.refused.get(key)
         pause = min(operator.refusal_pause_max, old.pause * 2) if old else operator.refusal_pause
         self.refused[key] = Refusal(now + drawn(pause, self._rng), pause)
-        log.info("refused", part=key[0], machine_type=key[1], spot=key[2], pause=pause.total_seconds())
+        log.info(
+            "refused", part=key[0], machine_type=key[1], spot=key[2], pause=pause.total_seconds()
+        )
 
     def _kept_for_gangs(self, runtime: PartRuntime, idle: list[str]) -> set[str]:
-        """Empty machines that a waiting gang needs: it begins when the last one is up, and those that came up before
-        would be returned meanwhile, again and again."""
+        """Empty machines that a waiting gang needs: it begins when the last one is up, and those
+        that came up before would be returned meanwhile, again and again."""
         kept: set[str] = set()
         for item in runtime.left:
             places = item.count if item.job.spec.gang else 0
@@ -381,7 +451,9 @@
                 kept.add(name)
         return kept
 
-    async def _give_back(self, runtime: PartRuntime, now: datetime, model: Job | None, surplus: int) -> None:
+    async def _give_back(
+        self, runtime: PartRuntime, now: datetime, model: Job | None, surplus: int
+    ) -> None:
         operator = self._shared.operator
         index = runtime.by_machine()
         idle, sick = [], []
@@ -402,10 +474,18 @@
                         option = policy.Option(machine_type, machine.spot, 0.0)
                         places = policy.empty_room("", option, runtime.part).count(model.spec.need)
                 idle.append((machine.id, machine.empty_since, places))
-        kept = self._kept_for_gangs(runtime, [name for name, _, _ in sorted(idle, key=lambda row: row[1])])
-        back = policy.to_return([row for row in idle if row[0] not in kept], now, operator.idle_return, surplus)
+        kept = self._kept_for_gangs(
+            runtime, [name for name, _, _ in sorted(idle, key=lambda row: row[1])]
+        )
+        back = policy.to_return(
+            [row for row in idle if row[0] not in kept], now, operator.idle_return, surplus
+        )
         names = sick + back
-        if not names or len(names) < MAX_NAMES // 4 and now - self._returned.get(runtime.part, clock.ORIGIN) < GATHER:
+        if (
+            not names
+            or len(names) < MAX_NAMES // 4
+            and now - self._returned.get(runtime.part, clock.ORIGIN) < GATHER
+        ):
             # A few at a time would take a call each.
             return
         names = names[:MAX_NAMES]
--- a/roadbend/rental/test_rental.py
+++ b/roadbend/rental/test_rental.py
@@ -15,7 +15,15 @@
 from roadbend.rental.policy import Timing
 from roadbend.store.records import Need
 
-SMALL = {**MACHINE_TYPE, "name": "s1", "vcpus": 12.0, "gpus": 2.0, "memoryGb": 72.0, "price": 5.0, "lowPrice": 1.0}
+SMALL = {
+    **MACHINE_TYPE,
+    "name": "s1",
+    "vcpus": 12.0,
+    "gpus": 2.0,
+    "memoryGb": 72.0,
+    "price": 5.0,
+    "lowPrice": 1.0,
+}
 MACHINE_TYPES = read_machine_types([MACHINE_TYPE, SMALL])
 S = timedelta(seconds=1)
 
@@ -58,7 +66,12 @@
     late = [Timing(pending(loaners=False), 20.0, 0.0)]
     assert all(not spot for _, spot in policy.wanted(late, [], choices(), "east", 1.0))
     refused = {("g2", True), ("s1", True)}
-    assert all(not spot for _, spot in policy.wanted([Timing(pending(), 20.0, 0.0)], [], choices(refused), "east", 1.0))
+    assert all(
+        not spot
+        for _, spot in policy.wanted(
+            [Timing(pending(), 20.0, 0.0)], [], choices(refused), "east", 1.0
+        )
+    )
     everything = {(machine_type, spot) for machine_type in MACHINE_TYPES for spot in (True, False)}
     assert policy.wanted(late, [], choices(everything), "east", 1.0) == {}
 
@@ -89,13 +102,20 @@
 
 def test_the_longest_idle_goes_first_and_the_warm_room_stays():
     now = clock.ORIGIN + 100 * S
-    idle = [("a", now - 50 * S, 2), ("b", now - 90 * S, 2), ("c", now - 3 * S, 0), ("d", now - 60 * S, 0)]
+    idle = [
+        ("a", now - 50 * S, 2),
+        ("b", now - 90 * S, 2),
+        ("c", now - 3 * S, 0),
+        ("d", now - 60 * S, 0),
+    ]
     assert policy.to_return(idle, now, 8 * S, 2) == ["b", "d"]
     assert policy.to_return(idle, now, 8 * S, 0) == ["d"]
     assert policy.to_return(idle, now, 8 * S, -3) == ["d"]
 
 
-@pytest.mark.parametrize("change", [{"vcpus": -1}, {"name": 3}, {"yards": "east"}, {"startupS": float("nan")}])
+@pytest.mark.parametrize(
+    "change", [{"vcpus": -1}, {"name": 3}, {"yards": "east"}, {"startupS": float("nan")}]
+)
 def test_a_nonsense_catalog_is_refused(change):
     with pytest.raises(Malformed):
         read_machine_types([{**MACHINE_TYPE, **change}])
--- a/roadbend/retry.py
+++ b/roadbend/retry.py
@@ -1,4 +1,5 @@
-"""Waits between repeated tries: they grow, and are drawn, so that many who failed together don't come back together."""
+"""Waits between repeated tries: they grow, and are drawn, so that many who failed together don't
+come back together."""
 
 import random
 from datetime import timedelta
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -65,8 +65,9 @@
     sockets: int
     # How much of a core we have.
     cpu: float = 1.0
-    # The changes a second that the state service will allow from some moment on, without notice. Its other limits to
-    # come are in `value_bytes` and `txn_ops`: from the start we write within the smaller of both.
+    # The changes a second that the state service will allow from some moment on, without notice.
+    # Its other limits to come are in `value_bytes` and `txn_ops`: from the start we write within
+    # the smaller of both.
     state_write_rps_next: float | None = None
     # How long a gang's tasks wait for each other, and how soon they notice that one is gone.
     gang_wait: timedelta = timedelta(seconds=30)
@@ -79,8 +80,9 @@
 
     @property
     def shard_width(self) -> int:
-        """How many neighbouring tasks share a record. An attempt takes some 16 to 24 bytes in the form in which limits
-        are measured; a shard of only running tasks must fit with room for a few ranges."""
+        """How many neighbouring tasks share a record. An attempt takes some 16 to 24 bytes in the
+        form in which limits are measured; a shard of only running tasks must fit with room for a
+        few ranges."""
         return max(8, min(512, int(self.value_bytes * 0.8 - 400) // 28))
 
     @property
@@ -154,7 +156,13 @@
         kind, share = _get(row, "kind", str, ""), _get(row, "share", float, 0.0)
         times = _get(row, "times", float, 1.0)
         objectives.append(
-            Objective(kind, job_class or None, share, timedelta(seconds=within) if within > 0 else None, times)
+            Objective(
+                kind,
+                job_class or None,
+                share,
+                timedelta(seconds=within) if within > 0 else None,
+                times,
+            )
         )
     zones = _get(table, "deployment.zones", list, [])
     if not all(isinstance(zone, str) for zone in zones):
@@ -210,36 +218,78 @@
     """Operators' own settings. Durations are written in seconds."""
 
     omega: float = _n(1.0, 0.0, 1.0, "weight of promised (shadow) load in a bid; the paper's ω")
-    mu: float = _n(1.0, 0.0, 100.0, "relative queuing delay from which a job is offered again; the paper's μ")
-    varpi: float = _n(1.0, 0.0, 100.0, "weight of a bidder's average queuing time when reoffering; the paper's ϖ")
+    mu: float = _n(
+        1.0, 0.0, 100.0, "relative queuing delay from which a job is offered again; the paper's μ"
+    )
+    varpi: float = _n(
+        1.0, 0.0, 100.0, "weight of a bidder's average queuing time when reoffering; the paper's ϖ"
+    )
     bid_wait: timedelta = _s(0.25, 0.01, 5, "how long a requester waits for bids")
     promise_life: timedelta = _s(2.0, 0.1, 60, "when a promise that nobody revoked expires")
     rebid_every: timedelta = _s(1.0, 0.1, 60, "how often jobs that no part holds are offered again")
     reoffer_every: timedelta = _s(3.0, 0.5, 600, "period of offering long waiters again")
-    cool_down: timedelta = _s(5.0, 0, 600, "a job is not offered again before it has waited here for this long")
-    own_lease: timedelta = _s(8.0, 1, 60, "lease on owning parts; a dead controller's parts wait this long")
-    takeover_grace: timedelta = _s(1.5, 0, 60, "wait before taking a part whose own controller seems alive")
-    hand_back_after: timedelta = _s(5.0, 0, 600, "a returned controller gets its part back after this time")
+    cool_down: timedelta = _s(
+        5.0, 0, 600, "a job is not offered again before it has waited here for this long"
+    )
+    own_lease: timedelta = _s(
+        8.0, 1, 60, "lease on owning parts; a dead controller's parts wait this long"
+    )
+    takeover_grace: timedelta = _s(
+        1.5, 0, 60, "wait before taking a part whose own controller seems alive"
+    )
+    hand_back_after: timedelta = _s(
+        5.0, 0, 600, "a returned controller gets its part back after this time"
+    )
     sync_every: timedelta = _s(0.3, 0.02, 5, "how often the records are read when nobody asks")
     sync_gap: timedelta = _s(0.12, 0.0, 5, "least time between two reads of the records")
-    silent_reports: float = _n(1.7, 1.3, 50, "times the report interval after which a silent machine is looked into")
-    find_owner: timedelta = _s(14.0, 2, 120, "time a new owner gives machines to report before doubting them")
-    fence_share: float = _n(0.5, 0.05, 1.0, "part of the machines silent at once that makes us doubt our own net")
-    dear: float = _n(1.3, 1.0, 100, "times the cheapest price a task above which a part does not bid to hire")
-    dear_wait: timedelta = _s(3.0, 0, 600, "a job that has waited for this long is bid for at any price")
-    caution: float = _n(1.0, 1.0, 10, "times the predicted run time that is kept free before a deadline")
-    boot_factor: float = _n(1.1, 0.5, 10, "times the nominal boot time that a new machine is expected to take")
-    common_share: float = _n(0.25, 0.05, 1.0, "part of the machines silent at once that points to the network")
+    silent_reports: float = _n(
+        1.7, 1.3, 50, "times the report interval after which a silent machine is looked into"
+    )
+    find_owner: timedelta = _s(
+        14.0, 2, 120, "time a new owner gives machines to report before doubting them"
+    )
+    fence_share: float = _n(
+        0.5, 0.05, 1.0, "part of the machines silent at once that makes us doubt our own net"
+    )
+    dear: float = _n(
+        1.3, 1.0, 100, "times the cheapest price a task above which a part does not bid to hire"
+    )
+    dear_wait: timedelta = _s(
+        3.0, 0, 600, "a job that has waited for this long is bid for at any price"
+    )
+    caution: float = _n(
+        1.0, 1.0, 10, "times the predicted run time that is kept free before a deadline"
+    )
+    boot_factor: float = _n(
+        1.1, 0.5, 10, "times the nominal boot time that a new machine is expected to take"
+    )
+    common_share: float = _n(
+        0.25, 0.05, 1.0, "part of the machines silent at once that points to the network"
+    )
     idle_return: timedelta = _s(8.0, 0, 3600, "an empty machine is returned after this time")
-    boot_patience: float = _n(2.5, 1.1, 20, "times the nominal boot time after which a machine counts as dead")
-    refusal_pause: timedelta = _s(6.0, 0.5, 600, "pause after the cloud refused a type, zone and kind")
-    refusal_pause_max: timedelta = _s(30.0, 0.5, 3600, "the longest such pause, reached by doubling")
-    spare_window: timedelta = _s(300, 10, 86400, "span over which arrivals are counted for the warm room")
-    spare_most: int = _n(64, 0, 10000, "most places that an owner keeps warm for services that must start at once")
-    begin_within: timedelta = _s(90, 5, 86400, "a job that has begun nothing for this long goes before its peers")
+    boot_patience: float = _n(
+        2.5, 1.1, 20, "times the nominal boot time after which a machine counts as dead"
+    )
+    refusal_pause: timedelta = _s(
+        6.0, 0.5, 600, "pause after the cloud refused a type, zone and kind"
+    )
+    refusal_pause_max: timedelta = _s(
+        30.0, 0.5, 3600, "the longest such pause, reached by doubling"
+    )
+    spare_window: timedelta = _s(
+        300, 10, 86400, "span over which arrivals are counted for the warm room"
+    )
+    spare_most: int = _n(
+        64, 0, 10000, "most places that an owner keeps warm for services that must start at once"
+    )
+    begin_within: timedelta = _s(
+        90, 5, 86400, "a job that has begun nothing for this long goes before its peers"
+    )
     error_limit: int = _n(3, 1, 100, "failures of different jobs after which a machine is replaced")
     state_margin: timedelta = _s(2.0, 0.2, 30, "safety margin in the arguments about leases")
-    users_at_once: int = _n(64, 4, 1024, "most requests of users in progress; the adaptive limit's ceiling")
+    users_at_once: int = _n(
+        64, 4, 1024, "most requests of users in progress; the adaptive limit's ceiling"
+    )
 
 
 _FIELDS = {spec.name.replace("_", "-"): spec for spec in fields(Operator)}
--- a/roadbend/store/__init__.py
+++ b/roadbend/store/__init__.py
@@ -1,1 +1,2 @@
-"""The state service: its client, the budget of requests, the view of the records, the read barrier."""
+"""The state service: its client, the budget of requests, the view of the records, the read
+barrier."""
--- a/roadbend/store/budget.py
+++ b/roadbend/store/budget.py
@@ -9,7 +9,8 @@
 from roadbend.log import Log
 
 log = Log("store")
-# After so long without another refusal the old rate is tried out again: the service may not have changed its limits.
+# After so long without another refusal the old rate is tried out again: the service may not have
+# changed its limits.
 FALLEN_FOR = timedelta(minutes=10)
 
 
@@ -25,7 +26,8 @@
         self._at = now
 
     def wait(self, amount: float) -> timedelta:
-        """How long until the amount is there; a big amount may go into debt rather than never go."""
+        """How long until the amount is there; a big amount may go into debt rather than never
+        go."""
         lack = min(amount, self.burst) - self._level
         return timedelta(seconds=max(0.0, lack) / self.rate)
 
@@ -85,7 +87,9 @@
     """Requests and changes of the state service. What keeps the rules and the leases never waits;
     submissions go before starts and ends."""
 
-    def __init__(self, rps: float, write_rps: float, sharers: int, next_write_rps: float | None = None):
+    def __init__(
+        self, rps: float, write_rps: float, sharers: int, next_write_rps: float | None = None
+    ):
         self._calls = SharedBucket(rps * 0.92, sharers)
         self._writes = SharedBucket(write_rps * 0.92, sharers)
         self._rates = (write_rps * 0.92, min(write_rps, next_write_rps or write_rps) * 0.92)
@@ -99,14 +103,18 @@
     async def ready(self) -> None:
         """Until a change could go out at once; nothing is taken."""
         while self._first or (wait := max(self._calls.wait(1), self._writes.wait(1))) > clock.ZERO:
-            await clock.pause(timedelta(milliseconds=20) if self._first else wait + timedelta(milliseconds=1))
+            await clock.pause(
+                timedelta(milliseconds=20) if self._first else wait + timedelta(milliseconds=1)
+            )
 
     async def take(self, writes: int, urgent: bool, first: bool = False) -> None:
         if not urgent:
             self._first += first
             try:
                 while True:
-                    wait = max(self._calls.wait(1), self._writes.wait(writes) if writes else clock.ZERO)
+                    wait = max(
+                        self._calls.wait(1), self._writes.wait(writes) if writes else clock.ZERO
+                    )
                     if wait <= clock.ZERO and (first or not self._first):
                         break
                     await clock.pause(wait + timedelta(milliseconds=1 if first else 5))
@@ -118,8 +126,9 @@
             self._writes.spend(writes)
 
     def push_back(self, writing: bool = False) -> None:
-        """The service says that together we went over. For a change that may be since the limit that was to come is in
-        force now: the rate falls to it, and is tried out again only after a long while."""
+        """The service says that together we went over. For a change that may be since the limit
+        that was to come is in force now: the rate falls to it, and is tried out again only after a
+        long while."""
         self._calls.drain()
         self._writes.drain()
         if writing and self._rates[1] < self._rates[0]:
--- a/roadbend/store/client.py
+++ b/roadbend/store/client.py
@@ -1,4 +1,5 @@
-"""The state service's client. Refused means certainly not carried out; NoAnswer means nobody knows."""
+"""The state service's client. Refused means certainly not carried out; NoAnswer means nobody
+knows."""
 
 import random
 from datetime import timedelta
@@ -49,7 +50,14 @@
         await self._budget.ready()
 
     async def _call(
-        self, method: str, target: str, body: Any = None, *, writes: int = 0, urgent: bool = False, first: bool = False
+        self,
+        method: str,
+        target: str,
+        body: Any = None,
+        *,
+        writes: int = 0,
+        urgent: bool = False,
+        first: bool = False,
     ):
         await self._budget.take(writes, urgent, first)
         status, answer = await self._client.request(method, target, body, within=self._within)
@@ -70,14 +78,19 @@
         return answer["value"], _whole(answer.get("stamp"))
 
     async def read_all(self, prefix: str) -> tuple[list[tuple[str, Any, int]], int]:
-        """All of it, and the revision from which to follow (the first page's, so nothing is missed)."""
+        """All of it, and the revision from which to follow (the first page's, so nothing is
+        missed)."""
         rows, after, revision = [], "", None
         while True:
             target = f"/keys?starts={quote(prefix, safe='')}&most=500"
             if after:
                 target += f"&after={quote(after, safe='')}"
             status, answer = await self._call("GET", target)
-            if status != 200 or not isinstance(answer, dict) or not isinstance(answer.get("entries"), list):
+            if (
+                status != 200
+                or not isinstance(answer, dict)
+                or not isinstance(answer.get("entries"), list)
+            ):
                 raise NoAnswer(f"nonsense: {status}")
             if revision is None:
                 revision = _whole(answer.get("ledger"))
@@ -105,9 +118,13 @@
             raise NoAnswer("nonsense: log")
         return events, _whole(answer.get("ledger"))
 
-    async def multi(self, when: dict[str, int], apply: list[dict], urgent: bool = False, first: bool = False) -> int:
+    async def multi(
+        self, when: dict[str, int], apply: list[dict], urgent: bool = False, first: bool = False
+    ) -> int:
         body = {"when": [{"path": k, "stamp": v} for k, v in when.items()], "apply": apply}
-        status, answer = await self._call("POST", "/multi", body, writes=len(apply), urgent=urgent, first=first)
+        status, answer = await self._call(
+            "POST", "/multi", body, writes=len(apply), urgent=urgent, first=first
+        )
         if status == 200 and isinstance(answer, dict):
             return _whole(answer.get("ledger"))
         if status == 409 and isinstance(answer, dict):
@@ -115,12 +132,15 @@
         if status == 400 and isinstance(answer, dict) and answer.get("error") == "no such lease":
             raise NoLease("write")
         if status == 400:
-            # Nothing else that we send is malformed: a value, or the whole, is larger than the service takes now.
+            # Nothing else that we send is malformed: a value, or the whole, is larger than the
+            # service takes now.
             raise TooLarge(str(answer)[:120])
         raise NoAnswer(f"nonsense: {status} {answer!r}"[:200])
 
     async def lease(self, ttl: timedelta) -> int:
-        status, answer = await self._call("POST", "/leases", {"ttlMs": round(ttl.total_seconds() * 1000)}, urgent=True)
+        status, answer = await self._call(
+            "POST", "/leases", {"ttlMs": round(ttl.total_seconds() * 1000)}, urgent=True
+        )
         if status != 200 or not isinstance(answer, dict):
             raise NoAnswer(f"nonsense: {status}")
         return _whole(answer.get("permit"))
@@ -161,9 +181,9 @@
     urgent: bool = False,
     first: bool = False,
 ) -> int:
-    """Repeats one transaction until the answer is definite. Its conditions make that safe: once it has
-    been applied they no longer hold. So a Conflict after an unanswered try may be our own success, and
-    a caller that gets one always reads the records again before it goes on."""
+    """Repeats one transaction until the answer is definite. Its conditions make that safe: once it
+    has been applied they no longer hold. So a Conflict after an unanswered try may be our own
+    success, and a caller that gets one always reads the records again before it goes on."""
     deadline = clock.now() + within
     waits = Backoff(timedelta(milliseconds=40), timedelta(milliseconds=500), state.rng)
     while True:
--- a/roadbend/store/ranges.py
+++ b/roadbend/store/ranges.py
@@ -1,4 +1,5 @@
-"""Sets of task numbers as sorted, disjoint, half-open ranges, so that 100,000 tasks cost nothing."""
+"""Sets of task numbers as sorted, disjoint, half-open ranges, so that 100,000 tasks cost
+nothing."""
 
 from collections.abc import Iterable, Iterator
 
--- a/roadbend/store/records.py
+++ b/roadbend/store/records.py
@@ -2,11 +2,12 @@
 service, what is in it, and how it is read back.
 
 r/job/<id>            a live job: spec, which part holds which tasks, which tasks are over
-r/slice/<part>/<id>/<n>   a part's attempts at some of a job's tasks, and what each of them takes; tasks go
-                      into shards by their number, so that the widest array fits small values
-r/gang/<id>           says that a live job is a gang, for versions before gangs rewrite its own record without that
-r/team/<team>         what each part may use at most for a team; the sum never passes the team's limit
-r/term/<part>         the part's term, never removed; its stamp guards every write of an owner
+r/slice/<part>/<id>/<n>   a part's attempts at some of a job's tasks, and what each of them takes;
+                      tasks go into shards by number, so that the widest array fits small values
+r/gang/<id>           says that a live job is a gang: versions before gangs rewrite its own record
+                      without that
+r/team/<team>         what each part may use at most for a team; the sum never passes its limit
+r/term/<part>         the part's term, never removed; its revision guards every write of an owner
 r/own/<part>          who owns the part, on the owner's lease
 r/node/<name>         a live controller, on its lease
 r/catalog             the machine types as last seen, for a controller that starts in a cloud outage
@@ -26,7 +27,8 @@
 from roadbend.store.ranges import Ranges
 
 LIVE = "r/"
-# The workers' token is the part's term with this many bits below it, which number a machine's lives.
+# The workers' token is the part's term with this many bits below it, which number a machine's
+# lives.
 INCARNATION_BITS = 16
 PRIORITY = {"production": 3, "high": 2, "normal": 1, "best_effort": 0}
 
@@ -117,8 +119,9 @@
     checkpoint: timedelta
     save: timedelta
     due: timedelta | None
-    # All tasks run at the same time or none does. Not part of the value: versions before gangs would drop it when
-    # they write the job again. It is in the job's record, and in one of its own that they leave alone.
+    # All tasks run at the same time or none does. Not part of the value: versions before gangs
+    # would drop it when they write the job again. It is in the job's record, and in one of its own
+    # that they leave alone.
     gang: bool = False
 
     @property
@@ -128,23 +131,46 @@
 
     def to_value(self) -> list:
         return [
-            self.team, self.job_class, int(self.service), self.priority, self.task_count,
+            self.team,
+            self.job_class,
+            int(self.service),
+            self.priority,
+            self.task_count,
             [self.need.cpus, self.need.gpus, self.need.memory],
             None if self.machine_types is None else list(self.machine_types),
-            self.zone, int(self.together), int(self.apart), int(self.spot), self.image, self.image_gb,
-            [self.expected.total_seconds(), self.checkpoint.total_seconds(), self.save.total_seconds()],
+            self.zone,
+            int(self.together),
+            int(self.apart),
+            int(self.spot),
+            self.image,
+            self.image_gb,
+            [
+                self.expected.total_seconds(),
+                self.checkpoint.total_seconds(),
+                self.save.total_seconds(),
+            ],
             None if self.due is None else self.due.total_seconds(),
-        ]  # fmt: skip
+        ]
 
     @staticmethod
     def from_value(v: list) -> "Spec":
         return Spec(
-            v[0], v[1], bool(v[2]), v[3], v[4], Need(*map(float, v[5])),
+            v[0],
+            v[1],
+            bool(v[2]),
+            v[3],
+            v[4],
+            Need(*map(float, v[5])),
             None if v[6] is None else tuple(v[6]),
-            v[7], bool(v[8]), bool(v[9]), bool(v[10]), v[11], float(v[12]),
+            v[7],
+            bool(v[8]),
+            bool(v[9]),
+            bool(v[10]),
+            v[11],
+            float(v[12]),
             *(timedelta(seconds=x) for x in v[13]),
             None if v[14] is None else timedelta(seconds=v[14]),
-        )  # fmt: skip
+        )
 
 
 @dataclass(frozen=True)
@@ -177,11 +203,15 @@
         return value
 
     def to_small_value(self, most: int) -> dict:
-        """The same within a limit: what would not fit, since a version with larger values wrote it, has its ranges as
-        text. Versions before this one can't read that, so it is written only where the usual form is too large."""
+        """The same within a limit: what would not fit, since a version with larger values wrote it,
+        has its ranges as text. Versions before this one can't read that, so it is written only
+        where the usual form is too large."""
         value = self.to_value()
         if weigh(value) > most:
-            value = {**value, "a": {part: ranges.to_text(rs) for part, rs in self.alloc.items() if rs}}
+            value = {
+                **value,
+                "a": {part: ranges.to_text(rs) for part, rs in self.alloc.items() if rs},
+            }
             value["d"] = ranges.to_text(self.done)
         return value
 
@@ -202,7 +232,13 @@
         """A safe upper bound on the value's size in the form in which limits are measured."""
         count = len(self.done) + sum(len(rs) + 8 for rs in self.alloc.values())
         spec = self.spec
-        names = [spec.team, spec.job_class, spec.image, spec.zone or "", *(spec.machine_types or ())]
+        names = [
+            spec.team,
+            spec.job_class,
+            spec.image,
+            spec.zone or "",
+            *(spec.machine_types or ()),
+        ]
         return 300 + 6 * sum(len(name) + 2 for name in names) + 18 * count
 
     def as_gang(self) -> "Job":
@@ -222,8 +258,8 @@
 
 @dataclass(frozen=True)
 class Slice:
-    """A shard of a part's work on a job. An attempt stays in `run` from before its order is sent until
-    the task is proven gone; that is what the team's use counts."""
+    """A shard of a part's work on a job. An attempt stays in `run` from before its order is sent
+    until the task is proven gone; that is what the team's use counts."""
 
     job: str
     part: str
@@ -267,13 +303,22 @@
                 high = term << 32
                 for at in range(0, len(flat), 3):
                     run[flat[at]] = Attempt(high | flat[at + 1], start + flat[at + 2])
-        return Slice(job, part, v["t"], Need(*map(float, v["n"])), ranges.normal(v["d"]), run, mod_revision, shard)
+        return Slice(
+            job,
+            part,
+            v["t"],
+            Need(*map(float, v["n"])),
+            ranges.normal(v["d"]),
+            run,
+            mod_revision,
+            shard,
+        )
 
 
 @dataclass(frozen=True)
 class Use:
-    """What each part may use at most for a team: cpus and gpus set aside for it, never less than those
-    of its attempts that are not proven gone. A part changes its own entry only."""
+    """What each part may use at most for a team: cpus and gpus set aside for it, never less than
+    those of its attempts that are not proven gone. A part changes its own entry only."""
 
     team: str
     parts: dict[str, tuple[float, float]] = field(default_factory=dict)
--- a/roadbend/store/test_store.py
+++ b/roadbend/store/test_store.py
@@ -28,7 +28,9 @@
         self.network, self.service = Network(nursery), FakeStateService()
 
         async def accept(stream, source):
-            await Server(lambda request: self.service.handle(request, source), most=64).serve(stream)
+            await Server(lambda request: self.service.handle(request, source), most=64).serve(
+                stream
+            )
 
         self.network.register("state:1", "state", accept)
         self.state = StateClient(Client(self.network.port(host), "state:1"), Budget(1000, 1000, 1))
@@ -36,7 +38,9 @@
 
 async def test_records_come_back_as_they_were_written():
     name, spec = read_submission(job(1, legs=9, rigs=["g2"], yard="east"))
-    one = Job(name, spec, clock.from_ms(1_700_000_000_123), {"east": ((0, 4), (6, 7))}, ((4, 5),), 3)
+    one = Job(
+        name, spec, clock.from_ms(1_700_000_000_123), {"east": ((0, 4), (6, 7))}, ((4, 5),), 3
+    )
     assert Job.from_value(name, one.to_value(), 3) == one
     assert one.free == ((5, 6), (7, 9))
     piece = Slice(name, "a/b", "red", Need(1, 2, 3), ((0, 2),), {5: Attempt(1 << 40, "m-1")}, 4)
@@ -85,7 +89,9 @@
     view = View()
     view.load([], 0)
     key = records.term_key("east")
-    view.events([{"write": key, "value": {"n": 1, "node": "a"}, "stamp": 5}, {"delete": key, "stamp": 6}], 6)
+    view.events(
+        [{"write": key, "value": {"n": 1, "node": "a"}, "stamp": 5}, {"delete": key, "stamp": 6}], 6
+    )
     view.applied([put(key, {"n": 1, "node": "a"})], 5)
     assert "east" not in view.terms
     view.applied([put(key, {"n": 2, "node": "a"})], 9)
@@ -116,7 +122,11 @@
 async def test_nonsense_from_the_service_is_no_answer():
     async with trio.open_nursery() as nursery:
         network = Network(nursery)
-        answers = [b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n\xff\xff\xff", b"hello\r\n\r\n", b""]
+        answers = [
+            b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n\xff\xff\xff",
+            b"hello\r\n\r\n",
+            b"",
+        ]
 
         async def accept(stream, _source):
             await stream.receive_some(1000)
--- a/roadbend/store/view.py
+++ b/roadbend/store/view.py
@@ -41,7 +41,9 @@
     @property
     def done(self) -> Ranges:
         if self._done is None:
-            self._done = ranges.normal(pair for piece in self.shards.values() for pair in piece.done)
+            self._done = ranges.normal(
+                pair for piece in self.shards.values() for pair in piece.done
+            )
         return self._done
 
     def shard_of(self, task_index: int, width: int) -> int:
@@ -105,7 +107,9 @@
 
     def put(self, key: str, value: Any, mod_revision: int) -> None:
         with self.lock:
-            if mod_revision <= self._mod_revisions.get(key, 0) or mod_revision <= self._gone.get(key, 0):
+            if mod_revision <= self._mod_revisions.get(key, 0) or mod_revision <= self._gone.get(
+                key, 0
+            ):
                 return
             try:
                 self._store(key, value, mod_revision)
@@ -120,7 +124,9 @@
 
     def drop(self, key: str, mod_revision: int) -> None:
         with self.lock:
-            if mod_revision <= self._mod_revisions.get(key, 0) or mod_revision <= self._gone.get(key, 0):
+            if mod_revision <= self._mod_revisions.get(key, 0) or mod_revision <= self._gone.get(
+                key, 0
+            ):
                 return
             self._gone[key] = mod_revision
             if self._mod_revisions.pop(key, None) is None:
@@ -139,8 +145,9 @@
         self._tell(key)
 
     def applied(self, apply: list[dict], revision: int) -> None:
-        """Our own transaction was carried out at this revision. An answer that comes after the log has
-        passed that revision is old news: applying it could bring back a record removed since."""
+        """Our own transaction was carried out at this revision. An answer that comes after the log
+        has passed that revision is old news: applying it could bring back a record removed
+        since."""
         if revision <= self.revision:
             return
         for row in apply:
@@ -210,7 +217,8 @@
                         self._mark(part, attempt.machine)
 
     def _mark(self, part: str, machine: str) -> None:
-        # One count for all, so that a mark that was dropped and began anew is never taken for the old one.
+        # One count for all, so that a mark that was dropped and began anew is never taken for the
+        # old one.
         self._marked += 1
         self.marks.setdefault(part, {})[machine] = self._marked
 
@@ -259,7 +267,8 @@
         self._marked += 1
         work.changed = self._marked
         if len(self.marks.get(part, ())) > 20_000:
-            # Marks only ever tell a machine's change from no change; those without work may start anew.
+            # Marks only ever tell a machine's change from no change; those without work may start
+            # anew.
             self.marks[part] = {name: n for name, n in self.marks[part].items() if name in machines}
 
     def used_by(self, team: str) -> tuple[float, float]:
@@ -285,7 +294,9 @@
         elif kind == "term":
             self.terms[unquote(rest)] = Term(int(value["n"]), value["node"], mod_revision)
         elif kind == "own":
-            self.owns[unquote(rest)] = Own(value["node"], value["boot"], int(value["term"]), mod_revision)
+            self.owns[unquote(rest)] = Own(
+                value["node"], value["boot"], int(value["term"]), mod_revision
+            )
         elif kind == "node":
             self.nodes[unquote(rest)] = Live(unquote(rest), value["boot"], mod_revision)
         elif kind == "catalog":
@@ -307,12 +318,14 @@
         self._begun = 0
         self._ended = 0
         self._turn = trio.Condition()
-        # The sending time of the last read that was answered: the view holds all that was written before.
+        # The sending time of the last read that was answered: the view holds all that was written
+        # before.
         self.contact: datetime | None = None
         self.refusals = 0
 
     async def sync(self) -> None:
-        """Returns when a read has ended that began after this call; the caller sets the time limit."""
+        """Returns when a read has ended that began after this call; the caller sets the time
+        limit."""
         want = self._begun + 1
         self._wanted.set()
         async with self._turn:
@@ -320,9 +333,14 @@
                 await self._turn.wait()
 
     async def run(self) -> None:
-        pause, waits = clock.ZERO, Backoff(self._operator.sync_gap, self._operator.sync_every, self._state.rng)
+        pause, waits = (
+            clock.ZERO,
+            Backoff(self._operator.sync_gap, self._operator.sync_every, self._state.rng),
+        )
         while True:
-            with trio.move_on_after(max(0.0, (self._operator.sync_every - self._operator.sync_gap).total_seconds())):
+            with trio.move_on_after(
+                max(0.0, (self._operator.sync_every - self._operator.sync_gap).total_seconds())
+            ):
                 await self._wanted.wait()
             await clock.pause(self._operator.sync_gap + pause)
             self._wanted = trio.Event()
--- a/roadbend/test_gangs.py
+++ b/roadbend/test_gangs.py
@@ -1,4 +1,5 @@
-"""Gangs: all tasks of a job run at the same time or none does, whatever fails. The judge watches the rules."""
+"""Gangs: all tasks of a job run at the same time or none does, whatever fails. The judge watches
+the rules."""
 
 import random
 from datetime import timedelta
@@ -17,9 +18,18 @@
 
 def gang(number: int, tasks: int = 4, **changes) -> dict:
     body = dict(
-        shape="group", legs=tasks, vcpus=2.0, gpus=0.0, memoryGb=9.6, together=True, dueS=None, milestoneS=20.0,
-        stowS=2.0, expectedS=30.0, loaners=False,
-    )  # fmt: skip
+        shape="group",
+        legs=tasks,
+        vcpus=2.0,
+        gpus=0.0,
+        memoryGb=9.6,
+        together=True,
+        dueS=None,
+        milestoneS=20.0,
+        stowS=2.0,
+        expectedS=30.0,
+        loaners=False,
+    )
     return job(number, **{**body, **changes})
 
 
@@ -37,7 +47,9 @@
     return {a for j, a in w.board.gangs if j == name}
 
 
-async def begun(w: World, body: dict, length: float | None, at: int = 0, within: float = 60) -> list[str]:
+async def begun(
+    w: World, body: dict, length: float | None, at: int = 0, within: float = 60
+) -> list[str]:
     """Submits a gang and waits until all of it runs; gives its machines."""
     assert await w.submit(at, body, length) == 201
     assert await w.until(lambda: len(running(w, body["id"])) == body["legs"], within)
@@ -83,7 +95,8 @@
 
 
 async def test_two_gangs_that_need_all_the_room_run_one_after_the_other():
-    """Neither holds half of it while the other holds the rest; a team's limit counts all tasks at once."""
+    """Neither holds half of it while the other holds the rest; a team's limit counts all tasks at
+    once."""
     async with world(count=1, capacity=1, teams=TEAMS) as w:
         names = [f"run-{n:06d}" for n in (1, 2, 3)]
         for n in (1, 2, 3):
@@ -116,7 +129,7 @@
 
 
 @pytest.mark.parametrize("trouble", ["dies", "hangs"])
-async def test_a_task_lost_while_the_gang_runs_ends_the_attempt_and_the_next_goes_on_from_the_checkpoint(trouble):
+async def test_a_task_lost_while_running_ends_the_attempt_and_the_next_resumes(trouble):
     async with world(count=1, teams=TEAMS) as w:
         machines = await begun(w, gang(1, 16), 60.0)
         await trio.sleep(25)
@@ -133,11 +146,21 @@
 @pytest.mark.parametrize("cause", ["preempted", "notice"])
 async def test_a_gang_is_stopped_whole_and_saves_what_it_did(cause):
     async with world(count=1, capacity=2, teams=TEAMS) as w:
-        machines = await begun(w, gang(1, 20, rank="best_effort", milestoneS=1000.0, yard="east"), 40.0)
+        machines = await begun(
+            w, gang(1, 20, rank="best_effort", milestoneS=1000.0, yard="east"), 40.0
+        )
         await trio.sleep(14)
         if cause == "preempted":
             for n in (2, 3):
-                body = job(n, shape="daemon", rank="production", vcpus=20.0, dueS=None, yard="east", loaners=False)
+                body = job(
+                    n,
+                    shape="daemon",
+                    rank="production",
+                    vcpus=20.0,
+                    dueS=None,
+                    yard="east",
+                    loaners=False,
+                )
                 assert await w.submit(0, body, None) == 201
         else:
             for worker in w.workers():
@@ -155,8 +178,8 @@
 
 
 async def test_a_direct_order_that_arrives_late_is_refused():
-    """It was held up on its way; the machine got the same order with a report, the job was cancelled, its task ended
-    and was forgotten. Then the held order comes."""
+    """It was held up on its way; the machine got the same order with a report, the job was
+    cancelled, its task ended and was forgotten. Then the held order comes."""
     async with world(count=1, teams=TEAMS) as w:
         keep = job(50, shape="daemon", legs=2, yard="east", vcpus=8.0, dueS=None, loaners=False)
         assert await w.submit(0, keep, None) == 201
@@ -210,11 +233,17 @@
 
 
 async def _hang(w: World, rng: random.Random) -> None:
-    await w.hang([x.machine for x in rng.sample(w.workers(), max(1, len(w.workers()) // 2))], rng.uniform(4, 25))
+    await w.hang(
+        [x.machine for x in rng.sample(w.workers(), max(1, len(w.workers()) // 2))],
+        rng.uniform(4, 25),
+    )
 
 
 async def _deaf(w: World, rng: random.Random) -> None:
-    await w.deafen([x.machine for x in rng.sample(w.workers(), max(1, len(w.workers()) // 3))], rng.uniform(4, 25))
+    await w.deafen(
+        [x.machine for x in rng.sample(w.workers(), max(1, len(w.workers()) // 3))],
+        rng.uniform(4, 25),
+    )
 
 
 async def _held_commands(w: World, rng: random.Random) -> None:
@@ -232,18 +261,39 @@
         worker.recall = rng.uniform(6, 15)
 
 
-TROUBLES = [_crash_all, _crash_one, _outage, _late_writes, _dead, _hang, _deaf, _held_commands, _copies, _notice]
+TROUBLES = [
+    _crash_all,
+    _crash_one,
+    _outage,
+    _late_writes,
+    _dead,
+    _hang,
+    _deaf,
+    _held_commands,
+    _copies,
+    _notice,
+]
 
 
 @pytest.mark.parametrize("seed", range(10))
 async def test_pairs_of_troubles_in_every_phase_of_gangs_break_no_rule(seed):
-    """Gangs that come, gather, run, end and are cancelled meanwhile, beside an array and a service."""
+    """Gangs that come, gather, run, end and are cancelled meanwhile, beside an array and a
+    service."""
     rng = random.Random(seed)
-    small = dict(value_bytes=2048, txn_ops=4, state_write_rps=25.0, cancel_within=48 * S) if seed % 2 else {}
+    small = (
+        dict(value_bytes=2048, txn_ops=4, state_write_rps=25.0, cancel_within=48 * S)
+        if seed % 2
+        else {}
+    )
     # Services have an aim for their start, too: their orders go out directly, as gangs' do.
     small["objectives"] = (Objective("wait", "plans", 0.9, 5 * S),)
     async with world(capacity=8, teams=TEAMS, operator=Operator(reoffer_every=2 * S), **small) as w:
-        assert await w.submit(0, job(50, shape="daemon", legs=3, apart=True, dueS=None, loaners=False), None) == 201
+        assert (
+            await w.submit(
+                0, job(50, shape="daemon", legs=3, apart=True, dueS=None, loaners=False), None
+            )
+            == 201
+        )
         assert await w.submit(1, job(51, legs=5, crew="blue", dueS=40.0), 15.0) == 201
         first = gang(1, rng.choice((4, 12)), loaners=True)
         await begun(w, first, rng.uniform(20, 50))
@@ -251,7 +301,12 @@
 
         async def stream() -> None:
             for n in range(2, 12):
-                body = gang(n, rng.choice((2, 3, 8, 16)), rank=rng.choice(("normal", "high")), loaners=n % 2 == 0)
+                body = gang(
+                    n,
+                    rng.choice((2, 3, 8, 16)),
+                    rank=rng.choice(("normal", "high")),
+                    loaners=n % 2 == 0,
+                )
                 for at in rng.sample(range(3), 3):
                     if await w.submit(at, body, rng.uniform(3, 20)) in (200, 201):
                         break
--- a/roadbend/test_growth.py
+++ b/roadbend/test_growth.py
@@ -1,4 +1,5 @@
-"""What must hold at any size: wide arrays, full records, nobody starved, and work that follows the change."""
+"""What must hold at any size: wide arrays, full records, nobody starved, and work that follows the
+change."""
 
 import random
 from dataclasses import replace
@@ -32,7 +33,10 @@
     for value in (KIB4, 32 * 1024):
         width = records.shard_width(value)
         first = 100_000 - 100_000 % width - width
-        run = {n: Attempt((7 << 32) | 90_000 + n, f"m-{rng.randrange(10**6):06d}") for n in range(first, first + width)}
+        run = {
+            n: Attempt((7 << 32) | 90_000 + n, f"m-{rng.randrange(10**6):06d}")
+            for n in range(first, first + width)
+        }
         piece = Slice("run-000001", "east", "team-0000000001", Need(8, 1, 43.5), run=run)
         for _ in range(width + 1):
             assert records.weigh(piece.to_value()) < value * 0.95
@@ -40,7 +44,9 @@
             if left:
                 task_index = rng.choice(left[::2] or left)
                 rest = {n: a for n, a in piece.run.items() if n != task_index}
-                piece = replace(piece, run=rest, done=ranges.union(piece.done, ((task_index, task_index + 1),)))
+                piece = replace(
+                    piece, run=rest, done=ranges.union(piece.done, ((task_index, task_index + 1),))
+                )
         again = Slice.from_value("east", "run-000001", 0, piece.to_value(), 0)
         assert again == piece
 
@@ -50,7 +56,11 @@
     view = View()
     view.put("r/slice/east/run-1", value, 3)
     work = view.slices["east"]["run-1"]
-    assert work.run == {5: Attempt((3 << 32) | 7, "m-1")} and work.shard_of(5, 16) == -1 and work.shard_of(6, 16) == 0
+    assert (
+        work.run == {5: Attempt((3 << 32) | 7, "m-1")}
+        and work.shard_of(5, 16) == -1
+        and work.shard_of(6, 16) == 0
+    )
     assert records.slice_key("east", "run-1", -1) == "r/slice/east/run-1"
 
 
@@ -59,7 +69,11 @@
     rows: dict[str, Slice] = {}
     for _ in range(600):
         mod_revision += 1
-        part, name, shard = rng.choice(("east", "west")), f"run-{rng.randrange(6)}", rng.randrange(3)
+        part, name, shard = (
+            rng.choice(("east", "west")),
+            f"run-{rng.randrange(6)}",
+            rng.randrange(3),
+        )
         key = records.slice_key(part, name, shard)
         if rng.random() < 0.25:
             rows.pop(key, None)
@@ -67,7 +81,16 @@
             continue
         tasks = rng.sample(range(shard * 8, shard * 8 + 8), rng.randrange(6))
         run = {n: Attempt(rng.randrange(3), f"m-{rng.randrange(4)}") for n in tasks}
-        rows[key] = Slice(name, part, "red" if name < "run-3" else "blue", Need(2, 1, 10), (), run, mod_revision, shard)
+        rows[key] = Slice(
+            name,
+            part,
+            "red" if name < "run-3" else "blue",
+            Need(2, 1, 10),
+            (),
+            run,
+            mod_revision,
+            shard,
+        )
         view.put(key, rows[key].to_value(), mod_revision)
         seen = {
             (part, machine, key, attempt)
@@ -75,7 +98,11 @@
             for machine, found in machines.items()
             for key, (_, attempt) in found.items()
         }
-        want = {(p.part, a.machine, (p.job, task_index), a) for p in rows.values() for task_index, a in p.run.items()}
+        want = {
+            (p.part, a.machine, (p.job, task_index), a)
+            for p in rows.values()
+            for task_index, a in p.run.items()
+        }
         assert seen == want
         for team in ("red", "blue"):
             count = sum(len(p.run) for p in rows.values() if p.team == team)
@@ -88,7 +115,9 @@
 
 def test_a_wide_job_costs_a_look_at_each_machine_and_not_one_a_task(calls):
     small = calls(lambda: forecast.lay([pending(1, 10, legs=10)], lines(100), lambda _: 30.0, 9999))
-    wide = calls(lambda: forecast.lay([pending(1, 200, legs=200)], lines(100), lambda _: 30.0, 9999))
+    wide = calls(
+        lambda: forecast.lay([pending(1, 200, legs=200)], lines(100), lambda _: 30.0, 9999)
+    )
     more = calls(lambda: forecast.lay([pending(1, 10, legs=10)], lines(300), lambda _: 30.0, 9999))
     assert wide - small < 190 * 16 and more < small * 3.5
     full = [room(f"m-{n}", gpus=0.0) for n in range(200)]
@@ -105,12 +134,16 @@
         for number, tasks in ((1, 2), (2, 60)):
             body = job(number, legs=tasks, yard="east", shape="daemon", dueS=None, loaners=False)
             assert await w.submit(0, body, None) == 201
-            assert await w.until(lambda n=number, k=tasks: len(w.board.running(f"run-{n:06d}")) == k, 90)
+            assert await w.until(
+                lambda n=number, k=tasks: len(w.board.running(f"run-{n:06d}")) == k, 90
+            )
             await trio.sleep(10)
             name = next(iter(w.board.where["run-000001/0"]))
             runtime, worker = w.nodes["node-0"].runtimes["east"], w.cloud.machines[name].worker
             data, answers = worker.report(), []
-            costs.append(calls(lambda r=runtime, d=data, a=answers: a.append(r.calm(d, clock.now()))))
+            costs.append(
+                calls(lambda r=runtime, d=data, a=answers: a.append(r.calm(d, clock.now())))
+            )
             assert answers == [runtime.token(runtime.machines[name])]
             # The same once more is a copy, and one with other tasks is no calm report.
             assert runtime.calm(data, clock.now()) is None
@@ -121,7 +154,11 @@
 
 async def test_an_array_of_250_runs_as_widely_as_machines_allow_with_small_values():
     async with world(
-        capacity=60, teams={"red": Team("red", 0, 0, 100, 400)}, value_bytes=KIB4, txn_ops=8, state_write_rps=25.0
+        capacity=60,
+        teams={"red": Team("red", 0, 0, 100, 400)},
+        value_bytes=KIB4,
+        txn_ops=8,
+        state_write_rps=25.0,
     ) as w:
         assert await w.submit(0, job(1, legs=250, dueS=30.0), 100.0) == 201
         assert await w.until(lambda: len(w.board.running("run-000001")) >= 240, 90)
@@ -136,8 +173,11 @@
 
 
 async def test_the_widest_array_begins_behind_a_steady_stream_of_small_ones():
-    """A team at its limit: small jobs come all the time, and their parts hold all of the team's room."""
-    operator = Operator(begin_within=timedelta(seconds=30), reoffer_every=timedelta(seconds=1e4 / 20))
+    """A team at its limit: small jobs come all the time, and their parts hold all of the team's
+    room."""
+    operator = Operator(
+        begin_within=timedelta(seconds=30), reoffer_every=timedelta(seconds=1e4 / 20)
+    )
     async with world(capacity=4, operator=operator, teams={"red": Team("red", 0, 0, 2, 6)}) as w:
         over = trio.Event()
 
@@ -161,7 +201,12 @@
 
 async def test_a_wide_service_spread_over_zones_starts_in_full():
     async with world(capacity=8, teams={"red": Team("red", 0, 0, 12, 12)}) as w:
-        assert await w.submit(0, job(1, legs=12, apart=True, shape="daemon", dueS=None, loaners=False), None) == 201
+        assert (
+            await w.submit(
+                0, job(1, legs=12, apart=True, shape="daemon", dueS=None, loaners=False), None
+            )
+            == 201
+        )
         assert await w.until(lambda: len(w.board.running("run-000001")) == 12, 60)
 
 
@@ -181,7 +226,8 @@
 
 
 async def test_a_start_that_is_carried_out_late_does_not_come_on_top_of_others():
-    """What is set aside bounds the starts, so one whose answer got lost must be settled before the next."""
+    """What is set aside bounds the starts, so one whose answer got lost must be settled before the
+    next."""
     for delay in (5.0, 12.0, 25.0):
         async with world(count=1, capacity=9, teams={"red": Team("red", 0, 0, 0, 12)}) as w:
             # Leaves enough set aside for the next starts to leave the team's record alone.
@@ -194,7 +240,11 @@
             real, held = w.state.handle, []
 
             async def handle(request, host="", real=real, held=held, delay=delay):
-                if request.path == "/multi" and b"r/slice/" in request.body and b"run-000003" in request.body:
+                if (
+                    request.path == "/multi"
+                    and b"r/slice/" in request.body
+                    and b"run-000003" in request.body
+                ):
                     # Lost on its way, and carried out when nobody expects it any more.
                     held.append(trio.current_time())
                     if held[-1] < held[0] + 3.5:
@@ -213,8 +263,11 @@
 
 
 async def test_nothing_is_forgotten_while_a_backlog_is_worked_off():
-    """All controllers die at once under a backlog and a storm; every job is answered by some node soon."""
-    async with world(capacity=2, state_rps=80.0, state_write_rps=25.0, teams={"red": Team("red", 0, 0, 8, 60)}) as w:
+    """All controllers die at once under a backlog and a storm; every job is answered by some node
+    soon."""
+    async with world(
+        capacity=2, state_rps=80.0, state_write_rps=25.0, teams={"red": Team("red", 0, 0, 8, 60)}
+    ) as w:
         names = []
         for n in range(1, 41):
             assert await w.submit(n % 3, job(n, legs=4, dueS=50.0), 5.0) == 201
@@ -292,16 +345,21 @@
 
 
 async def test_two_lives_of_a_controller_never_share_a_term_or_a_hire_name():
-    """Back within a fraction of a second, also before its former life's lease has ended, and with that life's
-    own registration still on its way."""
+    """Back within a fraction of a second, also before its former life's lease has ended, and with
+    that life's own registration still on its way."""
     async with world() as w:
         terms = []
-        assert await w.submit(1, job(1, legs=2, yard="east", shape="daemon", dueS=None), None) == 201
+        assert (
+            await w.submit(1, job(1, legs=2, yard="east", shape="daemon", dueS=None), None) == 201
+        )
         for _ in range(4):
             node = w.nodes["node-0"]
             tenure = node.ownership.tenure("east")
             terms.append(tenure.term if tenure else None)
-            mod_revision, lease_id = node.view.mod_revision(records.node_key("node-0")), node.ownership._lease_id
+            mod_revision, lease_id = (
+                node.view.mod_revision(records.node_key("node-0")),
+                node.ownership._lease_id,
+            )
             w.crash(0)
             await trio.sleep(0.1)
             w.start(0)
@@ -340,7 +398,11 @@
                 )
 
             assert await w.until(led, 40), first
-            for step in {"state": ("state", "peers"), "peers": ("peers", "state"), "both": ("both",)}[first]:
+            for step in {
+                "state": ("state", "peers"),
+                "peers": ("peers", "state"),
+                "both": ("both",),
+            }[first]:
                 for other in {"state": ("state", "cloud"), "peers": ("node-1", "node-2")}.get(
                     step, ("state", "cloud", "node-1", "node-2")
                 ):
@@ -353,14 +415,17 @@
 
 
 async def test_a_zone_that_is_cut_off_keeps_its_machines():
-    """The visa desk's inc-878a: the new owner of a zone behind a cut deleted all of its machines at once."""
+    """The visa desk's inc-878a: the new owner of a zone behind a cut deleted all of its machines at
+    once."""
     for length in (24, 75):
         async with world(capacity=12, teams={"red": Team("red", 0, 0, 12, 12)}) as w:
             body = job(1, legs=8, yard=None, shape="daemon", dueS=None, loaners=False)
             assert await w.submit(1, {**body, "yard": "east"}, None) == 201
             assert await w.until(lambda w=w: len(w.board.running("run-000001")) == 8, 60)
             inside, outside = sorted(w.cloud.machines), ("state", "cloud", "node-1", "node-2")
-            pairs = [("node-0", other) for other in outside] + [(m, o) for m in inside for o in ("node-1", "node-2")]
+            pairs = [("node-0", other) for other in outside] + [
+                (m, o) for m in inside for o in ("node-1", "node-2")
+            ]
             for pair in pairs:
                 w.network.cut(*pair)
             rented = len(w.cloud.names)
@@ -371,7 +436,8 @@
             assert await w.until(lambda w=w: len(w.board.running("run-000001")) == 8, 40)
             await trio.sleep(20)
             assert set(inside) <= set(w.cloud.machines)
-            # A short cut costs nothing; after a long one the tasks, which can't go elsewhere, begin again.
+            # A short cut costs nothing; after a long one the tasks, which can't go elsewhere, begin
+            # again.
             assert len(w.board.starts) == (8 if length < 30 else 16)
 
 
@@ -387,7 +453,8 @@
 
 
 async def test_a_smaller_share_of_a_core_and_more_parts_mean_fewer_looks_at_everything():
-    """On a quarter of a core, forecasts that rested as on a whole one took most of it, and answers fell behind."""
+    """On a quarter of a core, forecasts that rested as on a whole one took most of it, and answers
+    fell behind."""
     async with world(count=1) as w:
         shared = w.nodes["node-0"].shared
         whole = shared.rest(timedelta(milliseconds=50))
@@ -400,19 +467,29 @@
 
 
 def test_what_keeps_a_job_waiting_adds_up_to_less_than_users_permit():
-    """Once all troubles are over, no job waits 90 s beside room that fits it: what may follow each other is a rest
-    after failures, room kept for others' machines, room left to a job of another part, and room being made."""
-    assert ends.BACKOFF_MOST + starts.HOLD + starts.YIELD + starts.RESERVATION_LIFETIME < timedelta(seconds=90)
-    # A job that no part can start is offered everywhere well before that, its turn among others counted.
-    assert exchange.LONG_WAIT + 4 * Operator().reoffer_every + Operator().cool_down < timedelta(seconds=60)
+    """Once all troubles are over, no job waits 90 s beside room that fits it: what may follow each
+    other is a rest after failures, room kept for others' machines, room left to a job of another
+    part, and room being made."""
+    assert ends.BACKOFF_MOST + starts.HOLD + starts.YIELD + starts.RESERVATION_LIFETIME < timedelta(
+        seconds=90
+    )
+    # A job that no part can start is offered everywhere well before that, its turn among others
+    # counted.
+    assert exchange.LONG_WAIT + 4 * Operator().reoffer_every + Operator().cool_down < timedelta(
+        seconds=60
+    )
 
 
 def test_a_wide_job_without_room_keeps_its_teams_limit_from_nobody_who_would_fit():
-    """A wide array that only fits a machine type that is full stood first, and took all that its team had left."""
+    """A wide array that only fits a machine type that is full stood first, and took all that its
+    team had left."""
     wide, small = pending(1, 10, legs=50, rigs=["big"]), pending(2, 20, legs=2)
     limits = policy.Allowance(lambda team: (1000.0, 4.0))
     placed, left, _ = policy.place([wide, small], [room("m-1", gpus=2.0)], limits=limits)
-    assert [(item.job.id, task_index) for item, task_index, _ in placed] == [("run-000002", 0), ("run-000002", 1)]
+    assert [(item.job.id, task_index) for item, task_index, _ in placed] == [
+        ("run-000002", 0),
+        ("run-000002", 1),
+    ]
     assert left[0].job.id == "run-000001" and left[0].count == 4
     # What waits for a machine that was hired for it keeps the limit from lesser work, for a while.
     high = pending(3, 10, legs=4, rigs=["big"], rank="production")
--- a/roadbend/test_house.py
+++ b/roadbend/test_house.py
@@ -13,15 +13,23 @@
 def awaits_under_a_lock(tree: ast.AST) -> list[int]:
     found = []
     for node in ast.walk(tree):
-        if isinstance(node, ast.With) and any("lock" in ast.unparse(item.context_expr) for item in node.items):
-            found += [n.lineno for n in ast.walk(node) if isinstance(n, ast.Await | ast.AsyncWith | ast.AsyncFor)]
+        if isinstance(node, ast.With) and any(
+            "lock" in ast.unparse(item.context_expr) for item in node.items
+        ):
+            found += [
+                n.lineno
+                for n in ast.walk(node)
+                if isinstance(n, ast.Await | ast.AsyncWith | ast.AsyncFor)
+            ]
     return found
 
 
 def test_no_lock_is_held_across_an_await():
     held = ast.parse("async def f(self):\n    with self.lock:\n        await g()\n")
     assert awaits_under_a_lock(held) == [3]
-    assert {p.name: rows for p in SOURCES if (rows := awaits_under_a_lock(ast.parse(p.read_text())))} == {}
+    assert {
+        p.name: rows for p in SOURCES if (rows := awaits_under_a_lock(ast.parse(p.read_text())))
+    } == {}
 
 
 def test_every_operators_setting_is_in_the_reference_and_the_file_we_ship_is_good():
--- a/roadbend/test_meetings.py
+++ b/roadbend/test_meetings.py
@@ -1,6 +1,7 @@
-"""Two troubles at once: each meeting that the users listed, brought about in memory with delays and order drawn
-from a seed, at the times of both deployments. The judge of `standins/rules.py` says whether a rule broke, whether a
-job was forgotten, and whether one was left waiting; docs/meetings.md says what keeps the rule in each."""
+"""Two troubles at once: each meeting that the users listed, brought about in memory with delays and
+order drawn from a seed, at the times of both deployments. The judge of `standins/rules.py` says
+whether a rule broke, whether a job was forgotten, and whether one was left waiting;
+docs/meetings.md says what keeps the rule in each."""
 
 import random
 from datetime import timedelta
@@ -16,10 +17,15 @@
 SITES = {
     "visa": dict(report_every=2.5 * S, lease=18 * S, cancel_within=38 * S),
     "pet": dict(
-        report_every=3 * S, lease=18 * S, cancel_within=48 * S, state_rps=80.0, state_write_rps=25.0,
-        value_bytes=4096, txn_ops=8,
+        report_every=3 * S,
+        lease=18 * S,
+        cancel_within=48 * S,
+        state_rps=80.0,
+        state_write_rps=25.0,
+        value_bytes=4096,
+        txn_ops=8,
     ),
-}  # fmt: skip
+}
 TEAMS = {"red": Team("red", 0, 0, 4, 24), "blue": Team("blue", 0, 0, 4, 30)}
 SERVICE = dict(shape="daemon", dueS=None, loaners=False)
 # Services are to start soon, so their orders go out directly as well.
@@ -32,8 +38,8 @@
 
 
 class Scenario:
-    """A small deployment with work in every zone: services (1 to 3, the second `apart`), arrays that run long
-    (10 to 15), and arrays that come and end (from 20 on)."""
+    """A small deployment with work in every zone: services (1 to 3, the second `apart`), arrays
+    that run long (10 to 15), and arrays that come and end (from 20 on)."""
 
     def __init__(self, w: World, rng: random.Random, site: str):
         self.w, self.rng, self.site = w, rng, SITES[site]
@@ -47,9 +53,19 @@
         assert await w.submit(1, job(2, legs=4, apart=True, rank="high", **SERVICE), None) == 201
         zones = ("east", "east", "east", "north", None, None)
         for n, zone in zip(range(10, 16), zones, strict=True):
-            body = job(n, legs=2, yard=zone, crew="blue", together=n % 2 == 0, dueS=30.0, loaners=n % 3 == 0)
+            body = job(
+                n,
+                legs=2,
+                yard=zone,
+                crew="blue",
+                together=n % 2 == 0,
+                dueS=30.0,
+                loaners=n % 3 == 0,
+            )
             assert await w.submit(n % 3, body, self.rng.uniform(70, 110)) == 201
-        assert await w.until(lambda: all(len(w.board.running(n)) == 2 for n in self.long), 90), "all runs"
+        assert await w.until(lambda: all(len(w.board.running(n)) == 2 for n in self.long), 90), (
+            "all runs"
+        )
         for n in range(20, 24):
             await self.more(n)
 
@@ -61,7 +77,11 @@
                 return
 
     def east(self) -> list[str]:
-        return sorted(m.id for m in self.w.cloud.machines.values() if m.zone == "east" and m.status == "running")
+        return sorted(
+            m.id
+            for m in self.w.cloud.machines.values()
+            if m.zone == "east" and m.status == "running"
+        )
 
     def some_east(self) -> list[str]:
         machines = self.east()
@@ -71,7 +91,8 @@
         await trio.sleep(self.rng.uniform(low, high))
 
     async def cancel(self, names: list[str], low: float = 0.0, high: float = 0.0) -> None:
-        """Called off at controllers in any order, each after its own while, and repeated until it is answered."""
+        """Called off at controllers in any order, each after its own while, and repeated until it
+        is answered."""
         async with trio.open_nursery() as nursery:
             for called in names:
                 nursery.start_soon(self._cancel, called, self.rng.uniform(low, high))
@@ -81,8 +102,9 @@
         await self.w.withdrawn(called, 240)
 
     async def gap(self, delay: float) -> None:
-        """The state service refuses the leader of the east alone, others confirm cancellations, then it is out for
-        all for longer than a cancellation has, while workers go on reporting to the old leader."""
+        """The state service refuses the leader of the east alone, others confirm cancellations,
+        then it is out for all for longer than a cancellation has, while workers go on reporting to
+        the old leader."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.w.refuse, 0, delay + 10)
             nursery.start_soon(self.cancel, self.long[:4], 0.0, delay)
@@ -114,7 +136,12 @@
 async def more_work_than_room_over_slow_links(s: Scenario):
     s.w.state.slow = 0.2
     for n in range(30, 42):
-        await s.more(n, legs=3, rank=s.rng.choice(("production", "normal", "best_effort")), yard=("east", None)[n % 2])
+        await s.more(
+            n,
+            legs=3,
+            rank=s.rng.choice(("production", "normal", "best_effort")),
+            yard=("east", None)[n % 2],
+        )
     await s.wait(10, 30)
     s.w.state.slow = 0.0
 
@@ -276,7 +303,9 @@
         await s.more(n, legs=3)
     machines = s.some_east()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(s.w.cut_pairs, [(f"node-{at}", m) for at in range(3) for m in machines], 25.0)
+        nursery.start_soon(
+            s.w.cut_pairs, [(f"node-{at}", m) for at in range(3) for m in machines], 25.0
+        )
         await s.wait(0, 2)
         s.w.crash(0)
         await s.cancel([name(1), name(30)], 1.0, 12.0)
@@ -284,16 +313,25 @@
 
 
 MEETINGS = [
-    a_command_or_its_answer_is_held_up, jobs_of_one_zone_lose_machines, more_work_than_room_over_slow_links,
-    the_state_refuses_the_leader_then_everybody, a_cancellation_meets_the_end,
-    a_leader_ends_while_machines_do_not_hear_the_new_one, a_held_back_report_arrives_at_a_new_leader,
-    all_controllers_are_away_for_longer_than_a_lease, a_zone_is_cut_off_for_longer_than_a_lease,
-    old_reports_arrive_after_newer_ones, controllers_hand_over_and_all_end_and_one_returns_within_a_second,
-    transactions_are_carried_out_late, leaders_change_ten_times_also_inside_an_outage,
-    jobs_are_cancelled_at_the_instant_of_the_refusal, workers_cannot_open_connections,
-    tasks_end_far_apart_across_a_change_of_leader, a_leader_is_left_with_its_workers_and_users,
+    a_command_or_its_answer_is_held_up,
+    jobs_of_one_zone_lose_machines,
+    more_work_than_room_over_slow_links,
+    the_state_refuses_the_leader_then_everybody,
+    a_cancellation_meets_the_end,
+    a_leader_ends_while_machines_do_not_hear_the_new_one,
+    a_held_back_report_arrives_at_a_new_leader,
+    all_controllers_are_away_for_longer_than_a_lease,
+    a_zone_is_cut_off_for_longer_than_a_lease,
+    old_reports_arrive_after_newer_ones,
+    controllers_hand_over_and_all_end_and_one_returns_within_a_second,
+    transactions_are_carried_out_late,
+    leaders_change_ten_times_also_inside_an_outage,
+    jobs_are_cancelled_at_the_instant_of_the_refusal,
+    workers_cannot_open_connections,
+    tasks_end_far_apart_across_a_change_of_leader,
+    a_leader_is_left_with_its_workers_and_users,
     a_team_at_its_limit_meets_machines_that_cannot_be_asked,
-]  # fmt: skip
+]
 
 
 @pytest.mark.parametrize("seed, site", [(1, "visa"), (2, "pet")])
@@ -352,9 +390,15 @@
 
 
 BESIDE = [
-    alone, a_peer_link_is_cut, a_peer_restarts_inside, machines_hang, machines_are_deaf, machines_are_mute,
-    the_old_leader_stands_still, more_cancellations_than_a_pulse_holds,
-]  # fmt: skip
+    alone,
+    a_peer_link_is_cut,
+    a_peer_restarts_inside,
+    machines_hang,
+    machines_are_deaf,
+    machines_are_mute,
+    the_old_leader_stands_still,
+    more_cancellations_than_a_pulse_holds,
+]
 
 
 @pytest.mark.parametrize("site", ["visa", "pet"])
@@ -375,8 +419,8 @@
 
 @pytest.mark.parametrize("site", ["visa", "pet"])
 async def test_a_peer_that_began_anew_does_not_vouch_for_what_its_former_life_told(site):
-    """It confirmed a cancellation that nobody else heard of, ended, and came back inside the outage with an empty
-    list: the leader that can't read the records must not go on for its word."""
+    """It confirmed a cancellation that nobody else heard of, ended, and came back inside the outage
+    with an empty list: the leader that can't read the records must not go on for its word."""
     async with world(teams=TEAMS, **SITES[site]) as w:
         body = job(1, shape="daemon", yard="east", dueS=None)
         assert await w.submit(1, body, None) == 201
@@ -398,20 +442,28 @@
 
 
 async def test_owners_hear_of_a_cancellation_before_its_user_does():
-    """A start is recorded, and its order waits for the machine's next report; the owner is refused by the state service
-    at that moment, and another controller confirms that the job is cancelled."""
+    """A start is recorded, and its order waits for the machine's next report; the owner is refused
+    by the state service at that moment, and another controller confirms that the job is
+    cancelled."""
     async with world(teams=TEAMS) as w:
-        assert await w.submit(1, job(1, shape="daemon", yard="east", dueS=None, loaners=False), None) == 201
+        assert (
+            await w.submit(1, job(1, shape="daemon", yard="east", dueS=None, loaners=False), None)
+            == 201
+        )
         assert await w.until(lambda: w.board.running(name(1)), 60)
         await trio.sleep(5)
         for n in range(30, 42):
             keep = {"legs": 1, "yard": "east", "dueS": 5.0, "loaners": False, "vcpus": 2.0}
             assert await w.submit(1, job(n, **keep), 60.0) == 201
-            assert await w.until(lambda n=n: f"r/slice/east/{name(n)}/0" in w.state.starting("r/slice/"), 3, 0.01)
+            assert await w.until(
+                lambda n=n: f"r/slice/east/{name(n)}/0" in w.state.starting("r/slice/"), 3, 0.01
+            )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(w.refuse, 0, 3.0)
                 if n % 2:
-                    nursery.start_soon(w.cut_pairs, [("node-0", "node-1"), ("node-0", "node-2")], 3.0)
+                    nursery.start_soon(
+                        w.cut_pairs, [("node-0", "node-1"), ("node-0", "node-2")], 3.0
+                    )
                 assert (await w.call(1, "POST", f"/v1/jobs/{name(n)}/withdraw", {}))[0] == 200
             await trio.sleep(2 + n * 0.37 % 2.5)
         await w.over()
--- a/roadbend/test_nonsense.py
+++ b/roadbend/test_nonsense.py
@@ -1,4 +1,5 @@
-"""Nonsense from workers, peers, the cloud and the state service is refused or ignored, and ends no process."""
+"""Nonsense from workers, peers, the cloud and the state service is refused or ignored, and ends no
+process."""
 
 import random
 
@@ -9,7 +10,22 @@
 from roadbend.http.server import Response
 from roadbend.peers import frames
 
-ODD = [None, -1, 1e300, float("nan"), True, "", "x" * 400, [], {}, [[]], {"a": 1}, 1 << 70, b"\xff", "run-000001/x"]
+ODD = [
+    None,
+    -1,
+    1e300,
+    float("nan"),
+    True,
+    "",
+    "x" * 400,
+    [],
+    {},
+    [[]],
+    {"a": 1},
+    1 << 70,
+    b"\xff",
+    "run-000001/x",
+]
 
 
 async def test_odd_reports_are_answered_and_change_nothing():
@@ -22,9 +38,17 @@
         for n in range(400):
             body = {**worker.report(), "hitch": f"m-{700_000 + n}"}
             row = {"leg": "run-000001/0", "try": 1, "status": "running"}
-            body["legs"] = [{**row, rng.choice(list(row)): rng.choice(ODD)}] if n % 3 else body["legs"]
+            body["legs"] = (
+                [{**row, rng.choice(list(row)): rng.choice(ODD)}] if n % 3 else body["legs"]
+            )
             body[rng.choice(list(body))] = rng.choice(ODD)
-            codes.add((await w.call(0, "POST", "/hello", rng.choice((body, body, body, rng.choice(ODD)))))[0])
+            codes.add(
+                (
+                    await w.call(
+                        0, "POST", "/hello", rng.choice((body, body, body, rng.choice(ODD)))
+                    )
+                )[0]
+            )
         assert codes <= {200, 400, 503} and 400 in codes
         await trio.sleep(30)
         assert w.board.running("run-000001") and len(w.board.starts) == 1
@@ -67,7 +91,9 @@
         for _ in range(60):
             stream = await w.network.port("node-1").connect("node-0:81")
             await stream.send_all(frames.pack(frames.HELLO, 0, b"node-1"))
-            kind = rng.choice((frames.PING, frames.REQUEST, frames.ASSIGN, frames.INFORM, frames.GANG_REQUEST, 99))
+            kind = rng.choice(
+                (frames.PING, frames.REQUEST, frames.ASSIGN, frames.INFORM, frames.GANG_REQUEST, 99)
+            )
             await stream.send_all(frames.pack(kind, 1, rng.randbytes(rng.randrange(200))))
             await trio.sleep(0.1)
             await stream.aclose()
--- a/roadbend/test_scenarios.py
+++ b/roadbend/test_scenarios.py
@@ -34,9 +34,17 @@
 
 async def test_a_service_runs_until_it_is_withdrawn_and_stays_cancelled():
     async with world() as w:
-        assert await w.submit(0, job(2, shape="daemon", legs=3, apart=True, expectedS=0.0, dueS=None), None) == 201
+        assert (
+            await w.submit(
+                0, job(2, shape="daemon", legs=3, apart=True, expectedS=0.0, dueS=None), None
+            )
+            == 201
+        )
         assert await w.until(lambda: len(w.board.running("run-000002")) == 3, 60)
-        zones = [w.cloud.machines[next(iter(w.board.where[t]))].zone for t in w.board.running("run-000002")]
+        zones = [
+            w.cloud.machines[next(iter(w.board.where[t]))].zone
+            for t in w.board.running("run-000002")
+        ]
         assert max(zones.count(z) for z in zones) <= 2
         status, answer = await w.call(1, "POST", "/v1/jobs/run-000002/withdraw", {})
         assert (status, answer["status"]) == (200, "aborted")
@@ -58,7 +66,9 @@
     async with world() as w:
         assert await w.submit(0, job(4, legs=4, dueS=40), 30) == 201
         assert await w.submit(1, job(5, shape="daemon", dueS=None, crew="blue"), None) == 201
-        assert await w.until(lambda: len(w.board.running("run-000004")) == 4 and w.board.running("run-000005"), 60)
+        assert await w.until(
+            lambda: len(w.board.running("run-000004")) == 4 and w.board.running("run-000005"), 60
+        )
         terms = {part: row["n"] for part, row in w.state.starting("r/term/").items()}
         for at in range(3):
             w.crash(at)
@@ -105,11 +115,14 @@
         assert await w.until(lambda: w.board.running("run-000008"), 60)
         machine = next(iter(w.board.where["run-000008/0"]))
         w.cloud.refuse_deletion = True
-        # The machine is cut off but runs on until its lease ends; the board would see a second start.
+        # The machine is cut off but runs on until its lease ends; the board would see a second
+        # start.
         for host in ("node-0", "node-1", "node-2"):
             w.network.cut(host, machine)
         cut = trio.current_time()
-        assert await w.until(lambda: w.board.running("run-000008") and w.board.starts[-1][0] > cut, 90)
+        assert await w.until(
+            lambda: w.board.running("run-000008") and w.board.starts[-1][0] > cut, 90
+        )
         assert w.board.starts[-1][0] - cut > 18
 
 
@@ -119,7 +132,8 @@
         assert await w.until(lambda: w.board.running("run-000009"), 60)
         w.state.down = True
         await trio.sleep(60)
-        # Longer than cancel_s: every controller hears all the others, so no cancellation is unknown.
+        # Longer than cancel_s: every controller hears all the others, so no cancellation is
+        # unknown.
         assert w.board.running("run-000009") and len(w.board.starts) == 1
         for at in range(3):
             assert (await w.call(at, "GET", "/up"))[0] == 200
@@ -164,7 +178,8 @@
 
 
 async def test_a_node_cut_off_from_everyone_stops_renewing_in_time():
-    """Its workers reach it, but a cancellation accepted elsewhere can't: cancel_s is kept all the same."""
+    """Its workers reach it, but a cancellation accepted elsewhere can't: cancel_s is kept all the
+    same."""
     async with world() as w:
         assert await w.submit(1, job(11, shape="daemon", yard="east", dueS=None), None) == 201
         assert await w.until(lambda: w.board.running("run-000011"), 60)
@@ -210,9 +225,19 @@
     async with world(capacity=1) as w:
         for n in range(30, 36):
             zone = ("east", "north", "west")[n % 3]
-            assert await w.submit(0, job(n, legs=2, rank="best_effort", yard=zone, crew="blue"), 600) == 201
-        assert await w.until(lambda: sum(len(w.board.running(f"run-{n:06d}")) for n in range(30, 36)) >= 6, 90)
-        assert await w.submit(1, job(40, shape="daemon", rank="production", loaners=False, dueS=None), None) == 201
+            assert (
+                await w.submit(0, job(n, legs=2, rank="best_effort", yard=zone, crew="blue"), 600)
+                == 201
+            )
+        assert await w.until(
+            lambda: sum(len(w.board.running(f"run-{n:06d}")) for n in range(30, 36)) >= 6, 90
+        )
+        assert (
+            await w.submit(
+                1, job(40, shape="daemon", rank="production", loaners=False, dueS=None), None
+            )
+            == 201
+        )
         assert await w.until(lambda: w.board.running("run-000040"), 15)
 
 
@@ -269,8 +294,15 @@
     operator = Operator(reoffer_every=timedelta(seconds=2), dear=100.0)
     async with world(capacity=1, operator=operator) as w:
         for n in (70, 71):
-            assert await w.submit(0, job(n, legs=2, yard="east", loaners=n == 70, crew="blue", dueS=30), 200) == 201
-        assert await w.until(lambda: all(len(w.board.running(f"run-{n:06d}")) == 2 for n in (70, 71)), 60)
+            assert (
+                await w.submit(
+                    0, job(n, legs=2, yard="east", loaners=n == 70, crew="blue", dueS=30), 200
+                )
+                == 201
+            )
+        assert await w.until(
+            lambda: all(len(w.board.running(f"run-{n:06d}")) == 2 for n in (70, 71)), 60
+        )
         # Recorded as held by the full part, as if drawn before the others were up.
         assert await w.submit(0, job(72, legs=2, dueS=60, crew="red"), 10) == 201
         for node in w.nodes.values():
@@ -279,7 +311,10 @@
         value = {**w.state.value(key), "a": {"east": [[0, 2]]}}
         w.state.multi({"apply": [{"write": key, "value": value}]})
         assert await w.until(lambda: is_(w, 1, 72, "done"), 100)
-        assert {w_zone(w, m) for _, task, m in w.board.starts if task.startswith("run-000072")} <= {"north", "west"}
+        assert {w_zone(w, m) for _, task, m in w.board.starts if task.startswith("run-000072")} <= {
+            "north",
+            "west",
+        }
 
 
 def w_zone(w, machine):
@@ -287,7 +322,8 @@
 
 
 async def test_machines_that_fall_silent_together_are_not_deleted():
-    """An incident of the visa desk: a cut between machines and controllers, 12 s long, cost eight of them."""
+    """An incident of the visa desk: a cut between machines and controllers, 12 s long, cost eight
+    of them."""
     async with world(teams={"red": Team("red", 0, 0, 4, 40)}) as w:
         assert await w.submit(0, job(80, legs=8, yard="east", dueS=20), 200) == 201
         assert await w.until(lambda: len(w.board.running("run-000080")) == 8, 60)
@@ -314,9 +350,17 @@
         node = w.nodes["node-0"]
         node.shared.deleted["m-7"] = node.began
         body = {
-            "hitch": "m-7", "address": "m-7:1", "rig": "g2", "yard": "east", "loaners": False,
-            "stint": 1, "tick": 9, "baton": 0, "recallS": None, "legs": [],
-        }  # fmt: skip
+            "hitch": "m-7",
+            "address": "m-7:1",
+            "rig": "g2",
+            "yard": "east",
+            "loaners": False,
+            "stint": 1,
+            "tick": 9,
+            "baton": 0,
+            "recallS": None,
+            "legs": [],
+        }
         assert (await w.call(0, "POST", "/hello", body))[0] == 503
         assert "m-7" not in node.runtimes["east"].machines
 
--- a/roadbend/test_settings.py
+++ b/roadbend/test_settings.py
@@ -57,8 +57,14 @@
 
 def test_the_platforms_file_is_read_and_what_is_new_in_it_ignored():
     settings = read_platform(PLATFORM)
-    assert settings.lease == timedelta(seconds=18) and settings.controllers == 2 and settings.cpu == 0.25
-    assert settings.teams["red"].gpus_max == 12 and settings.objectives[0].within == timedelta(seconds=10)
+    assert (
+        settings.lease == timedelta(seconds=18)
+        and settings.controllers == 2
+        and settings.cpu == 0.25
+    )
+    assert settings.teams["red"].gpus_max == 12 and settings.objectives[0].within == timedelta(
+        seconds=10
+    )
 
 
 @pytest.mark.parametrize(
@@ -78,7 +84,9 @@
 
 
 def test_operators_settings_are_s_expressions():
-    assert read_operator("(roadbend (omega 0.5) (own-lease 9) (error-limit 5))").own_lease == timedelta(seconds=9)
+    assert read_operator(
+        "(roadbend (omega 0.5) (own-lease 9) (error-limit 5))"
+    ).own_lease == timedelta(seconds=9)
     assert read_operator("(roadbend)").omega == 1.0
 
 
--- a/roadbend/test_troubles.py
+++ b/roadbend/test_troubles.py
@@ -15,7 +15,8 @@
 
 
 def hidden(w: World, machines, cut: bool) -> None:
-    """Machines that hang, as the controllers see them: nothing comes from them, nothing gets to them."""
+    """Machines that hang, as the controllers see them: nothing comes from them, nothing gets to
+    them."""
     for machine in machines:
         for host in ("node-0", "node-1", "node-2"):
             (w.network.cut if cut else w.network.heal)(host, machine)
@@ -40,12 +41,14 @@
 
 @pytest.mark.parametrize("length", [11, 45])
 async def test_dozens_of_machines_hang_and_go_on_later(length):
-    """Within their lease, and well beyond it: what they held begins elsewhere only on proof, what is cancelled
-    meanwhile is gone in time, and none of them is lost for good."""
+    """Within their lease, and well beyond it: what they held begins elsewhere only on proof, what
+    is cancelled meanwhile is gone in time, and none of them is lost for good."""
     async with world(capacity=30, teams=BIG) as w:
         assert await w.submit(0, job(1, legs=24, apart=True, **SERVICE), None) == 201
         assert await w.submit(2, job(3, legs=24, **{**SERVICE, "rank": "high"}), None) == 201
-        assert await w.until(lambda: sum(len(w.board.running(f"run-{n:06d}")) for n in (1, 3)) == 48, 90)
+        assert await w.until(
+            lambda: sum(len(w.board.running(f"run-{n:06d}")) for n in (1, 3)) == 48, 90
+        )
         assert await w.submit(1, job(2, legs=12, dueS=30.0, loaners=False), 40.0) == 201
         assert await w.until(lambda: len(w.board.running("run-000002")) == 12, 60)
         machines = sorted(w.cloud.machines)
@@ -165,7 +168,9 @@
         at = self.rng.randrange(3)
         inside = [m.id for m in self.w.cloud.machines.values() if m.zone == ZONES[at]]
         others = [f"node-{n}" for n in range(3) if n != at]
-        pairs = [(f"node-{at}", o) for o in ("state", "cloud", *others)] + [(m, o) for m in inside for o in others]
+        pairs = [(f"node-{at}", o) for o in ("state", "cloud", *others)] + [
+            (m, o) for m in inside for o in others
+        ]
         for pair in pairs:
             self.w.network.cut(*pair)
         await self._for(10, 40)
@@ -179,7 +184,11 @@
         hidden(self.w, machines, False)
 
     async def begin_anew(self) -> None:
-        up = [m for m in self.w.cloud.machines.values() if m.worker is not None and m.status == "running"]
+        up = [
+            m
+            for m in self.w.cloud.machines.values()
+            if m.worker is not None and m.status == "running"
+        ]
         copies = [m.worker.report() for m in up]
         for machine in self.rng.sample(up, len(up) // 3):
             self.w.cloud.reboot(machine.id)
@@ -207,7 +216,10 @@
         assert await w.submit(0, job(1, legs=6, apart=True, **SERVICE), None) == 201
         names = []
         for n in range(10, 16):
-            assert await w.submit(n % 3, job(n, legs=rng.randint(1, 6), dueS=60.0, crew="blue"), 12.0) == 201
+            assert (
+                await w.submit(n % 3, job(n, legs=rng.randint(1, 6), dueS=60.0, crew="blue"), 12.0)
+                == 201
+            )
             names.append(f"run-{n:06d}")
         assert await w.submit(1, job(20, legs=4, **SERVICE), None) == 201
         assert await w.until(lambda: len(w.board.running("run-000001")) == 6, 60)
@@ -224,5 +236,7 @@
             assert await done(w, name), name
         assert await w.until(lambda: len(w.board.running("run-000001")) == 6, 90)
         # A repeat of what was carried out gets the state that it has now.
-        assert (await w.call(0, "POST", "/v1/jobs", job(20, legs=4, **SERVICE)))[1]["status"] == "aborted"
+        assert (await w.call(0, "POST", "/v1/jobs", job(20, legs=4, **SERVICE)))[1][
+            "status"
+        ] == "aborted"
         assert records.fin_key("run-000020") in w.state.starting("fin/")
--- a/roadbend/test_upgrade.py
+++ b/roadbend/test_upgrade.py
@@ -1,5 +1,5 @@
-"""Old and new controllers side by side: the bytes of the version in production (`production` in deploy/service.toml),
-taken from it, and rolls with troubles in them."""
+"""Old and new controllers side by side: the bytes of the version in production (`production` in
+deploy/service.toml), taken from it, and rolls with troubles in them."""
 
 import random
 from dataclasses import replace
@@ -34,7 +34,9 @@
         "0000005a020200000003000262310000000000002328ffffffff3fc000003e8000003f0000000000ea60000100046561"
         "737400000000000000070001000477657374000200036d2d3100036d2d320002000572756e2d31000572756e2d32"
     ),
-    "pong": ("0000002c028200000003000262320000000000002328000007d03fc000003e8000003f00000000000000000000000000"),
+    "pong": (
+        "0000002c028200000003000262320000000000002328000007d03fc000003e8000003f00000000000000000000000000"
+    ),
     "request": (
         "0000009f020300000004000572756e2d3100030000000900037265640005706c616e7300010000000940200000000000"
         "003ff00000000000004045c000000000000002000267320007c3bc6d6c617574010004656173740001010005696d672d"
@@ -81,20 +83,61 @@
     "fin/run-3": ("a2617364646f6e65616e09"),
 }
 SPEC = Spec(
-    "red", "plans", False, 1, 9, Need(8.0, 1.0, 43.5), ("g2", "ümlaut"), "east", False, True, True, "img-1", 6.25,
-    20 * S, 30 * S, 4 * S, 900 * S,
-)  # fmt: skip
+    "red",
+    "plans",
+    False,
+    1,
+    9,
+    Need(8.0, 1.0, 43.5),
+    ("g2", "ümlaut"),
+    "east",
+    False,
+    True,
+    True,
+    "img-1",
+    6.25,
+    20 * S,
+    30 * S,
+    4 * S,
+    900 * S,
+)
 SERVICE = Spec(
-    "blue", "live", True, 3, 4, Need(8.0, 1.0, 40.0), None, None, False, False, False, "img-2", 1.0,
-    0 * S, 0 * S, 0 * S, None,
-)  # fmt: skip
+    "blue",
+    "live",
+    True,
+    3,
+    4,
+    Need(8.0, 1.0, 40.0),
+    None,
+    None,
+    False,
+    False,
+    False,
+    "img-2",
+    1.0,
+    0 * S,
+    0 * S,
+    0 * S,
+    None,
+)
 AT = datetime(2026, 1, 1, tzinfo=UTC)
-RUN = {2: Attempt(7 << 32 | 5, "m-000012"), 5: Attempt(7 << 32 | 6, "m-000013"), 6: Attempt(8 << 32 | 1, "m-000014")}
+RUN = {
+    2: Attempt(7 << 32 | 5, "m-000012"),
+    5: Attempt(7 << 32 | 6, "m-000013"),
+    6: Attempt(8 << 32 | 1, "m-000014"),
+}
 JOB = Job("run-1", SPEC, AT, {"east": ((0, 3), (5, 9)), "west": ((3, 5),)}, ((0, 2),))
 SLICE = Slice("run-1", "east", "red", SPEC.need, ((0, 2),), RUN)
 PULSE = Heartbeat(
-    "b1", 9 * S, None, (1.5, 0.25, 0.5), {"east": 7}, {"west": ("m-1", "m-2")}, 60 * S, ("run-1", "run-2")
-)  # fmt: skip
+    "b1",
+    9 * S,
+    None,
+    (1.5, 0.25, 0.5),
+    {"east": 7},
+    {"west": ("m-1", "m-2")},
+    60 * S,
+    ("run-1", "run-2"),
+)
 ASK = Ask("run-1", 3, 9, SPEC, waited=2 * S)
 AGAIN = Ask("run-1", 3, 9, SPEC, "east", 7 * S, 3 * S, 40 * S)
 BIDS = [Bid("east", "node-0", 20 * S, 3 * S, 1 * S, 4, 12)]
@@ -104,7 +147,9 @@
     made = {
         "hello": frames.pack(frames.HELLO, 0, b"node-0"),
         "ping": frames.pack(frames.PING, 3, PULSE.pack()),
-        "pong": frames.pack(frames.PING | frames.REPLY, 3, Heartbeat("b2", 9 * S, 2 * S, (1.5, 0.25, 0.5)).pack()),
+        "pong": frames.pack(
+            frames.PING | frames.REPLY, 3, Heartbeat("b2", 9 * S, 2 * S, (1.5, 0.25, 0.5)).pack()
+        ),
         "request": frames.pack(frames.REQUEST, 4, ASK.pack()),
         "request-service": frames.pack(frames.REQUEST, 4, Ask("run-2", 3, 4, SERVICE).pack()),
         "inform": frames.pack(frames.INFORM, 5, AGAIN.pack()),
@@ -113,12 +158,21 @@
         "revoke": frames.pack(frames.REVOKE, 0, messages.pack_revoke("run-1")),
     }
     assert {name: data.hex() for name, data in made.items()} == FRAMES
-    read = {name: next(iter(frames.Splitter().feed(bytes.fromhex(data))))[2] for name, data in FRAMES.items()}
+    read = {
+        name: next(iter(frames.Splitter().feed(bytes.fromhex(data))))[2]
+        for name, data in FRAMES.items()
+    }
     assert Heartbeat.unpack(read["ping"]) == PULSE and Ask.unpack(read["request"]) == ASK
-    assert Ask.unpack(read["inform"]) == AGAIN and Ask.unpack(read["request-service"]).spec == SERVICE
-    assert messages.unpack_bids(read["bids"]) == BIDS and messages.unpack_assign(read["assign"]) == (
-        "run-1", b"\xa0", 77,
-    )  # fmt: skip
+    assert (
+        Ask.unpack(read["inform"]) == AGAIN and Ask.unpack(read["request-service"]).spec == SERVICE
+    )
+    assert messages.unpack_bids(read["bids"]) == BIDS and messages.unpack_assign(
+        read["assign"]
+    ) == (
+        "run-1",
+        b"\xa0",
+        77,
+    )
     assert not read["ping"].endswith(b"+gangs")
 
 
@@ -127,7 +181,10 @@
         records.job_key("run-1"): JOB.to_value(),
         records.job_key("run-2"): Job("run-2", SERVICE, AT).to_value(),
         SLICE.key: SLICE.to_value(),
-        records.team_key("red"): Use("red").with_part("east", 16.0, 2.0).with_part("west", 8.5, 1.0).to_value(),
+        records.team_key("red"): Use("red")
+        .with_part("east", 16.0, 2.0)
+        .with_part("west", 8.5, 1.0)
+        .to_value(),
         records.fin_key("run-3"): records.fin_value("done", 9),
     }
     assert {key: cbor2.dumps(value).hex() for key, value in made.items()} == RECORDS
@@ -156,9 +213,24 @@
 def test_a_job_whose_ranges_outgrow_the_values_to_come_is_written_smaller_and_read_the_same():
     rng = random.Random(4)
     spec = Spec(
-        "red", "plans", False, 1, 100_000, Need(8.0, 1.0, 43.5), None, None, False, False, True, "img-1", 6.25,
-        20 * S, 30 * S, 4 * S, 900 * S,
-    )  # fmt: skip
+        "red",
+        "plans",
+        False,
+        1,
+        100_000,
+        Need(8.0, 1.0, 43.5),
+        None,
+        None,
+        False,
+        False,
+        True,
+        "img-1",
+        6.25,
+        20 * S,
+        30 * S,
+        4 * S,
+        900 * S,
+    )
     numbers = sorted(rng.sample(range(100_000), 240))
     pairs = ranges.normal(zip(numbers[::2], numbers[1::2], strict=True))
     large = Job("run-1", spec, AT, {"east": pairs[::3], "west": pairs[1::3]}, pairs[2::3])
@@ -190,13 +262,17 @@
     assert await count(10) > 800
 
 
-# Names in memory are short, so these are smaller than the users' for records of production to outgrow them.
-SMALL = dict(value_bytes=1200, txn_ops=4, state_write_rps=25.0, state_rps=80.0, state_write_rps_next=18.0)
+# Names in memory are short, so these are smaller than the users' for records of production to
+# outgrow them.
+SMALL = dict(
+    value_bytes=1200, txn_ops=4, state_write_rps=25.0, state_rps=80.0, state_write_rps_next=18.0
+)
 TEAMS = {"red": Team("red", 0, 0, 4, 200), "blue": Team("blue", 0, 0, 4, 60)}
 
 
 async def rolled(w: World, rng: random.Random, trouble) -> None:
-    """Each controller ends and comes back with the new version; one may die before its turn and come back old."""
+    """Each controller ends and comes back with the new version; one may die before its turn and
+    come back old."""
     async with trio.open_nursery() as nursery:
         nursery.start_soon(trouble, w, rng)
         for at in rng.sample(range(3), 3):
@@ -211,7 +287,11 @@
 
 
 async def crash_of_an_old_one(w: World, rng: random.Random) -> None:
-    old = [at for at in range(3) if isinstance(w.nodes.get(f"node-{at}"), previous_version.PreviousVersionNode)]
+    old = [
+        at
+        for at in range(3)
+        if isinstance(w.nodes.get(f"node-{at}"), previous_version.PreviousVersionNode)
+    ]
     at = rng.choice(old)
     w.crash(at)
     await trio.sleep(rng.uniform(0.2, 0.9))
@@ -235,8 +315,12 @@
     w.state.late_writes(0.0, None)
 
 
-@pytest.mark.parametrize("trouble", [nothing, crash_of_an_old_one, outage, cut, late], ids=lambda t: t.__name__)
-async def test_a_roll_with_troubles_in_it_loses_nothing_and_the_limits_to_come_break_nothing(trouble):
+@pytest.mark.parametrize(
+    "trouble", [nothing, crash_of_an_old_one, outage, cut, late], ids=lambda t: t.__name__
+)
+async def test_a_roll_with_troubles_in_it_loses_nothing_and_the_limits_to_come_break_nothing(
+    trouble,
+):
     rng = random.Random(trouble.__name__)
     async with world(
         capacity=40,
@@ -247,11 +331,18 @@
         **SMALL,
     ) as w:
         w.state.limits(previous_version.VALUE_BYTES, previous_version.TXN_OPS)
-        assert await w.submit(0, job(1, shape="daemon", legs=6, apart=True, dueS=None, loaners=False), None) == 201
+        assert (
+            await w.submit(
+                0, job(1, shape="daemon", legs=6, apart=True, dueS=None, loaners=False), None
+            )
+            == 201
+        )
         # Wide enough for records that the limits to come don't permit.
         assert await w.submit(1, job(2, legs=120, yard="east", dueS=20.0, crew="red"), 110.0) == 201
         assert await w.submit(2, job(3, legs=5, crew="blue", dueS=30.0), 60.0) == 201
-        assert await w.submit(2, job(4, shape="daemon", legs=2, crew="blue", dueS=None), None) == 201
+        assert (
+            await w.submit(2, job(4, shape="daemon", legs=2, crew="blue", dueS=None), None) == 201
+        )
         assert await w.until(lambda: len(w.board.running("run-000002")) == 120, 90)
         assert (await w.call(0, "POST", "/v1/jobs", gang(9)))[0] == 400
         assert any(records.weigh(value) > 1200 for value in w.state.starting("r/slice/").values())
@@ -262,7 +353,9 @@
             for n in range(10, 14):
                 await w.submit(n % 3, job(n, legs=2, crew="blue", dueS=30.0), 8.0)
         assert await w.settled()
-        assert all(not isinstance(node, previous_version.PreviousVersionNode) for node in w.nodes.values())
+        assert all(
+            not isinstance(node, previous_version.PreviousVersionNode) for node in w.nodes.values()
+        )
         w.state.limits(1200, 4)
         assert await w.submit(1, gang(20, 8, crew="blue"), 10.0) in (200, 201)
         assert await w.submit(2, gang(21, 3, crew="blue"), 10.0) in (200, 201)
@@ -279,7 +372,9 @@
     work = view.slices["east"]["run-1"]
     runtime = SimpleNamespace(width=settings.shard_width)
     less = replace(
-        large, run={task_index: attempt for task_index, attempt in run.items() if task_index != 3}, mod_revision=5
+        large,
+        run={task_index: attempt for task_index, attempt in run.items() if task_index != 3},
+        mod_revision=5,
     )
     batch = Batch(view, "east", Tenure("east", 7, 1, AT), settings)
     pieces = ends.split(runtime, batch, work, less)
@@ -288,4 +383,7 @@
     assert sorted(found) == sorted(less.run.items()) and len(found) == len(dict(found)) == 101
     # What no transaction of that size can split waits until fewer of its tasks are left.
     wide = replace(large, run={n: Attempt(7 << 32 | n, f"m-{n:06d}") for n in range(400)})
-    assert ends.split(runtime, Batch(view, "east", Tenure("east", 7, 1, AT), settings), work, wide) == []
+    assert (
+        ends.split(runtime, Batch(view, "east", Tenure("east", 7, 1, AT), settings), work, wide)
+        == []
+    )
