--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -9,7 +9,7 @@
 
 from roadbend import clock
 from roadbend.fleet import messages
-from roadbend.fleet.machines import Direct, Key
+from roadbend.fleet.machines import Direct, Key, Machine
 from roadbend.http.client import Client, NoAnswer
 from roadbend.http.net import Net
 from roadbend.http.server import Malformed, Request, Response, decode
@@ -31,6 +31,9 @@
 # How long a direct order to start may go without an answer, and how many of its lives a token can
 # number.
 DIRECT_WITHIN = timedelta(seconds=1.5)
+# The token that fences an unanswered order is shown so many times, each for so long.
+FENCE_TRIES = 3
+FENCE_TIMEOUT = timedelta(milliseconds=500)
 MAX_INCARNATIONS = (1 << records.INCARNATION_BITS) - 2
 # How long looking into a machine, or gathering deletions, may take; more says that we ourselves
 # stood still.
@@ -230,6 +233,23 @@
         log.info("direct-unanswered", part=runtime.part, machine=name)
         if runtime.machines.get(name) is machine:
             machine.fence()
+            await self._raise_token(runtime, machine)
+
+    async def _raise_token(self, runtime: PartRuntime, machine: Machine) -> None:
+        """Shows the machine its raised token at once, by a command without orders: until its next
+        report's answer brings the token, a held order to start would still be carried out, perhaps
+        after a user was told that the job is cancelled."""
+        for _ in range(FENCE_TRIES):
+            if runtime.machines.get(machine.id) is not machine or machine.ours:
+                return
+            body = {"baton": runtime.token(machine), "stint": machine.order[0], "orders": []}
+            client = Client(self._net, machine.address, most=1, keep=0)
+            try:
+                async with self._direct:
+                    await client.request("POST", "/commands", body, within=FENCE_TIMEOUT)
+                return
+            except NoAnswer as error:
+                log.debug("fence-unanswered", machine=machine.id, error=error)
 
     async def send_stops(self, nursery: trio.Nursery) -> None:
         """Kills go out directly as well as with reports."""
--- a/roadbend/test_meetings_of_messages.py
+++ b/roadbend/test_meetings_of_messages.py
@@ -172,3 +172,26 @@
         await meeting(scenario)
         assert await w.settled()
         await w.over()
+
+
+async def test_an_unanswered_order_is_fenced_before_it_can_arrive_late():
+    """Its answer was lost with the order still on its way, and the job was cancelled meanwhile:
+    the machine was shown a higher token at once, not with its next report."""
+    async with world(count=1, teams=TEAMS, objectives=AIMS, **SITES["pet"]) as w:
+        keep = job(50, **{**SOON, "legs": 2, "yard": "east", "vcpus": 8.0})
+        assert await w.submit(0, keep, None) == 201
+        assert await w.until(lambda: len(w.board.running(name(50))) == 2, 60)
+        await trio.sleep(6)
+        delays = iter([2.0, None, None, None, None])
+        for worker in w.workers():
+            worker.command_delay = lambda: next(delays, None)
+            # It says nothing for a while, so the token can't come with an answer to a report.
+            worker._report_s = 30.0
+        await trio.sleep(3)
+        assert await w.submit(0, job(1, yard="east", **SOON), None) == 201
+        await trio.sleep(1.0)
+        await w.withdrawn(name(1))
+        await trio.sleep(6)
+        late = [result for worker in w.workers() for result in worker.late_commands]
+        assert late == [False]
+        assert not w.board.running(name(1))
