--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -333,7 +333,9 @@
             stay = stay if stay == ranges.size(unplaced) else 0
         unplaced = ranges.minus(unplaced, ranges.first(unplaced, stay))
         # Each is a condition of the transaction, beside the job's and the term's.
-        most = min(MAX_SHARDS, 4 * self._shared.settings.txn_ops - 2)
+        most = 4 * self._shared.settings.txn_ops - 2
+        if not job.spec.gang:
+            most = min(most, MAX_SHARDS)
         shards = sorted(
             {n // width for low, high in unplaced for n in (*range(low, high, width), high - 1)}
         )[:most]
--- a/roadbend/bidding/offers.py
+++ b/roadbend/bidding/offers.py
@@ -63,6 +63,9 @@
                 len(rows) for rows in layout.starts.values()
             )
             room += max(0, could_rent[1] - waits)
+            if spec.gang:
+                # Wider than one request rents: more requests follow.
+                room = max(room, spec.task_count)
             if could_rent[0] < wait:
                 wait, line = could_rent[0], None
         if wait == forecast.NEVER:
--- a/roadbend/intake/users.py
+++ b/roadbend/intake/users.py
@@ -151,7 +151,7 @@
         if records.weigh(value) > shared.settings.value_bytes * LARGEST:
             return await self._refuse(name, 400, "rigs: more names than a record holds")
         if spec.gang and spec.task_count > shared.settings.widest_gang:
-            # All of its tasks must be recorded in one transaction.
+            # It can never run: its first tasks would give up before its last one is recorded.
             return await self._refuse(name, 422, "wider than any gang that can start")
         rows = [put(records.job_key(name), value)]
         if spec.gang:
--- a/roadbend/placement/batch.py
+++ b/roadbend/placement/batch.py
@@ -14,6 +14,8 @@
 # Bytes that a transaction's values may have in all; the protocol allows 64 KiB, conditions
 # included.
 MAX_BODY = 56 * 1024
+# What an attempt and the rest of a slice's record take at most.
+ATTEMPT_BYTES, SLICE_BYTES = 28, 460
 
 
 class Batch:
@@ -43,6 +45,11 @@
     def free(self) -> int:
         return max(0, self._most - len(self.rows))
 
+    def most_slices(self, width: int) -> int:
+        """How many slices of so many tasks an empty transaction takes, beside a team's record."""
+        weight = min(self._value, width * ATTEMPT_BYTES + SLICE_BYTES)
+        return max(1, min(self._most - 1, (MAX_BODY - self._value) // weight))
+
     def room_for(self, *keys: str) -> bool:
         fresh = sum(1 for key in keys if key not in self.rows)
         return (
--- a/roadbend/placement/ends.py
+++ b/roadbend/placement/ends.py
@@ -76,11 +76,15 @@
                 if work.shard_of(task_index, runtime.width) != n
             ]
         if job is not None and job.spec.gang and any(fact.done for _, fact in ended):
-            if not end_gang(
-                batch, job, touched, [piece for n, piece in work.shards.items() if n not in touched]
-            ):
+            others = [piece for n, piece in work.shards.items() if n not in touched]
+            written = end_gang(batch, job, touched, others)
+            if written is None:
                 return True
             for task_index, fact in ended:
+                if work.shard_of(task_index, runtime.width) not in written:
+                    # Its job is over by then: it is recorded like the end of a cancelled task.
+                    more = True
+                    continue
                 batch.ended.add((name, task_index))
                 batch.charge(work.team, work.need, -1)
                 batch.after.append(partial(note_end, runtime, name, task_index, fact, now))
@@ -144,23 +148,31 @@
     return more
 
 
-def end_gang(batch: Batch, job: Job, touched: dict[int, Slice], others: list[Slice]) -> bool:
+def end_gang(
+    batch: Batch, job: Job, touched: dict[int, Slice], others: list[Slice]
+) -> set[int] | None:
     """One task that is done means that all are, and the job is: once, whoever reports first. What
     of it may still be on machines stays in the slices until that is proven gone, as with a
-    cancelled job."""
-    keys = [piece.key for piece in touched.values()]
-    keys += [piece.key for piece in others if not piece.run]
-    if not batch.room_for(
-        *keys, records.job_key(job.id), records.fin_key(job.id), records.gang_key(job.id)
-    ):
-        return False
-    for piece in [*touched.values(), *others]:
-        if not piece.run:
-            batch.drop_slice(piece)
-        elif piece in touched.values():
-            batch.set_slice(piece)
+    cancelled job. Gives the touched shards that are written with it; a gang wider than one
+    transaction leaves the rest for the next. None: not even the job's end has room now."""
+    ends = (records.job_key(job.id), records.fin_key(job.id), records.gang_key(job.id))
+    all_fits = batch.room_for(*ends, *(piece.key for piece in touched.values()))
+    if not all_fits and (batch.rows or not batch.room_for(*ends)):
+        return None
     batch.end_job(job, "done", job.spec.task_count)
-    return True
+    written: set[int] = set()
+    for shard, piece in touched.items():
+        if not batch.room_for(piece.key):
+            break
+        written.add(shard)
+        if piece.run:
+            batch.set_slice(piece)
+        else:
+            batch.drop_slice(piece)
+    for piece in others:
+        if not piece.run and batch.room_for(piece.key):
+            batch.drop_slice(piece)
+    return written
 
 
 def split(runtime: PartRuntime, batch: Batch, work: Work, piece: Slice) -> list[Slice]:
--- a/roadbend/placement/gangs.py
+++ b/roadbend/placement/gangs.py
@@ -11,13 +11,14 @@
 from roadbend import clock
 from roadbend.fleet.machines import Seen
 from roadbend.log import Log
-from roadbend.placement.policy import Pending
+from roadbend.placement.policy import Pending, Placed
 from roadbend.store import ranges
 from roadbend.store.ranges import Ranges
-from roadbend.store.records import Attempt, Job
+from roadbend.store.records import Attempt, Job, Slice
 from roadbend.store.view import Work
 
 if TYPE_CHECKING:
+    from roadbend.placement.batch import Batch
     from roadbend.placement.runtime import PartRuntime
 
 log = Log("placement")
@@ -56,18 +57,45 @@
 
 def waiting(runtime: PartRuntime, job: Job, unplaced: Ranges) -> Pending | None:
     """What of a gang may be placed: all of it, once nothing of an earlier attempt is recorded any
-    more; or what is missing of one that still gathers."""
+    more; or what is missing of one that still gathers or is still being recorded."""
     if ranges.size(unplaced) == job.spec.task_count:
         return Pending(job, unplaced, False)
     work = runtime.works().get(job.id)
-    if (
-        work is None
-        or not work.run
-        or unplaced_here(job, work) != unplaced
-        or not gathers(runtime, job, work)
-    ):
+    if work is None or not work.run or unplaced_here(job, work) != unplaced:
         return None
-    return Pending(job, unplaced, False)
+    if runtime.filling.get(job.id) == number(runtime, job.id):
+        may_join = still_gathers(runtime, job, work, set(work.run))
+    else:
+        may_join = gathers(runtime, job, work)
+    return Pending(job, unplaced, False) if may_join else None
+
+
+def first_share(runtime: PartRuntime, batch: Batch, rows: list[Placed]) -> list[Placed]:
+    """The tasks of a gang that go into the transaction in the making: all of them where one can
+    hold them, else as many as there is room for now. The next transactions record the rest under
+    the same attempt number, and the tasks wait for each other on their machines."""
+    shards = {index // runtime.width for _, index, _ in rows}
+    if len(shards) <= batch.most_slices(runtime.width):
+        return rows
+    first = set(sorted(shards)[: min(batch.free - 1, batch.most_slices(runtime.width))])
+    return [row for row in rows if row[1] // runtime.width in first]
+
+
+def note_filling(runtime: PartRuntime, piece: Slice) -> None:
+    """A first share has been recorded: the rest comes before all other work."""
+    runtime.filling[piece.job] = next(iter(piece.run.values())).number
+
+
+def filled(runtime: PartRuntime, job: str, attempt: int) -> bool:
+    """Whether nothing is left to be recorded of an attempt."""
+    known = runtime.live(job)
+    if known is None or number(runtime, job) != attempt:
+        return True
+    return len(runtime.works()[job].run) == known.spec.task_count
+
+
+def filling_first(runtime: PartRuntime, queue: list[Pending]) -> list[Pending]:
+    return sorted(queue, key=lambda item: item.job.id not in runtime.filling)
 
 
 def unplaced_here(job: Job, work: Work) -> Ranges:
--- a/roadbend/placement/policy.py
+++ b/roadbend/placement/policy.py
@@ -95,6 +95,10 @@
         return ranges.size(self.tasks)
 
 
+# A task of an item of the queue, and the machine on which it goes.
+Placed = tuple[Pending, int, Room]
+
+
 def allowed(job: Job, machine_type: str, zone: str, spot: bool) -> bool:
     spec = job.spec
     return (
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -102,6 +102,8 @@
         # Machines on which a gang that gathers has lost a task, by job: its attempt goes on
         # elsewhere.
         self.lost_on: dict[str, tuple[int, set[str]]] = {}
+        # Gangs of which a part is recorded and the rest still to be, with their attempt's number.
+        self.filling: dict[str, int] = {}
         # Fewer changes in a transaction than the settings say, once the service has found one too
         # large.
         self.most_rows: int | None = None
@@ -663,6 +665,8 @@
                 if (a := self._recorded(k)) is None or a.number != row.attempt
             ]:
                 del rows[key]
+        for job in [j for j, attempt in self.filling.items() if gangs.filled(self, j, attempt)]:
+            del self.filling[job]
         for job in [
             job for job, (attempt, _) in self.lost_on.items() if gangs.number(self, job) != attempt
         ]:
--- a/roadbend/placement/starts.py
+++ b/roadbend/placement/starts.py
@@ -14,7 +14,7 @@
 from roadbend.log import Log
 from roadbend.placement import gangs, policy
 from roadbend.placement.batch import Batch
-from roadbend.placement.policy import Allowance, Pending, Room, Victim
+from roadbend.placement.policy import Allowance, Pending, Placed, Room, Victim
 from roadbend.rental import policy as renting
 from roadbend.store import records
 from roadbend.store.records import Attempt, Job, Need, Slice, Spec
@@ -55,7 +55,9 @@
         partial(team_left, runtime, batch), lambda job: now - runtime.queued.get(job, now) < HOLD
     )
     placed, left, more = policy.place(
-        [item for item in queue if not yields(runtime, item, overdue)],
+        gangs.filling_first(
+            runtime, [item for item in queue if not yields(runtime, item, overdue)]
+        ),
         rooms,
         batch.free,
         partial(bars, runtime)
@@ -68,53 +70,69 @@
         limits,
     )
     runtime.left = within(limits, left)
-    groups: dict[tuple[str, int], list[tuple[Pending, int, Room]]] = {}
-    for item, task_index, room in placed:
-        work = runtime.works().get(item.job.id)
-        at = (
-            task_index // runtime.width
-            if work is None
-            else work.shard_of(task_index, runtime.width)
-        )
-        # The tasks of a gang go into one transaction, whatever shards they are in.
-        at = -1 if item.job.spec.gang else at
-        groups.setdefault((item.job.id, at), []).append((item, task_index, room))
-    for (name, _), rows in groups.items():
-        job, team = rows[0][0].job, rows[0][0].job.spec.team
-        pieces = fill(runtime, batch, job, rows)
-        keys = [piece.key for piece in pieces]
-        if not set_aside(runtime, batch, team, job.spec.need, len(rows), keys):
+    for rows in grouped(runtime, placed):
+        if not record_start(runtime, batch, rows, now):
             more = True
             break
-        if not all(batch.fits(piece) for piece in pieces):
-            log.error("record-full", part=runtime.part, job=name, tasks=len(rows))
-            continue
-        for piece in pieces:
-            batch.set_slice(piece)
-        batch.need_job(job)
-        batch.charge(team, job.spec.need, len(rows))
-        runtime.waits.append(now - runtime.queued.get(name, now))
-        if job.spec.gang or runtime.shared.start_within(job.spec) is not None:
-            batch.after.append(
-                partial(order_directly, runtime, pieces, {task_index for _, task_index, _ in rows})
-            )
-        for _, task_index, room in rows:
-            log.debug(
-                "start",
-                part=runtime.part,
-                task=f"{name}/{task_index}",
-                machine=room.id,
-                wait=f"{(clock.wall() - job.at).total_seconds():.1f}",
-                cached=job.spec.image in room.images,
-            )
     if runtime.left and not more:
         preempt(runtime, batch, rooms, least is None, now)
     return more
 
 
-def fill(
-    runtime: PartRuntime, batch: Batch, job: Job, rows: list[tuple[Pending, int, Room]]
-) -> list[Slice]:
+def grouped(runtime: PartRuntime, placed: list[Placed]) -> list[list[Placed]]:
+    """What was placed, by job and shard. The tasks of a gang stay together, whatever shards they
+    are in."""
+    groups: dict[tuple[str, int], list[Placed]] = {}
+    for item, task_index, room in placed:
+        name, shard = item.job.id, -1
+        if not item.job.spec.gang:
+            work = runtime.works().get(name)
+            shard = (
+                task_index // runtime.width
+                if work is None
+                else work.shard_of(task_index, runtime.width)
+            )
+        groups.setdefault((name, shard), []).append((item, task_index, room))
+    return list(groups.values())
+
+
+def record_start(runtime: PartRuntime, batch: Batch, rows: list[Placed], now: datetime) -> bool:
+    """Puts the starts of one group into the transaction; False where it has no room for all."""
+    job = rows[0][0].job
+    share = gangs.first_share(runtime, batch, rows) if job.spec.gang else rows
+    if not share:
+        return False
+    pieces = fill(runtime, batch, job, share)
+    keys = [piece.key for piece in pieces]
+    # Of its team's limit all of a gang is set aside with the first of its tasks.
+    if not set_aside(runtime, batch, job.spec.team, job.spec.need, len(rows), keys):
+        return False
+    if not all(batch.fits(piece) for piece in pieces):
+        log.error("record-full", part=runtime.part, job=job.id, tasks=len(share))
+        return True
+    for piece in pieces:
+        batch.set_slice(piece)
+    batch.need_job(job)
+    batch.charge(job.spec.team, job.spec.need, len(share))
+    runtime.waits.append(now - runtime.queued.get(job.id, now))
+    if len(share) < len(rows):
+        batch.after.append(partial(gangs.note_filling, runtime, pieces[0]))
+    if job.spec.gang or runtime.shared.start_within(job.spec) is not None:
+        indexes = {task_index for _, task_index, _ in share}
+        batch.after.append(partial(order_directly, runtime, pieces, indexes))
+    for _, task_index, room in share:
+        log.debug(
+            "start",
+            part=runtime.part,
+            task=f"{job.id}/{task_index}",
+            machine=room.id,
+            wait=f"{(clock.wall() - job.at).total_seconds():.1f}",
+            cached=job.spec.image in room.images,
+        )
+    return len(share) == len(rows)
+
+
+def fill(runtime: PartRuntime, batch: Batch, job: Job, rows: list[Placed]) -> list[Slice]:
     """The slices with the new attempts; a gang's tasks have one attempt number."""
     work, pieces = runtime.works().get(job.id), {}
     common = None
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -218,7 +218,9 @@
         choices = policy.options(self._shared.machine_types.values(), part, self.closed(part, now))
         # The forecast writes on the rooms that it is given.
         lines = runtime.lines([replace(room) for room in fresh])
-        most = runtime.most_forecast(lines)
+        # Of a gang the last task counts, however wide it is.
+        widest = max((t.item.count for t in queue if t.item.job.spec.gang), default=0)
+        most = max(runtime.most_forecast(lines), widest)
         want = (
             policy.wanted(queue, lines, choices, part, operator.boot_factor, most) if queue else {}
         )
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -87,8 +87,11 @@
 
     @property
     def widest_gang(self) -> int:
-        """A gang's attempts go into one transaction, with its team's record."""
-        return max(1, self.txn_ops - 1) * self.shard_width
+        """The widest gang whose attempts can all be recorded while its first task waits: with half
+        of the changes that the state service permits, within half of the time that tasks wait."""
+        changes = min(self.state_write_rps, self.state_write_rps_next or self.state_write_rps)
+        seconds = self.gang_wait.total_seconds() / 2
+        return max(self.txn_ops - 1, int(changes / 2 * seconds)) * self.shard_width
 
 
 _MISSING = object()
--- a/roadbend/test_gangs.py
+++ b/roadbend/test_gangs.py
@@ -78,6 +78,37 @@
         await w.over()
 
 
+SMALL = dict(value_bytes=2048, txn_ops=4, state_write_rps=25.0)
+WIDE = dict(vcpus=0.5, memoryGb=0.5, yard="east")
+
+
+@pytest.mark.parametrize("ends", ["done", "withdrawn"])
+async def test_a_gang_wider_than_a_transaction_runs_whole_under_one_number(ends):
+    """Its attempts are recorded in several transactions, and so is its end."""
+    async with world(count=1, teams=TEAMS, **SMALL) as w:
+        length = 10.0 if ends == "done" else None
+        await begun(w, gang(1, 300, **WIDE), length, within=90)
+        assert len(attempts(w, NAME)) == 1
+        if ends == "withdrawn":
+            await w.withdrawn(NAME)
+        assert await w.until(lambda: not w.board.running(NAME), 40)
+        await w.over()
+        assert await w.until(lambda: w.state.starting("r/slice/") == {}, 40)
+
+
+async def test_an_owner_that_ends_amid_a_wide_gangs_start_leaves_no_half_of_it():
+    async with world(teams=TEAMS, **SMALL) as w:
+        await begun(w, gang(9, 40, **WIDE), 2.0)
+        assert await w.submit(1, gang(1, 300, **WIDE), 8.0) == 201
+        slices = f"r/slice/east/{NAME}"
+        assert await w.until(lambda: len(w.state.starting(slices)) == 3, 90, 0.01)
+        w.crash(0)
+        await trio.sleep(3)
+        w.start(0)
+        await w.over()
+        assert records.fin_key(NAME) in w.state.starting("fin/")
+
+
 async def test_two_gangs_that_need_all_the_room_run_one_after_the_other():
     """Neither holds half of it while the other holds the rest; a team's limit counts all tasks at
     once."""
