--- a/roadbend/bidding/casa.py
+++ b/roadbend/bidding/casa.py
@@ -86,6 +86,8 @@
     free = job.free
     if not free:
         return {}
+    if spec.gang and spec.apart and spec.task_count > 1:
+        return _apart(job, bids, omega, rng)
     if spec.together or spec.gang:
         return _whole(job, bids, omega, rng)
     room = {}
@@ -135,6 +137,27 @@
     return {} if chosen is None else {chosen.part: job.free}
 
 
+def _apart(
+    job: Job, bids: Sequence[Bid], omega: float, rng: random.Random
+) -> dict[str, ranges.Ranges]:
+    """Shares of a gang that is to be apart: all of it is given out at once, or nothing. As ever,
+    parts that can start their shares now come first, and the draw is by inverse time."""
+    if job.alloc or job.done:
+        return {}
+    now = {bid.part: min(bid.now, job.spec.zone_cap) for bid in bids}
+    room = {bid.part: min(bid.room, job.spec.zone_cap) for bid in bids}
+    amounts = now if sum(now.values()) >= job.spec.task_count else room
+    if sum(amounts.values()) < job.spec.task_count:
+        return {}
+    free, open_to, out = job.free, [bid for bid in bids if amounts[bid.part] > 0], {}
+    while free:
+        chosen = draw(open_to, omega, rng)
+        open_to.remove(chosen)
+        out[chosen.part] = ranges.first(free, amounts[chosen.part])
+        free = ranges.minus(free, out[chosen.part])
+    return out
+
+
 def average_queuing(waiting: Sequence[timedelta], executed: Sequence[timedelta]) -> timedelta:
     """Definition 4: of those that wait, else of those that were executed, else zero."""
     rows = waiting or executed
--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import datetime, timedelta
 
 import cbor2
@@ -17,6 +18,7 @@
 from roadbend.peers import frames
 from roadbend.peers.frames import BadFrame
 from roadbend.peers.links import Link, NoReply, Peers
+from roadbend.placement import apart_gangs, gangs
 from roadbend.placement.runtime import PartRuntime
 from roadbend.placement.shared import Shared
 from roadbend.retry import drawn
@@ -260,6 +262,7 @@
         if not self._shared.ownership.may_start(now) or part not in self._runtimes:
             return
         bidder = self._bidder(part)
+        await self._release_gangs(runtime, now)
         average = bidder.average_queuing(now)
         waits: dict[str, timedelta] = {}
         for item in runtime.pending():
@@ -284,6 +287,9 @@
             job = self._shared.view.jobs.get(name)
             if job is None or job.spec.zone is not None or self._runtimes.get(part) is not runtime:
                 continue
+            if apart_gangs.is_apart(job):
+                # Its shares are given back together.
+                continue
             # Where nobody takes what waits longest, all is full: the rest is not asked about now.
             if await self._offer_again(runtime, bidder, job, average):
                 refused = 0
@@ -293,6 +299,27 @@
             if refused >= MAX_REFUSED:
                 break
 
+    async def _release_gangs(self, runtime: PartRuntime, now: datetime) -> None:
+        """Gives back gangs of which several parts hold tasks, so that they are bid for anew: those
+        that are to be apart when they have waited for long, for one of the shares may find no room
+        where it is; others at once, since one part must hold them whole."""
+        for name in list(self._shared.view.held.get(runtime.part, ())):
+            job = self._shared.view.jobs[name]
+            if not job.spec.gang or name in self._shared.cancelled:
+                continue
+            waits_long = now - runtime.queued.get(name, now) >= LONG_WAIT
+            due = apart_gangs.is_apart(job) and (waits_long or name in runtime.to_release)
+            if not due and not gangs.is_scattered(job):
+                continue
+            when = apart_gangs.may_release(runtime, job)
+            if when is None or len(when) > 4 * self._shared.settings.txn_ops - 1:
+                continue
+            if await self.move(job, replace(job, alloc={}), [], set(), when):
+                log.info("released", part=runtime.part, job=name, tasks=job.spec.task_count)
+                runtime.queued.pop(name, None)
+                runtime.to_release.discard(name)
+                self.submit(name)
+
     async def _offer_again(
         self, runtime: PartRuntime, bidder: Bidder, job: Job, average: timedelta
     ) -> bool:
--- a/roadbend/bidding/offers.py
+++ b/roadbend/bidding/offers.py
@@ -51,9 +51,11 @@
         cores = max(1.0, sum(line.room.total.cpus for line in lines))
         ready = [line.room for line in lines if line.room.ready_in <= 0]
         now_count = self._fit(job, ready)
-        if spec.gang:
-            # All of it at once on machines' real free room, or it can't start now.
-            now_count = now_count if now_count >= spec.task_count else 0
+        # All of a gang at once on machines' real free room, or it can't start now; of one that is
+        # to be apart, what one part may run of it.
+        whole = spec.task_count if spec.gang and not spec.apart else 1
+        if now_count < whole:
+            now_count = 0
         room = now_count + self._fit(job, [line.room for line in lines if line.room.ready_in > 0])
         wait, line = (0.0, None) if now_count else forecast.earliest(job, lines)
         could_rent = self._rent(job, ask, dear)
@@ -75,7 +77,7 @@
         # part, and queues there while its team is at its limit.
         left = spec.task_count if spec.gang else self._team_left(job) - own
         now_count, room = min(now_count, left), min(max(room, 0 if own else 1), left)
-        if room <= 0 or spec.gang and room < spec.task_count:
+        if room <= 0 or room < whole:
             return None
         if line is not None:
             fetch = timedelta(seconds=line.room.fetch(spec.image, spec.image_gb))
--- a/roadbend/fakes/cloud.py
+++ b/roadbend/fakes/cloud.py
@@ -44,6 +44,8 @@
         self._count = 0
         self.down = False
         self.refuse_deletion = False
+        # Zones in which there is no machine to be had.
+        self.closed_zones: set[str] = set()
         self.names: list[str] = []
         # How long a boot takes, whatever the type says; None: as the type says.
         self.boot_seconds: float | None = None
@@ -119,7 +121,7 @@
             if (m.machine_type, m.zone, m.spot) == (body["rig"], body["yard"], body["loaners"])
             and m.status != "failed"
         )
-        free = self._capacity - alike
+        free = 0 if body["yard"] in self.closed_zones else self._capacity - alike
         if free <= 0:
             return Response(503, {"error": "no capacity"})
         got = []
--- a/roadbend/intake/messages.py
+++ b/roadbend/intake/messages.py
@@ -134,6 +134,3 @@
     }
     if spec.apart and spec.task_count > 1 and (len(zones) < 2 or spec.together):
         raise NeverRuns("apart leaves no zone for the other half")
-    if spec.gang and spec.apart and spec.task_count > 1:
-        # One part owns a gang whole, and a part is a zone.
-        raise NeverRuns("a gang that is to be apart is not served")
--- a/roadbend/intake/users.py
+++ b/roadbend/intake/users.py
@@ -150,7 +150,9 @@
         value = job.to_value()
         if records.weigh(value) > shared.settings.value_bytes * LARGEST:
             return await self._refuse(name, 400, "rigs: more names than a record holds")
-        if spec.gang and spec.task_count > shared.settings.widest_gang:
+        settings = shared.settings
+        widest = settings.widest_apart_gang if spec.apart else settings.widest_gang
+        if spec.gang and spec.task_count > widest:
             # It can never run: its first tasks would give up before its last one is recorded.
             return await self._refuse(name, 422, "wider than any gang that can start")
         rows = [put(records.job_key(name), value)]
--- a/roadbend/placement/gangs.py
+++ b/roadbend/placement/gangs.py
@@ -11,6 +11,7 @@
 from roadbend import clock
 from roadbend.fleet.machines import Seen
 from roadbend.log import Log
+from roadbend.placement import apart_gangs
 from roadbend.placement.policy import Pending, Placed
 from roadbend.store import ranges
 from roadbend.store.ranges import Ranges
@@ -58,13 +59,18 @@
 def waiting(runtime: PartRuntime, job: Job, unplaced: Ranges) -> Pending | None:
     """What of a gang may be placed: all of it, once nothing of an earlier attempt is recorded any
     more; or what is missing of one that still gathers or is still being recorded."""
-    if ranges.size(unplaced) == job.spec.task_count:
+    if is_scattered(job):
+        return None
+    if ranges.size(unplaced) == share_size(runtime, job):
         return Pending(job, unplaced, False)
     work = runtime.works().get(job.id)
-    if work is None or not work.run or unplaced_here(job, work) != unplaced:
+    if work is None or not work.run or unplaced_here(runtime, job, work) != unplaced:
         return None
     if runtime.filling.get(job.id) == number(runtime, job.id):
         may_join = still_gathers(runtime, job, work, set(work.run))
+    elif apart_gangs.is_apart(job):
+        # What is lost of one share ends the attempt: this part can't tell whether all still wait.
+        may_join = False
     else:
         may_join = gathers(runtime, job, work)
     return Pending(job, unplaced, False) if may_join else None
@@ -91,15 +97,27 @@
     known = runtime.live(job)
     if known is None or number(runtime, job) != attempt:
         return True
-    return len(runtime.works()[job].run) == known.spec.task_count
+    return len(runtime.works()[job].run) == share_size(runtime, known)
 
 
 def filling_first(runtime: PartRuntime, queue: list[Pending]) -> list[Pending]:
     return sorted(queue, key=lambda item: item.job.id not in runtime.filling)
 
 
-def unplaced_here(job: Job, work: Work) -> Ranges:
-    return ranges.minus(((0, job.spec.task_count),), ranges.of(work.run))
+def unplaced_here(runtime: PartRuntime, job: Job, work: Work) -> Ranges:
+    """The tasks of this part's share that are not recorded."""
+    return ranges.minus(job.alloc.get(runtime.part, ()), ranges.of(work.run))
+
+
+def is_scattered(job: Job) -> bool:
+    """Whether several parts hold tasks of a gang that one part should hold whole. A version before
+    gangs moves a gang's tasks like an array's."""
+    return job.spec.gang and not apart_gangs.is_apart(job) and len(job.alloc) > 1
+
+
+def share_size(runtime: PartRuntime, job: Job) -> int:
+    """How many tasks this part starts: all, or its share of a gang that is to be apart."""
+    return ranges.size(job.alloc.get(runtime.part, ()))
 
 
 def number(runtime: PartRuntime, job: str) -> int | None:
@@ -110,6 +128,26 @@
     )
 
 
+def attempt_number(runtime: PartRuntime, job: Job) -> int:
+    """The number under which tasks start now: of the attempt that they join, else a new one."""
+    joined = number(runtime, job.id)
+    apart = apart_gangs.is_apart(job)
+    if joined is None and apart:
+        joined = apart_gangs.number_to_join(runtime, job)
+    if joined is not None:
+        return joined
+    runtime.seq += 1
+    mark = apart_gangs.sequence_mark(runtime) if apart else 0
+    return (runtime.tenure.term << 32) | runtime.seq | mark
+
+
+def may_start(runtime: PartRuntime, job: Job) -> bool:
+    """Whether tasks of a job may start now, as far as other parts are concerned."""
+    if not apart_gangs.is_apart(job) or job.id in runtime.filling:
+        return True
+    return apart_gangs.may_start(runtime, job)
+
+
 def stop_whole(
     runtime: PartRuntime, job: Job, why: str, now: datetime, grace: timedelta | None = None
 ) -> None:
@@ -145,6 +183,12 @@
         ]
         if any(fact.done for _, fact in gone):
             continue
+        if apart_gangs.is_apart(job):
+            if gone or not apart_gangs.intact(runtime, job, now):
+                log.info("gang-over", part=runtime.part, job=name, left=len(work.run))
+                apart_gangs.rest(runtime, job, now)
+                stop_whole(runtime, job, "peers", now, clock.ZERO)
+            continue
         if not gone and len(work.run) == job.spec.task_count:
             continue
         rest = {task_index for task_index in work.run} - {task_index for task_index, _ in gone}
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -104,6 +104,10 @@
         self.lost_on: dict[str, tuple[int, set[str]]] = {}
         # Gangs of which a part is recorded and the rest still to be, with their attempt's number.
         self.filling: dict[str, int] = {}
+        # Gangs that are to be apart: the last attempt of which this part started its share.
+        self.joined: dict[str, int] = {}
+        # Such gangs whose attempt is over: all shares are to be bid for anew.
+        self.to_release: set[str] = set()
         # Fewer changes in a transaction than the settings say, once the service has found one too
         # large.
         self.most_rows: int | None = None
@@ -665,6 +669,9 @@
                 if (a := self._recorded(k)) is None or a.number != row.attempt
             ]:
                 del rows[key]
+        for job in [j for j in self.joined if self.live(j) is None]:
+            del self.joined[job]
+        self.to_release = {job for job in self.to_release if self.live(job) is not None}
         for job in [j for j, attempt in self.filling.items() if gangs.filled(self, j, attempt)]:
             del self.filling[job]
         for job in [
--- a/roadbend/placement/starts.py
+++ b/roadbend/placement/starts.py
@@ -12,7 +12,7 @@
 from roadbend import clock
 from roadbend.fleet.machines import Key
 from roadbend.log import Log
-from roadbend.placement import gangs, policy
+from roadbend.placement import apart_gangs, gangs, policy
 from roadbend.placement.batch import Batch
 from roadbend.placement.policy import Allowance, Pending, Placed, Room, Victim
 from roadbend.rental import policy as renting
@@ -54,9 +54,11 @@
     limits = Allowance(
         partial(team_left, runtime, batch), lambda job: now - runtime.queued.get(job, now) < HOLD
     )
+    ready = [item for item in queue if gangs.may_start(runtime, item.job)]
+    early = [item for item in queue if not gangs.may_start(runtime, item.job)]
     placed, left, more = policy.place(
         gangs.filling_first(
-            runtime, [item for item in queue if not yields(runtime, item, overdue)]
+            runtime, [item for item in ready if not yields(runtime, item, overdue)]
         ),
         rooms,
         batch.free,
@@ -69,6 +71,7 @@
         else None,
         limits,
     )
+    left += [item for item in early if apart_gangs.keeps_room(runtime, item.job, now)]
     runtime.left = within(limits, left)
     for rows in grouped(runtime, placed):
         if not record_start(runtime, batch, rows, now):
@@ -113,6 +116,10 @@
     for piece in pieces:
         batch.set_slice(piece)
     batch.need_job(job)
+    if apart_gangs.is_apart(job):
+        apart_gangs.add_conditions(runtime, batch, job)
+        number = next(iter(pieces[0].run.values())).number
+        batch.after.append(partial(runtime.joined.__setitem__, job.id, number))
     batch.charge(job.spec.team, job.spec.need, len(share))
     runtime.waits.append(now - runtime.queued.get(job.id, now))
     if len(share) < len(rows):
@@ -135,12 +142,7 @@
 def fill(runtime: PartRuntime, batch: Batch, job: Job, rows: list[Placed]) -> list[Slice]:
     """The slices with the new attempts; a gang's tasks have one attempt number."""
     work, pieces = runtime.works().get(job.id), {}
-    common = None
-    if job.spec.gang:
-        common = gangs.number(runtime, job.id)
-        if common is None:
-            runtime.seq += 1
-            common = (runtime.tenure.term << 32) | runtime.seq
+    common = gangs.attempt_number(runtime, job) if job.spec.gang else None
     for _, task_index, room in rows:
         at = (
             task_index // runtime.width
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -93,6 +93,12 @@
         seconds = self.gang_wait.total_seconds() / 2
         return max(self.txn_ops - 1, int(changes / 2 * seconds)) * self.shard_width
 
+    @property
+    def widest_apart_gang(self) -> int:
+        """As `widest_gang`, for one whose shares several parts hold: the record of every shard is a
+        condition of each start, and a transaction takes four conditions a change."""
+        return min(self.widest_gang, 3 * self.txn_ops * self.shard_width)
+
 
 _MISSING = object()
 
--- /dev/null
+++ b/roadbend/test_apart_gangs.py
@@ -0,0 +1,112 @@
+"""Gangs that are to be apart: several parts start shares of them under one attempt number. The
+judge watches the rules, the share of each zone among them."""
+
+import random
+from datetime import timedelta
+
+import pytest
+import trio
+
+from roadbend.fakes.submission import gang, job
+from roadbend.fakes.world import World, world
+from roadbend.settings import Operator, Team
+from roadbend.store import records
+from roadbend.test_gangs import NAME, SMALL, TROUBLES, attempts, begun, running
+
+TEAMS = {"red": Team("red", 0, 0, 4, 24), "blue": Team("blue", 0, 0, 4, 30)}
+APART = dict(together=False, apart=True)
+
+
+def zones(w: World, name: str) -> dict[str, int]:
+    out: dict[str, int] = {}
+    for task in w.board.running(name):
+        for machine in w.board.where[task]:
+            zone = w.cloud.machines[machine].zone
+            out[zone] = out.get(zone, 0) + 1
+    return out
+
+
+@pytest.mark.parametrize("tasks", [2, 5, 16])
+async def test_it_starts_whole_over_zones_under_one_number(tasks):
+    async with world(teams=TEAMS) as w:
+        await begun(w, gang(1, tasks, **APART), 12.0, within=150)
+        assert max(zones(w, NAME).values()) <= (tasks + 1) // 2
+        assert await w.until(lambda: not w.board.running(NAME), 60)
+        await w.over()
+        assert await w.until(lambda: w.state.starting("r/slice/") == {}, 30)
+
+
+async def test_it_begins_at_once_where_there_is_room_in_two_zones():
+    async with world(teams=TEAMS) as w:
+        for n, zone in ((50, "east"), (51, "north"), (52, "west")):
+            keep = job(n, shape="daemon", legs=1, yard=zone, dueS=None, loaners=False, vcpus=8.0)
+            assert await w.submit(0, keep, None) == 201
+        assert await w.until(lambda: len(w.workers()) >= 3, 60)
+        await trio.sleep(8)
+        began = trio.current_time()
+        await begun(w, gang(1, 6, **APART), 5.0)
+        assert trio.current_time() - began < 5.0
+        assert len(attempts(w, NAME)) == 1
+        await w.over()
+
+
+async def test_a_wide_one_starts_whole():
+    async with world(teams=TEAMS, **SMALL) as w:
+        await begun(w, gang(1, 240, vcpus=0.5, memoryGb=0.5, **APART), 10.0, within=200)
+        await w.over()
+
+
+async def test_what_one_share_loses_ends_the_attempt_and_all_begin_again():
+    async with world(teams=TEAMS) as w:
+        machines = await begun(w, gang(1, 16, **APART), 60.0, within=150)
+        first = len(attempts(w, NAME))
+        await trio.sleep(25)
+        w.cloud.kill(machines[0])
+        assert await w.until(lambda: len(attempts(w, NAME)) > first, 120)
+        assert await w.until(lambda: len(running(w, NAME)) == 16, 150)
+        assert w.board.progress[NAME] >= 20.0
+        await w.over()
+
+
+async def test_a_share_that_finds_no_room_is_bid_for_again():
+    """Two of three zones have no machine at first: it waits for ever in none of them."""
+    async with world(teams=TEAMS) as w:
+        w.cloud.closed_zones = {"north", "west"}
+        assert await w.submit(0, gang(1, 4, **APART), 5.0) == 201
+        await trio.sleep(100)
+        w.cloud.closed_zones = {"west"}
+        await w.over()
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_pairs_of_troubles_break_no_rule(seed):
+    """Several gangs at a time of which each needs most of the room; owners change halfway."""
+    rng = random.Random(seed)
+    small = SMALL if seed % 2 else {}
+    operator = Operator(reoffer_every=timedelta(seconds=2))
+    async with world(capacity=3, teams=TEAMS, operator=operator, **small) as w:
+        await begun(w, gang(1, 6, **APART), 30.0, within=200)
+        over = trio.Event()
+
+        async def stream() -> None:
+            for n in range(2, 9):
+                apart = APART if n % 2 else {}
+                body = gang(n, rng.choice((2, 3, 8, 12)), loaners=n % 3 == 0, **apart)
+                for at in rng.sample(range(3), 3):
+                    if await w.submit(at, body, rng.uniform(3, 15)) in (200, 201):
+                        break
+                if rng.random() < 0.3:
+                    await trio.sleep(rng.uniform(0, 4))
+                    w.nursery.start_soon(w.withdrawn, body["id"], 200)
+                await trio.sleep(rng.uniform(0.5, 4))
+            over.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stream)
+            for trouble in rng.sample(TROUBLES, 2):
+                nursery.start_soon(trouble, w, rng)
+                await trio.sleep(rng.uniform(0, 6))
+            await over.wait()
+        assert await w.settled()
+        await w.over(400)
+        assert records.fin_key(NAME) in w.state.starting("fin/")
