--- a/roadbend/fakes/worker.py
+++ b/roadbend/fakes/worker.py
@@ -48,7 +48,7 @@
         return case.body if case is not None else {}
 
     def gang(self, task: "_Task") -> Gang | None:
-        job = task.task_index.rpartition("/")[0]
+        job = task.name.rpartition("/")[0]
         body = self.body(job)
         if body.get("shape") != "group":
             return None
@@ -81,7 +81,7 @@
 
 @dataclass
 class _Task:
-    task_index: str
+    name: str
     attempt: int
     state: str = "fetching"
     cause: str | None = None
@@ -175,7 +175,7 @@
         self.seq += 1
         rows = []
         for task in self.tasks.values():
-            row = {"leg": task.task_index, "try": task.attempt, "status": task.state}
+            row = {"leg": task.name, "try": task.attempt, "status": task.state}
             if task.cause:
                 row["cause"] = task.cause
             if task.saved:
@@ -200,9 +200,9 @@
         if task.scope is not None:
             task.scope.cancel()
         if task.began is not None:
-            self._board.leave(task.task_index, self.machine)
+            self._board.leave(task.name, self.machine)
         if cause == "done":
-            self._board.complete(task.task_index)
+            self._board.complete(task.name)
         task.state, task.cause = "ended", cause
         self._changed.set()
 
@@ -220,14 +220,14 @@
                 await self._live_in(gang, task)
                 return
             task.state, task.began = "running", trio.current_time()
-            self._board.enter(task.task_index, self.place)
+            self._board.enter(task.name, self.place)
             self._changed.set()
             if self._broken:
                 await trio.sleep(0.5)
                 self._end(task, "error")
                 return
             lengths = self._board.lengths
-            length = lengths.get(task.task_index, lengths.get(task.task_index.rpartition("/")[0]))
+            length = lengths.get(task.name, lengths.get(task.name.rpartition("/")[0]))
             await trio.sleep(float("inf") if length is None else length)
             await self._up()
             self._end(task, "done")
@@ -235,11 +235,11 @@
     async def _live_in(self, gang: Gang, task: _Task) -> None:
         """A gang's task, by the page: it waits for the others, runs with them, notices when one is
         gone, saves with them, and completes with them."""
-        board, job = self._board, task.task_index.rpartition("/")[0]
+        board, job = self._board, task.name.rpartition("/")[0]
         body, since = board.body(job), trio.current_time()
         task.state, task.began = "gathering", since
-        board.enter(task.task_index, self.place)
-        gang.members[task.task_index] = task
+        board.enter(task.name, self.place)
+        gang.members[task.name] = task
         self._changed.set()
         while gang.began is None:
             if len([m for m in gang.members.values() if m.state == "gathering"]) == gang.size:
@@ -291,9 +291,9 @@
             task.state = "flushing"
             self._changed.set()
         if now - gang.stopping >= body["stowS"]:
-            gang.saved.add(task.task_index)
+            gang.saved.add(task.name)
         if len(gang.saved) == gang.size:
-            job = task.task_index.rpartition("/")[0]
+            job = task.name.rpartition("/")[0]
             made = gang.base + gang.stopping - (gang.began or now)
             self._board.progress[job] = max(self._board.progress.get(job, 0.0), made)
             task.saved = True
@@ -302,7 +302,7 @@
             self._end(task, "peers")
 
     def _kill(self, task: _Task, grace: float) -> None:
-        gang, body = self._board.gang(task), self._board.body(task.task_index.rpartition("/")[0])
+        gang, body = self._board.gang(task), self._board.body(task.name.rpartition("/")[0])
         saves = (
             gang is not None
             and task.state == "running"
@@ -388,7 +388,7 @@
         finally:
             for task in self.tasks.values():
                 if task.began is not None:
-                    self._board.leave(task.task_index, self.machine)
+                    self._board.leave(task.name, self.machine)
 
     async def _lease(self) -> None:
         while True:
--- a/roadbend/fakes/world.py
+++ b/roadbend/fakes/world.py
@@ -108,7 +108,7 @@
                 continue
             free = [MACHINE_TYPE["vcpus"], MACHINE_TYPE["gpus"], MACHINE_TYPE["memoryGb"]]
             for task in worker.tasks.values():
-                case = self.rules.cases.get(task.task_index.rpartition("/")[0])
+                case = self.rules.cases.get(task.name.rpartition("/")[0])
                 if task.state != "ended" and case is not None:
                     free = [f - n for f, n in zip(free, case.need, strict=True)]
             if worker.place.machine not in self.broken_machines:
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -85,6 +85,10 @@
         self._layouts: deque[tuple[tuple, datetime, timedelta, Layout]] = deque(maxlen=4)
         # Machines on which room is being made, for which job, and until when it is kept.
         self.reservations: dict[str, tuple[str, datetime]] = {}
+        # Since when jobs are kept from room that fits them for the sake of others.
+        self.passed_over: dict[str, datetime] = {}
+        # Until when no more room is kept for gangs, see `gang_room`.
+        self.keeping_until = clock.ORIGIN
         # Types that waiting services are kept from for now.
         self.withheld_types: dict[str, frozenset[str]] = {}
         # Conditions of the last transaction, if nobody knows whether it was, or will be, carried
--- a/roadbend/placement/starts.py
+++ b/roadbend/placement/starts.py
@@ -12,7 +12,7 @@
 from roadbend import clock
 from roadbend.fleet.machines import Key
 from roadbend.log import Log
-from roadbend.placement import apart_gangs, gangs, policy
+from roadbend.placement import apart_gangs, gang_room, gangs, policy
 from roadbend.placement.batch import Batch
 from roadbend.placement.policy import Allowance, Pending, Placed, Room, Victim
 from roadbend.rental import policy as renting
@@ -30,6 +30,8 @@
 HOLD = timedelta(seconds=20)
 # For how long a job leaves its team's room to one of another part that has begun nothing.
 YIELD = timedelta(seconds=30)
+# For how long a job is kept from room that fits it for the sake of others, all in all.
+PASSED_OVER = timedelta(seconds=45)
 # How often a part looks whether it has set too much aside for a team.
 RESERVE_EVERY = timedelta(seconds=1)
 # Most tasks stopped for others in one step.
@@ -56,9 +58,16 @@
     )
     ready = [item for item in queue if gangs.may_start(runtime, item.job)]
     early = [item for item in queue if not gangs.may_start(runtime, item.job)]
+    yielding = {item.job.id for item in ready if yields(runtime, item, overdue)}
+    note_passed_over(runtime, ready, yielding, rooms, now)
     placed, left, more = policy.place(
         gangs.filling_first(
-            runtime, [item for item in ready if not yields(runtime, item, overdue)]
+            runtime,
+            [
+                item
+                for item in ready
+                if item.job.id not in yielding or impatient(runtime, item.job.id, now)
+            ],
         ),
         rooms,
         batch.free,
@@ -77,11 +86,42 @@
         if not record_start(runtime, batch, rows, now):
             more = True
             break
+    gang_room.keep_for_gangs(runtime, now)
     if runtime.left and not more:
         preempt(runtime, batch, rooms, least is None, now)
     return more
 
 
+def note_passed_over(
+    runtime: PartRuntime,
+    items: list[Pending],
+    yielding: set[str],
+    rooms: list[Room],
+    now: datetime,
+) -> None:
+    """Remembers since when jobs are kept from room that fits them for the sake of others."""
+    kept = [room for room in rooms if room.id in runtime.reservations]
+    known: dict[tuple, bool] = {}
+    passed = set(yielding)
+    for item in items if kept else ():
+        spec = item.job.spec
+        kind = (spec.need, spec.machine_types, spec.zone, spec.spot)
+        if kind not in known:
+            known[kind] = any(
+                room.fits(spec.need)
+                and policy.allowed(item.job, room.machine_type, room.zone, room.spot)
+                for room in kept
+            )
+        if known[kind]:
+            passed.add(item.job.id)
+    runtime.passed_over = {job: runtime.passed_over.get(job, now) for job in passed}
+
+
+def impatient(runtime: PartRuntime, job: str, now: datetime) -> bool:
+    """Whether a job has been passed over for so long that it is kept from no room any more."""
+    return now - runtime.passed_over.get(job, now) >= PASSED_OVER
+
+
 def grouped(runtime: PartRuntime, placed: list[Placed]) -> list[list[Placed]]:
     """What was placed, by job and shard. The tasks of a gang stay together, whatever shards they
     are in."""
@@ -336,7 +376,9 @@
     """Machines and types that an item keeps off: those where its job just failed, and room that is
     being made for other work, which is not filled while its victims go."""
     name = item.job.id
-    reserved = {machine for machine, (job, _) in runtime.reservations.items() if job != name}
+    reserved: set[str] = set()
+    if not impatient(runtime, name, clock.now()):
+        reserved = {machine for machine, (job, _) in runtime.reservations.items() if job != name}
     if name in runtime.lost_on:
         # A machine ignores an order for an attempt that it still holds, ended ones too.
         reserved |= runtime.lost_on[name][1]
--- a/roadbend/test_gangs.py
+++ b/roadbend/test_gangs.py
@@ -20,10 +20,10 @@
 def running(w: World, name: str) -> list[str]:
     """Tasks that really run, not those that wait for each other."""
     return [
-        t.task_index
+        t.name
         for worker in w.workers()
         for t in worker.tasks.values()
-        if t.state == "running" and t.task_index.startswith(name + "/")
+        if t.state == "running" and t.name.startswith(name + "/")
     ]
 
 
@@ -136,7 +136,7 @@
         slow._fetch_s = 40.0
         assert await w.submit(0, gang(1, 16), 8.0) == 201
         assert await w.until(lambda: len(w.board.running(NAME)) >= 4, 10)
-        if any(t.task_index.startswith(NAME) for t in slow.tasks.values()):
+        if any(t.name.startswith(NAME) for t in slow.tasks.values()):
             machine = slow.machine
             await trio.sleep(1.5)
             w.cloud.kill(machine)
--- a/roadbend/test_growth.py
+++ b/roadbend/test_growth.py
@@ -13,7 +13,7 @@
 from roadbend.fakes.submission import job
 from roadbend.fakes.world import world
 from roadbend.http.client import NoAnswer
-from roadbend.placement import ends, forecast, policy, starts
+from roadbend.placement import ends, forecast, gang_room, policy, starts
 from roadbend.placement.forecast import Line
 from roadbend.placement.test_placement import pending, room
 from roadbend.rental import cloud as renting
@@ -469,11 +469,12 @@
 
 def test_what_keeps_a_job_waiting_adds_up_to_less_than_users_permit():
     """Once all troubles are over, no job waits 90 s beside room that fits it: what may follow each
-    other is a rest after failures, room kept for others' machines, room left to a job of another
-    part, and room being made."""
-    assert ends.BACKOFF_MOST + starts.HOLD + starts.YIELD + starts.RESERVATION_LIFETIME < timedelta(
-        seconds=90
-    )
+    other is a rest after failures, its team's limit kept for work whose machine boots, and all
+    that it is passed over for: room left to a job of another part, being made, or kept for a
+    gang."""
+    assert ends.BACKOFF_MOST + starts.HOLD + starts.PASSED_OVER < timedelta(seconds=90)
+    assert starts.YIELD < starts.PASSED_OVER and starts.RESERVATION_LIFETIME < starts.PASSED_OVER
+    assert gang_room.KEEP < starts.PASSED_OVER
     # A job that no part can start is offered everywhere well before that, its turn among others
     # counted.
     assert exchange.LONG_WAIT + 4 * Operator().reoffer_every + Operator().cool_down < timedelta(
