--- a/roadbend/test_nonsense.py
+++ b/roadbend/test_nonsense.py
@@ -6,10 +6,11 @@
 import pytest
 import trio
 
-from roadbend.fakes.submission import job
+from roadbend.fakes.submission import gang, job
 from roadbend.fakes.world import world
 from roadbend.http.server import Response
 from roadbend.peers import frames
+from roadbend.test_gangs import TEAMS
 
 ODD = [
     None,
@@ -55,6 +56,42 @@
         assert w.board.running("run-000001") and len(w.board.starts) == 1
 
 
+STATES = ("gathering", "running", "flushing", "ended", "dreaming")
+REASONS = ("peers", "alone", "stopped", "weather", None)
+
+
+async def test_gang_states_of_arrays_and_attempts_that_nobody_began_change_nothing():
+    """A machine's reports show states that its tasks can't have, reasons that nobody knows, and
+    attempts that were never begun, for tasks of an array, a service, a gang and of no job."""
+    rng = random.Random(6)
+    async with world(count=1, teams=TEAMS) as w:
+        assert await w.submit(0, job(1, shape="daemon", dueS=None, legs=2), None) == 201
+        assert await w.submit(0, job(2, legs=3, loaners=False), 90.0) == 201
+        assert await w.submit(0, gang(3, 4), 90.0) == 201
+        names = [f"run-{n:06d}" for n in (1, 2, 3)]
+        assert await w.until(lambda: all(w.board.running(name) for name in names), 60)
+        await trio.sleep(5)
+        for _ in range(300):
+            worker = rng.choice(w.workers())
+            body = worker.report()
+            kind = rng.randrange(3)
+            if kind == 0 or not body["legs"]:
+                name = rng.choice((*names, "run-000009"))
+                task = f"{name}/{rng.randrange(4)}"
+                row = {"leg": task, "try": rng.randrange(1, 1 << 40), "status": "running"}
+                body["legs"] = [*body["legs"], row]
+            elif kind == 1:
+                body["legs"][0]["status"] = rng.choice(STATES[:3] + STATES[4:])
+            row = rng.choice(body["legs"])
+            if row["status"] != "ended":
+                row["cause"] = rng.choice(REASONS)
+            assert (await w.call(0, "POST", "/hello", body))[0] in (200, 503)
+            await trio.sleep(0.05)
+        assert all(w.board.running(name) for name in names[:2])
+        await w.withdrawn(names[0])
+        await w.over()
+
+
 @pytest.mark.parametrize("who", ["state", "cloud"])
 async def test_odd_answers_of_services_end_nothing(who):
     rng = random.Random(who)
