--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -22,7 +22,7 @@
 from roadbend.placement.runtime import PartRuntime
 from roadbend.placement.shared import Shared
 from roadbend.retry import drawn
-from roadbend.store import ranges, records
+from roadbend.store import keys, ranges, records
 from roadbend.store.client import Conflict, NoLease, Unavailable, commit, put
 from roadbend.store.records import Job
 
@@ -131,7 +131,7 @@
         view = self._shared.view
         if value and mod_revision > view.revision:
             try:
-                view.put(records.job_key(job), cbor2.loads(value), mod_revision)
+                view.put(keys.job_key(job), cbor2.loads(value), mod_revision)
             except Exception as error:  # cbor2 raises many kinds on hostile input
                 raise BadFrame("assign") from error
         for runtime in self._runtimes.values():
@@ -373,9 +373,9 @@
             if a < (n + 1) * width and b > n * width
         )
         unplaced = ranges.normal(unplaced)
-        also = {records.term_key(part): runtime.tenure.mod_revision}
+        also = {keys.term_key(part): runtime.tenure.mod_revision}
         for n in shards:
-            key = records.slice_key(part, job.id, n)
+            key = keys.slice_key(part, job.id, n)
             also[key] = view.mod_revision(key)
         if not unplaced or job.spec.gang and ranges.size(unplaced) < job.spec.task_count:
             return True
@@ -404,7 +404,7 @@
         self, job: Job, fresh: Job, bids: list[Bid], chosen: set[str], also: dict[str, int]
     ) -> bool:
         """Records who holds what; that is the assignment. `also`: further stamps that must hold."""
-        view, key = self._shared.view, records.job_key(job.id)
+        view, key = self._shared.view, keys.job_key(job.id)
         value = fresh.to_small_value(int(self._shared.settings.value_bytes * 0.95))
         rows = [put(key, value)]
         when = {key: job.mod_revision, **also}
--- a/roadbend/fleet/cuts.py
+++ b/roadbend/fleet/cuts.py
@@ -1,4 +1,4 @@
-"""Telling a network that is cut from machines that are dead: what many do at once is the network's."""
+"""Telling a network that is cut from machines that are dead."""
 
 from collections.abc import Iterable
 from datetime import datetime
--- a/roadbend/fleet/test_lives.py
+++ b/roadbend/fleet/test_lives.py
@@ -8,7 +8,7 @@
 from roadbend.fakes.submission import job
 from roadbend.fakes.world import world
 from roadbend.settings import Operator
-from roadbend.store import records
+from roadbend.store import keys
 
 SERVICE = {"shape": "daemon", "expectedS": 0.0, "dueS": None, "loaners": False}
 
@@ -204,4 +204,4 @@
                 assert await w.until(over, 150, 1.0), (seed, n)
             assert await w.until(lambda: len(w.board.running("run-000020")) == 2, 60)
             parts = w.state.starting("r/term/")
-            assert len({records.term_key(z) for z in ("east", "north", "west")} & parts.keys()) == 3
+            assert len({keys.term_key(z) for z in ("east", "north", "west")} & parts.keys()) == 3
--- a/roadbend/intake/users.py
+++ b/roadbend/intake/users.py
@@ -20,7 +20,7 @@
 )
 from roadbend.log import Log
 from roadbend.placement.shared import Shared
-from roadbend.store import ranges, records
+from roadbend.store import keys, ranges, records
 from roadbend.store.client import Conflict, Refused, Unavailable, commit, delete, put
 from roadbend.store.records import Job
 
@@ -155,10 +155,10 @@
         if spec.gang and spec.task_count > widest:
             # It can never run: its first tasks would give up before its last one is recorded.
             return await self._refuse(name, 422, "wider than any gang that can start")
-        rows = [put(records.job_key(name), value)]
+        rows = [put(keys.job_key(name), value)]
         if spec.gang:
-            rows.insert(0, put(records.gang_key(name), 1))
-        when = {records.job_key(name): 0, records.fin_key(name): 0}
+            rows.insert(0, put(keys.gang_key(name), 1))
+        when = {keys.job_key(name): 0, keys.fin_key(name): 0}
         try:
             revision = await commit(shared.state, when, rows, within=timedelta(seconds=2.5))
         except Conflict:
@@ -198,7 +198,7 @@
         return self._later("no state")
 
     async def _fetch_end(self, name: str) -> tuple[str, int] | None:
-        found = await self._shared.state.get(records.fin_key(name))
+        found = await self._shared.state.get(keys.fin_key(name))
         if found is None:
             return None
         value, _ = found
@@ -272,12 +272,12 @@
                     )
                 done = self._known(job)[1]
                 rows = [
-                    delete(records.job_key(name)),
-                    put(records.fin_key(name), records.fin_value(STATUS_ABORTED, done)),
+                    delete(keys.job_key(name)),
+                    put(keys.fin_key(name), records.fin_value(STATUS_ABORTED, done)),
                 ]
                 if job.spec.gang:
-                    rows.append(delete(records.gang_key(name)))
-                when = {records.job_key(name): job.mod_revision, records.fin_key(name): 0}
+                    rows.append(delete(keys.gang_key(name)))
+                when = {keys.job_key(name): job.mod_revision, keys.fin_key(name): 0}
                 try:
                     revision = await commit(
                         shared.state, when, rows, within=timedelta(seconds=2.5), urgent=True
--- a/roadbend/node.py
+++ b/roadbend/node.py
@@ -27,7 +27,8 @@
 from roadbend.settings import Operator, Settings
 from roadbend.store.budget import Budget
 from roadbend.store.client import StateClient
-from roadbend.store.view import Reader, View
+from roadbend.store.reader import Reader
+from roadbend.store.view import View
 
 log = Log("node")
 MAX_TOLD = 256
--- a/roadbend/parts/ownership.py
+++ b/roadbend/parts/ownership.py
@@ -17,7 +17,7 @@
 from roadbend.parts import policy
 from roadbend.peers.links import Peers
 from roadbend.settings import Operator, Settings
-from roadbend.store import records
+from roadbend.store import keys
 from roadbend.store.client import (
     Conflict,
     NoLease,
@@ -28,7 +28,8 @@
     delete,
     put,
 )
-from roadbend.store.view import Reader, View
+from roadbend.store.reader import Reader
+from roadbend.store.view import View
 
 log = Log("parts")
 # An owner starts tasks only on records that it read this lately; so whoever records a cancellation
@@ -193,7 +194,7 @@
     async def _announce(self, lease_id: int) -> None:
         """Our name among the live ones. A former life may still have the same transaction on its
         way: with what was there as the condition, it can't come after ours."""
-        key = records.node_key(self._settings.name)
+        key = keys.node_key(self._settings.name)
         rows = [put(key, {"boot": self._boot}, lease_id)]
         when = {key: self._view.mod_revision(key)}
         self._view.applied(
@@ -267,16 +268,16 @@
         number = (old.number if old else 0) + 1
         me = self._settings.name
         rows = [
-            put(records.term_key(part), {"n": number, "node": me}),
+            put(keys.term_key(part), {"n": number, "node": me}),
             put(
-                records.own_key(part),
+                keys.own_key(part),
                 {"node": me, "boot": self._boot, "term": number},
                 self._lease_id,
             ),
         ]
         when = {
-            records.term_key(part): old.mod_revision if old else 0,
-            records.own_key(part): own_mod_revision,
+            keys.term_key(part): old.mod_revision if old else 0,
+            keys.own_key(part): own_mod_revision,
         }
         try:
             revision = await commit(
@@ -322,11 +323,11 @@
         own = self._view.owns.get(part)
         if own is None:
             return
-        rows = [delete(records.own_key(part))]
+        rows = [delete(keys.own_key(part))]
         try:
             revision = await commit(
                 self._state,
-                {records.own_key(part): own.mod_revision},
+                {keys.own_key(part): own.mod_revision},
                 rows,
                 within=timedelta(seconds=2),
                 urgent=True,
--- a/roadbend/parts/test_parts.py
+++ b/roadbend/parts/test_parts.py
@@ -9,7 +9,7 @@
 from roadbend.fakes.world import world
 from roadbend.parts import policy
 from roadbend.peers.heartbeat import PeerState
-from roadbend.store import records
+from roadbend.store import keys
 
 S = timedelta(seconds=1)
 T = clock.ORIGIN + 1000 * S
@@ -49,7 +49,7 @@
         node = w.nodes["node-0"]
         mod_revision = node.ownership.tenure("east").mod_revision
         late = {
-            "when": [{"path": records.term_key("east"), "stamp": mod_revision}],
+            "when": [{"path": keys.term_key("east"), "stamp": mod_revision}],
             "apply": [{"write": "r/slice/east/run-9", "value": {}}],
         }
         w.crash(0)
--- a/roadbend/placement/apart_gangs.py
+++ b/roadbend/placement/apart_gangs.py
@@ -12,7 +12,7 @@
 from datetime import datetime, timedelta
 from typing import TYPE_CHECKING
 
-from roadbend.store import ranges, records
+from roadbend.store import keys, ranges
 from roadbend.store.records import Attempt, Job
 
 if TYPE_CHECKING:
@@ -91,8 +91,8 @@
     """The revisions of the records of a part's share; 0 for those that don't exist."""
     held = job.alloc.get(part, ())
     shards = {index // runtime.width for index in ranges.numbers(held)}
-    keys = [records.slice_key(part, job.id, shard) for shard in sorted(shards)]
-    return {key: runtime.shared.view.mod_revision(key) for key in keys}
+    record_keys = [keys.slice_key(part, job.id, shard) for shard in sorted(shards)]
+    return {key: runtime.shared.view.mod_revision(key) for key in record_keys}
 
 
 def intact(runtime: PartRuntime, job: Job, now: datetime) -> bool:
@@ -149,7 +149,7 @@
         return None
     if any(recorded(runtime, job, part) for part in parts):
         return None
-    when = {records.term_key(runtime.part): runtime.tenure.mod_revision}
+    when = {keys.term_key(runtime.part): runtime.tenure.mod_revision}
     for part in parts:
         when.update(share_conditions(runtime, job, part))
     return when
--- a/roadbend/placement/batch.py
+++ b/roadbend/placement/batch.py
@@ -6,7 +6,7 @@
 from roadbend.fleet.machines import Key
 from roadbend.parts.ownership import Tenure
 from roadbend.settings import Settings
-from roadbend.store import records
+from roadbend.store import keys, records
 from roadbend.store.client import delete, put
 from roadbend.store.records import Job, Need, Slice, Use, weigh
 from roadbend.store.view import View
@@ -30,7 +30,7 @@
             min(settings.txn_ops, most or settings.txn_ops),
         )
         self._value = settings.value_bytes
-        self.when: dict[str, int] = {records.term_key(part): tenure.mod_revision}
+        self.when: dict[str, int] = {keys.term_key(part): tenure.mod_revision}
         self.rows: dict[str, dict] = {}
         self.slices: dict[str, Slice] = {}
         self.teams: dict[str, Use] = {}
@@ -50,15 +50,15 @@
         weight = min(self._value, width * ATTEMPT_BYTES + SLICE_BYTES)
         return max(1, min(self._most - 1, (MAX_BODY - self._value) // weight))
 
-    def room_for(self, *keys: str) -> bool:
-        fresh = sum(1 for key in keys if key not in self.rows)
+    def room_for(self, *record_keys: str) -> bool:
+        fresh = sum(1 for key in record_keys if key not in self.rows)
         return (
             len(self.rows) + fresh <= self._most
             and sum(self._sizes.values()) < MAX_BODY - self._value
         )
 
     def slice(self, job: str, team: str, need: Need, shard: int) -> Slice:
-        key = records.slice_key(self._part, job, shard)
+        key = keys.slice_key(self._part, job, shard)
         if key in self.slices:
             return self.slices[key]
         work = self._view.slices.get(self._part, {}).get(job)
@@ -79,7 +79,7 @@
         self.change[team] = (cpus + tasks * need.cpus, gpus + tasks * need.gpus)
 
     def need_job(self, job: Job) -> None:
-        self.when[records.job_key(job.id)] = job.mod_revision
+        self.when[keys.job_key(job.id)] = job.mod_revision
 
     def _put(self, key: str, value: Any, size: int | None = None) -> None:
         self.rows[key] = put(key, value)
@@ -104,20 +104,20 @@
         self.rows[piece.key] = delete(piece.key)
 
     def set_team(self, use: Use) -> None:
-        key = records.team_key(use.team)
+        key = keys.team_key(use.team)
         self.when.setdefault(key, self._view.mod_revision(key))
         self.teams[use.team] = use
         self._put(key, use.to_value())
 
     def set_job(self, job: Job) -> None:
         self.need_job(job)
-        self._put(records.job_key(job.id), job.to_small_value(int(self._value * 0.95)))
+        self._put(keys.job_key(job.id), job.to_small_value(int(self._value * 0.95)))
 
     def end_job(self, job: Job, status: str, done: int) -> None:
         self.need_job(job)
-        key, fin = records.job_key(job.id), records.fin_key(job.id)
+        key, fin = keys.job_key(job.id), keys.fin_key(job.id)
         self.when[fin] = 0
         self.rows[key] = delete(key)
         if job.spec.gang:
-            self.rows[records.gang_key(job.id)] = delete(records.gang_key(job.id))
+            self.rows[keys.gang_key(job.id)] = delete(keys.gang_key(job.id))
         self.rows[fin] = put(fin, records.fin_value(status, done))
--- a/roadbend/placement/ends.py
+++ b/roadbend/placement/ends.py
@@ -12,7 +12,7 @@
 from roadbend.log import Log
 from roadbend.placement import gangs
 from roadbend.placement.batch import Batch
-from roadbend.store import ranges, records
+from roadbend.store import keys, ranges
 from roadbend.store.ranges import Ranges
 from roadbend.store.records import Attempt, Job, Slice
 from roadbend.store.view import Work
@@ -102,13 +102,13 @@
                 n: p for n, p in idle.items() if not ranges.minus(within(runtime, held, n), p.done)
             }
             over = over if len(over) >= FOLD else {}
-        keys = [records.slice_key(part, name, n) for n in touched.keys() | over.keys()]
-        keys += [piece.key for plan in plans.values() for piece in plan]
+        record_keys = [keys.slice_key(part, name, n) for n in touched.keys() | over.keys()]
+        record_keys += [piece.key for plan in plans.values() for piece in plan]
         if job is not None and over:
-            keys += [records.job_key(name), records.fin_key(name)]
-        if not keys:
+            record_keys += [keys.job_key(name), keys.fin_key(name)]
+        if not record_keys:
             continue
-        if not batch.room_for(*keys):
+        if not batch.room_for(*record_keys):
             if batch.rows:
                 return True
             # Wider than one transaction: some of it now, the rest in the next.
@@ -155,7 +155,7 @@
     of it may still be on machines stays in the slices until that is proven gone, as with a
     cancelled job. Gives the touched shards that are written with it; a gang wider than one
     transaction leaves the rest for the next. None: not even the job's end has room now."""
-    ends = (records.job_key(job.id), records.fin_key(job.id), records.gang_key(job.id))
+    ends = (keys.job_key(job.id), keys.fin_key(job.id), keys.gang_key(job.id))
     all_fits = batch.room_for(*ends, *(piece.key for piece in touched.values()))
     if not all_fits and (batch.rows or not batch.room_for(*ends)):
         return None
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -24,7 +24,7 @@
 from roadbend.placement.forecast import Line
 from roadbend.placement.policy import Pending, Room
 from roadbend.placement.shared import Shared
-from roadbend.store import ranges, records
+from roadbend.store import keys, ranges, records
 from roadbend.store.client import Conflict, TooLarge, Unavailable, commit, put
 from roadbend.store.ranges import Ranges
 from roadbend.store.records import Attempt, Job, Need
@@ -643,11 +643,11 @@
                 return True
             for key, mod_revision in unsettled.items():
                 value = (
-                    view.value(key) if mod_revision and key != records.term_key(self.part) else None
+                    view.value(key) if mod_revision and key != keys.term_key(self.part) else None
                 )
                 if value is None:
                     continue
-                when = {key: mod_revision, records.term_key(self.part): self.tenure.mod_revision}
+                when = {key: mod_revision, keys.term_key(self.part): self.tenure.mod_revision}
                 rows = [put(key, value)]
                 try:
                     revision = await commit(
--- a/roadbend/placement/shared.py
+++ b/roadbend/placement/shared.py
@@ -11,8 +11,9 @@
 from roadbend.rental.cloud import MachineType
 from roadbend.settings import Operator, Settings
 from roadbend.store.client import StateClient
+from roadbend.store.reader import Reader
 from roadbend.store.records import Job, Spec
-from roadbend.store.view import Reader, View
+from roadbend.store.view import View
 
 # For how many times as long as it took to work out a layout or a round of hiring it serves, with a
 # whole core.
--- a/roadbend/placement/starts.py
+++ b/roadbend/placement/starts.py
@@ -16,7 +16,7 @@
 from roadbend.placement.batch import Batch
 from roadbend.placement.policy import Allowance, Pending, Placed, Room, Victim
 from roadbend.rental import policy as renting
-from roadbend.store import records
+from roadbend.store import keys
 from roadbend.store.records import Attempt, Job, Need, Slice, Spec
 
 if TYPE_CHECKING:
@@ -146,9 +146,9 @@
     if not share:
         return False
     pieces = fill(runtime, batch, job, share)
-    keys = [piece.key for piece in pieces]
+    record_keys = [piece.key for piece in pieces]
     # Of its team's limit all of a gang is set aside with the first of its tasks.
-    if not set_aside(runtime, batch, job.spec.team, job.spec.need, len(rows), keys):
+    if not set_aside(runtime, batch, job.spec.team, job.spec.need, len(rows), record_keys):
         return False
     if not all(batch.fits(piece) for piece in pieces):
         log.error("record-full", part=runtime.part, job=job.id, tasks=len(share))
@@ -249,18 +249,18 @@
 
 
 def set_aside(
-    runtime: PartRuntime, batch: Batch, team: str, need: Need, tasks: int, keys: list[str]
+    runtime: PartRuntime, batch: Batch, team: str, need: Need, tasks: int, record_keys: list[str]
 ) -> bool:
     """Sees to it that the team's record sets enough aside for this part, in the same transaction.
     Some more than is needed is taken while there is plenty, so that parts seldom meet there."""
-    limits, team_key = runtime.shared.limits(team), records.team_key(team)
+    limits, team_key = runtime.shared.limits(team), keys.team_key(team)
     used = batch.used(team)
     used = (used[0] + tasks * need.cpus, used[1] + tasks * need.gpus)
     use = batch.team(team)
     have = use.parts.get(runtime.part, (0.0, 0.0))
     bound = [most < float("inf") for most in limits]
     short = any(b and u > h + policy.EPS for b, u, h in zip(bound, used, have, strict=True))
-    if not batch.room_for(*keys, *([team_key] if short else [])):
+    if not batch.room_for(*record_keys, *([team_key] if short else [])):
         return False
     if short:
         others = (use.cpus - have[0], use.gpus - have[1])
@@ -290,7 +290,7 @@
             )
     for name, use in view.teams.items():
         have = use.parts.get(runtime.part)
-        key, limits = records.team_key(name), runtime.shared.limits(name)
+        key, limits = keys.team_key(name), runtime.shared.limits(name)
         if have is None or limits is None or key in batch.rows:
             continue
         if now - runtime.reserved_at.get(name, clock.ORIGIN) < RESERVE_EVERY:
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -27,7 +27,7 @@
     read_machine_types,
 )
 from roadbend.retry import Backoff, drawn
-from roadbend.store import records
+from roadbend.store import keys
 from roadbend.store.client import Conflict, NoLease, Unavailable, commit, put
 from roadbend.store.records import Job
 
@@ -81,7 +81,7 @@
                 self._shared.machine_types = read_machine_types(self._shared.view.catalog)
                 log.info("catalog-adopted", machine_types=len(self._shared.machine_types))
             except Malformed as error:
-                log.error("bad-record", key=records.CATALOG_KEY, error=error)
+                log.error("bad-record", key=keys.CATALOG_KEY, error=error)
 
     async def catalog_loop(self) -> None:
         while True:
@@ -110,8 +110,8 @@
 
         if view.catalog is not None and lasting(view.catalog) == lasting(value):
             return
-        rows = [put(records.CATALOG_KEY, value)]
-        when = {records.CATALOG_KEY: view.catalog_mod_revision}
+        rows = [put(keys.CATALOG_KEY, value)]
+        when = {keys.CATALOG_KEY: view.catalog_mod_revision}
         try:
             view.applied(
                 rows, await commit(self._shared.state, when, rows, within=timedelta(seconds=3))
--- /dev/null
+++ b/roadbend/store/keys.py
@@ -0,0 +1,69 @@
+"""The keys of the records in the state service.
+
+r/job/<id>            a live job: spec, which part holds which tasks, which tasks are over
+r/slice/<part>/<id>/<n>   a part's attempts at some of a job's tasks, and what each of them takes;
+                      tasks go into shards by number, so that the widest array fits small values
+r/gang/<id>           says that a live job is a gang: versions before gangs rewrite its own record
+                      without that
+r/team/<team>         what each part may use at most for a team; the sum never passes its limit
+r/term/<part>         the part's term, never removed; its revision guards every write of an owner
+r/own/<part>          who owns the part, on the owner's lease
+r/node/<name>         a live controller, on its lease
+r/catalog             the machine types as last seen, for a controller that starts in a cloud outage
+fin/<id>              the end of a job, kept for ever and outside the part that everyone follows
+"""
+
+from functools import lru_cache
+from urllib.parse import quote
+
+# All records of what is live begin so.
+LIVE = "r/"
+CATALOG_KEY = "r/catalog"
+
+
+@lru_cache(maxsize=4096)
+def quoted(name: str) -> str:
+    """A name as part of a key; names of teams, parts and controllers come again and again."""
+    return quote(name, safe="")
+
+
+def job_key(job: str) -> str:
+    """A live job."""
+    return f"r/job/{job}"
+
+
+def slice_key(part: str, job: str, shard: int) -> str:
+    """A shard of what a part runs of a job."""
+    key = f"r/slice/{quoted(part)}/{job}"
+    # Records of version 0.1 had no shards; they are read, and emptied where they lie.
+    return key if shard < 0 else f"{key}/{shard}"
+
+
+def team_key(team: str) -> str:
+    """What each part may use of a team's limit."""
+    return f"r/team/{quoted(team)}"
+
+
+def gang_key(job: str) -> str:
+    """Says that a live job is a gang."""
+    return f"r/gang/{job}"
+
+
+def term_key(part: str) -> str:
+    """A part's term, which never ends."""
+    return f"r/term/{quoted(part)}"
+
+
+def own_key(part: str) -> str:
+    """Who owns a part."""
+    return f"r/own/{quoted(part)}"
+
+
+def node_key(name: str) -> str:
+    """A live controller."""
+    return f"r/node/{quoted(name)}"
+
+
+def fin_key(job: str) -> str:
+    """The end of a job."""
+    return f"fin/{job}"
--- a/roadbend/store/records.py
+++ b/roadbend/store/records.py
@@ -1,54 +1,23 @@
-"""The records. Everything that must last is in one of these; what a record is called in the state
-service, what is in it, and how it is read back.
-
-r/job/<id>            a live job: spec, which part holds which tasks, which tasks are over
-r/slice/<part>/<id>/<n>   a part's attempts at some of a job's tasks, and what each of them takes;
-                      tasks go into shards by number, so that the widest array fits small values
-r/gang/<id>           says that a live job is a gang: versions before gangs rewrite its own record
-                      without that
-r/team/<team>         what each part may use at most for a team; the sum never passes its limit
-r/term/<part>         the part's term, never removed; its revision guards every write of an owner
-r/own/<part>          who owns the part, on the owner's lease
-r/node/<name>         a live controller, on its lease
-r/catalog             the machine types as last seen, for a controller that starts in a cloud outage
-fin/<id>              the end of a job, kept for ever and outside the part that everyone follows
-"""
+"""The records: everything that must last is in one of these. What is in them, and how they are
+written and read back; `keys` has what they are called."""
 
 import json
 import os.path
 from dataclasses import dataclass, field, replace
 from datetime import datetime, timedelta
-from functools import cached_property, lru_cache
+from functools import cached_property
 from typing import Any, NamedTuple
-from urllib.parse import quote
 
 from roadbend import clock
-from roadbend.store import ranges
+from roadbend.store import keys, ranges
 from roadbend.store.ranges import Ranges
 
-LIVE = "r/"
 # The workers' token is the part's term with this many bits below it, which number a machine's
 # lives.
 INCARNATION_BITS = 16
 PRIORITY = {"production": 3, "high": 2, "normal": 1, "best_effort": 0}
 
 
-@lru_cache(maxsize=4096)
-def quoted(name: str) -> str:
-    """Names of teams, parts and controllers come again and again."""
-    return quote(name, safe="")
-
-
-def job_key(job: str) -> str:
-    return f"r/job/{job}"
-
-
-def slice_key(part: str, job: str, shard: int) -> str:
-    key = f"r/slice/{quoted(part)}/{job}"
-    # Records of version 0.1 had no shards; they are read, and emptied where they lie.
-    return key if shard < 0 else f"{key}/{shard}"
-
-
 def shard_width(value_bytes: int) -> int:
     """As in settings, where a value's size alone is known."""
     return max(8, min(512, int(value_bytes * 0.8 - 400) // 28))
@@ -59,33 +28,6 @@
     return len(json.dumps(value))
 
 
-def team_key(team: str) -> str:
-    return f"r/team/{quoted(team)}"
-
-
-def gang_key(job: str) -> str:
-    return f"r/gang/{job}"
-
-
-def term_key(part: str) -> str:
-    return f"r/term/{quoted(part)}"
-
-
-def own_key(part: str) -> str:
-    return f"r/own/{quoted(part)}"
-
-
-def node_key(name: str) -> str:
-    return f"r/node/{quoted(name)}"
-
-
-def fin_key(job: str) -> str:
-    return f"fin/{job}"
-
-
-CATALOG_KEY = "r/catalog"
-
-
 @dataclass(frozen=True)
 class Need:
     """What one task takes of its machine."""
@@ -272,7 +214,7 @@
 
     @property
     def key(self) -> str:
-        return slice_key(self.part, self.job, self.shard)
+        return keys.slice_key(self.part, self.job, self.shard)
 
     def to_value(self) -> dict:
         """Attempts are written by term, with what their machines' names begin with said once."""
--- a/roadbend/store/test_store.py
+++ b/roadbend/store/test_store.py
@@ -14,11 +14,12 @@
 from roadbend.http.server import Server
 from roadbend.intake.messages import read_submission
 from roadbend.settings import Operator
-from roadbend.store import records
+from roadbend.store import keys
 from roadbend.store.budget import Budget
 from roadbend.store.client import Conflict, StateClient, commit, delete, put
+from roadbend.store.reader import Reader
 from roadbend.store.records import Attempt, Job, Need, Slice, Use
-from roadbend.store.view import Reader, View
+from roadbend.store.view import View
 
 S = timedelta(seconds=1)
 
@@ -73,7 +74,7 @@
         reader = Reader(view, desk.state, Operator())
         nursery.start_soon(reader.run)
         await reader.sync()
-        desk.service.multi({"apply": [put(records.term_key("east"), {"n": 4, "node": "b"})]})
+        desk.service.multi({"apply": [put(keys.term_key("east"), {"n": 4, "node": "b"})]})
         await reader.sync()
         assert view.terms["east"].number == 4
         # Many who wait share one read.
@@ -88,7 +89,7 @@
 async def test_a_late_answer_does_not_bring_back_what_was_removed_since():
     view = View()
     view.load([], 0)
-    key = records.term_key("east")
+    key = keys.term_key("east")
     view.events(
         [{"write": key, "value": {"n": 1, "node": "a"}, "stamp": 5}, {"delete": key, "stamp": 6}], 6
     )
@@ -107,7 +108,7 @@
     service, view = FakeStateService(clock=lambda: 0.0), View()
     view.load([], 0)
     for _ in range(300):
-        key = records.term_key(f"p{rng.randrange(6)}")
+        key = keys.term_key(f"p{rng.randrange(6)}")
         row = delete(key) if rng.random() < 0.3 else put(key, {"n": rng.randrange(99), "node": "a"})
         revision = service.multi({"apply": [row]}).body["ledger"]
         if rng.random() < 0.5:
@@ -115,7 +116,7 @@
         if rng.random() < 0.3:
             view.events([e for _, e in service.log if e["stamp"] > view.revision], service.revision)
     view.events([e for _, e in service.log if e["stamp"] > view.revision], service.revision)
-    want = {records.term_key(part): term.number for part, term in view.terms.items()}
+    want = {keys.term_key(part): term.number for part, term in view.terms.items()}
     assert want == {key: row[0]["n"] for key, row in service.keys.items()}
 
 
--- a/roadbend/store/view.py
+++ b/roadbend/store/view.py
@@ -6,19 +6,12 @@
 
 import threading
 from collections.abc import Callable
-from datetime import datetime
 from typing import Any
 from urllib.parse import unquote
 
-import trio
-
-from roadbend import clock
 from roadbend.http.client import NoAnswer
 from roadbend.log import Log
-from roadbend.retry import Backoff
-from roadbend.settings import Operator
-from roadbend.store import ranges, records
-from roadbend.store.client import Refused, StateClient
+from roadbend.store import keys, ranges
 from roadbend.store.ranges import Ranges
 from roadbend.store.records import Attempt, Job, Live, Need, Own, Slice, Term, Use
 
@@ -152,9 +145,9 @@
             return
         for row in apply:
             if "write" in row:
-                if row["write"].startswith(records.LIVE):
+                if row["write"].startswith(keys.LIVE):
                     self.put(row["write"], row["value"], revision)
-            elif row["delete"].startswith(records.LIVE):
+            elif row["delete"].startswith(keys.LIVE):
                 self.drop(row["delete"], revision)
 
     def events(self, rows: list[dict], revision: int) -> None:
@@ -305,70 +298,3 @@
     def _tell(self, key: str) -> None:
         for watcher in self.watchers:
             watcher(key)
-
-
-class Reader:
-    """Keeps the view fresh. One read serves everyone who waits when it begins."""
-
-    def __init__(self, view: View, state: StateClient, operator: Operator):
-        self.view = view
-        self._state = state
-        self._operator = operator
-        self._wanted = trio.Event()
-        self._begun = 0
-        self._ended = 0
-        self._turn = trio.Condition()
-        # The sending time of the last read that was answered: the view holds all that was written
-        # before.
-        self.contact: datetime | None = None
-        self.refusals = 0
-
-    async def sync(self) -> None:
-        """Returns when a read has ended that began after this call; the caller sets the time
-        limit."""
-        want = self._begun + 1
-        self._wanted.set()
-        async with self._turn:
-            while self._ended < want:
-                await self._turn.wait()
-
-    async def run(self) -> None:
-        pause, waits = (
-            clock.ZERO,
-            Backoff(self._operator.sync_gap, self._operator.sync_every, self._state.rng),
-        )
-        while True:
-            with trio.move_on_after(
-                max(0.0, (self._operator.sync_every - self._operator.sync_gap).total_seconds())
-            ):
-                await self._wanted.wait()
-            await clock.pause(self._operator.sync_gap + pause)
-            self._wanted = trio.Event()
-            self._begun += 1
-            mine, sent = self._begun, clock.now()
-            try:
-                await self._read()
-            except (Refused, NoAnswer) as error:
-                self.refusals += 1
-                if self.refusals in (1, 10) or self.refusals % 100 == 0:
-                    log.error("no-state", error=str(error)[:80], times=self.refusals)
-                pause = waits.next()
-                continue
-            if self.refusals > 1:
-                log.info("state-back", after=self.refusals)
-            waits.reset()
-            pause, self.refusals, self.contact = clock.ZERO, 0, sent
-            async with self._turn:
-                self._ended = max(self._ended, mine)
-                self._turn.notify_all()
-
-    async def _read(self) -> None:
-        if self.view.loaded:
-            news = await self._state.follow(records.LIVE, self.view.revision)
-            if news is not None:
-                self.view.events(*news)
-                return
-            log.info("log-too-old", revision=self.view.revision)
-        rows, revision = await self._state.read_all(records.LIVE)
-        self.view.load(rows, revision)
-        log.info("records-read", count=len(rows), revision=revision)
--- a/roadbend/test_apart_gangs.py
+++ b/roadbend/test_apart_gangs.py
@@ -10,7 +10,7 @@
 from roadbend.fakes.submission import gang, job
 from roadbend.fakes.world import World, world
 from roadbend.settings import Operator, Team
-from roadbend.store import records
+from roadbend.store import keys
 from roadbend.test_gangs import NAME, SMALL, TROUBLES, attempts, begun, running
 
 TEAMS = {"red": Team("red", 0, 0, 4, 24), "blue": Team("blue", 0, 0, 4, 30)}
@@ -109,4 +109,4 @@
             await over.wait()
         assert await w.settled()
         await w.over(400)
-        assert records.fin_key(NAME) in w.state.starting("fin/")
+        assert keys.fin_key(NAME) in w.state.starting("fin/")
--- a/roadbend/test_gang_phases.py
+++ b/roadbend/test_gang_phases.py
@@ -9,7 +9,7 @@
 from roadbend.fakes.world import World, world
 from roadbend.placement import starts
 from roadbend.settings import Team
-from roadbend.store import records
+from roadbend.store import keys
 from roadbend.test_gangs import NAME, TEAMS, attempts, begun, running
 
 # A fetch that takes longer than gangs wait.
@@ -142,7 +142,7 @@
             w.start(0)
         await w.over()
         assert len(attempts(w, NAME)) == 1
-        assert records.fin_key(NAME) in w.state.starting("fin/")
+        assert keys.fin_key(NAME) in w.state.starting("fin/")
 
 
 async def test_no_task_begins_in_another_zone_before_the_old_attempt_is_gone():
--- a/roadbend/test_gangs.py
+++ b/roadbend/test_gangs.py
@@ -10,7 +10,7 @@
 from roadbend.fakes.submission import gang, job
 from roadbend.fakes.world import World, world
 from roadbend.settings import Objective, Operator, Team
-from roadbend.store import records
+from roadbend.store import keys
 
 S = timedelta(seconds=1)
 NAME = "run-000001"
@@ -108,7 +108,7 @@
         await trio.sleep(3)
         w.start(0)
         await w.over()
-        assert records.fin_key(NAME) in w.state.starting("fin/")
+        assert keys.fin_key(NAME) in w.state.starting("fin/")
 
 
 async def test_two_gangs_that_need_all_the_room_run_one_after_the_other():
@@ -342,4 +342,4 @@
         assert await w.settled()
         await w.over()
         assert not w.state.starting("r/gang/")
-        assert records.fin_key(NAME) in w.state.starting("fin/")
+        assert keys.fin_key(NAME) in w.state.starting("fin/")
--- a/roadbend/test_growth.py
+++ b/roadbend/test_growth.py
@@ -21,7 +21,7 @@
 from roadbend.rental.policy import Timing, wanted
 from roadbend.rental.test_rental import choices
 from roadbend.settings import Operator, Team
-from roadbend.store import ranges, records
+from roadbend.store import keys, ranges, records
 from roadbend.store.client import delete, put
 from roadbend.store.records import Attempt, Job, Need, Slice
 from roadbend.store.view import View
@@ -62,7 +62,7 @@
         and work.shard_of(5, 16) == -1
         and work.shard_of(6, 16) == 0
     )
-    assert records.slice_key("east", "run-1", -1) == "r/slice/east/run-1"
+    assert keys.slice_key("east", "run-1", -1) == "r/slice/east/run-1"
 
 
 def test_the_indexes_follow_every_change_as_if_worked_out_anew():
@@ -75,7 +75,7 @@
             f"run-{rng.randrange(6)}",
             rng.randrange(3),
         )
-        key = records.slice_key(part, name, shard)
+        key = keys.slice_key(part, name, shard)
         if rng.random() < 0.25:
             rows.pop(key, None)
             view.drop(key, mod_revision)
@@ -218,12 +218,12 @@
             assert await w.submit(n % 3, job(n, legs=3, dueS=40.0), 6.0) == 201
         for _ in range(400):
             await trio.sleep(0.25)
-            state_refuses_only_us = w.state.value(records.team_key("red")) or {}
+            state_refuses_only_us = w.state.value(keys.team_key("red")) or {}
             most = max(most, sum(gpus for _, gpus in state_refuses_only_us.values()))
             running = sum(len(w.board.running(f"run-{n:06d}")) for n in range(1, 9))
             assert running <= 6
         assert most <= 6 + 1e-9
-        assert await w.until(lambda: w.state.value(records.team_key("red")) == {}, 60)
+        assert await w.until(lambda: w.state.value(keys.team_key("red")) == {}, 60)
 
 
 async def test_a_start_that_is_carried_out_late_does_not_come_on_top_of_others():
@@ -237,7 +237,7 @@
             assert await w.until(lambda w=w: len(w.board.running("run-000002")) == 7, 60)
             assert await w.until(lambda w=w: not w.board.running("run-000002"), 60)
             await trio.sleep(2)
-            assert 8 <= w.state.value(records.team_key("red"))["east"][1] <= 9
+            assert 8 <= w.state.value(keys.team_key("red"))["east"][1] <= 9
             real, held = w.state.handle, []
 
             async def handle(request, host="", real=real, held=held, delay=delay):
@@ -358,7 +358,7 @@
             tenure = node.ownership.tenure("east")
             terms.append(tenure.term if tenure else None)
             mod_revision, lease_id = (
-                node.view.mod_revision(records.node_key("node-0")),
+                node.view.mod_revision(keys.node_key("node-0")),
                 node.ownership._lease_id,
             )
             w.crash(0)
@@ -366,8 +366,8 @@
             w.start(0)
             assert await w.settled()
             late = {
-                "when": [{"path": records.node_key("node-0"), "stamp": mod_revision}],
-                "apply": [put(records.node_key("node-0"), {"boot": node.boot}, lease_id)],
+                "when": [{"path": keys.node_key("node-0"), "stamp": mod_revision}],
+                "apply": [put(keys.node_key("node-0"), {"boot": node.boot}, lease_id)],
             }
             assert w.state.multi(late).status != 200
         assert None not in terms and len(set(terms)) == 4
@@ -445,11 +445,11 @@
 def test_a_job_goes_on_under_its_record_however_its_ends_come():
     name, free = "run-1", Job("run-1", pending(1, legs=250).job.spec, clock.wall())
     view = View()
-    view.put(records.job_key(name), free.to_value(), 1)
+    view.put(keys.job_key(name), free.to_value(), 1)
     held = free.with_part("east", ((0, 250),))
-    view.put(records.job_key(name), held.to_value(), 2)
+    view.put(keys.job_key(name), held.to_value(), 2)
     assert list(view.held["east"]) == [name] and view.membership == 1
-    view.applied([delete(records.job_key(name))], 9)
+    view.applied([delete(keys.job_key(name))], 9)
     assert view.held["east"] == {} and view.membership == 2
 
 
--- a/roadbend/test_scenarios.py
+++ b/roadbend/test_scenarios.py
@@ -9,7 +9,7 @@
 from roadbend.fakes.world import world
 from roadbend.intake.messages import read_submission
 from roadbend.settings import Operator, Team
-from roadbend.store import records
+from roadbend.store import keys
 from roadbend.store.client import put
 from roadbend.store.records import Attempt, Job, Slice
 
@@ -25,7 +25,7 @@
         assert await w.submit(0, job(1, legs=5)) == 200
         assert len({task for _, task, _ in w.board.starts}) == 5
         # Its usage is given back, and nothing of it is left among the live records.
-        assert await w.until(lambda: w.state.value(records.team_key("red")) == {}, 20)
+        assert await w.until(lambda: w.state.value(keys.team_key("red")) == {}, 20)
         assert w.state.starting("r/job/") == {} and w.state.starting("r/slice/") == {}
 
 
@@ -53,7 +53,7 @@
         for at in range(3):
             assert await w.status(at, "run-000002") == "aborted"
         assert await w.until(lambda: not w.board.running("run-000002"), 5)
-        assert await w.until(lambda: w.state.value(records.team_key("red")) == {}, 20)
+        assert await w.until(lambda: w.state.value(keys.team_key("red")) == {}, 20)
 
 
 async def test_a_job_outlives_the_node_that_accepted_it():
@@ -278,7 +278,7 @@
 
 async def test_controllers_start_while_the_cloud_is_out():
     async with world() as w:
-        assert await w.until(lambda: w.state.value(records.CATALOG_KEY) is not None, 10)
+        assert await w.until(lambda: w.state.value(keys.CATALOG_KEY) is not None, 10)
         w.cloud.down = True
         for at in range(3):
             w.crash(at)
@@ -308,7 +308,7 @@
         assert await w.submit(0, job(72, legs=2, dueS=60, crew="red"), 10) == 201
         for node in w.nodes.values():
             node.exchange.submit = lambda name: None
-        key = records.job_key("run-000072")
+        key = keys.job_key("run-000072")
         value = {**w.state.value(key), "a": {"east": [[0, 2]]}}
         w.state.multi({"apply": [{"write": key, "value": value}]})
         assert await w.until(lambda: is_(w, 1, 72, "done"), 100)
@@ -377,11 +377,11 @@
         name, spec = read_submission(job(91))
         made = Job(name, spec, clock.wall(), {"east": ((0, 1),)})
         piece = Slice(name, "east", "red", spec.need, run={0: Attempt((1 << 32) | 77, machine)})
-        cpus, gpus = w.state.value(records.team_key("red"))["east"]
+        cpus, gpus = w.state.value(keys.team_key("red"))["east"]
         rows = [
-            put(records.job_key(name), made.to_value()),
-            put(records.slice_key("east", name, 0), piece.to_value()),
-            put(records.team_key("red"), {"east": [cpus, max(gpus, 2)]}),
+            put(keys.job_key(name), made.to_value()),
+            put(keys.slice_key("east", name, 0), piece.to_value()),
+            put(keys.team_key("red"), {"east": [cpus, max(gpus, 2)]}),
         ]
         assert w.state.multi({"apply": rows}).status == 200
         w.board.lengths[name] = 5.0
@@ -393,5 +393,5 @@
             ("run-000091/0", machine)
         ]
         # Nothing of it is left, and what is set aside still covers what runs.
-        assert w.state.starting("r/slice/").keys() == {records.slice_key("east", "run-000090", 0)}
-        assert w.state.value(records.team_key("red"))["east"][1] >= 1
+        assert w.state.starting("r/slice/").keys() == {keys.slice_key("east", "run-000090", 0)}
+        assert w.state.value(keys.team_key("red"))["east"][1] >= 1
--- a/roadbend/test_troubles.py
+++ b/roadbend/test_troubles.py
@@ -9,7 +9,7 @@
 from roadbend.fakes.submission import job
 from roadbend.fakes.world import ZONES, World, world
 from roadbend.settings import Operator, Team
-from roadbend.store import records
+from roadbend.store import keys
 
 BIG = {"red": Team("red", 0, 0, 60, 400), "blue": Team("blue", 0, 0, 60, 400)}
 SERVICE = dict(shape="daemon", dueS=None, loaners=False)
@@ -240,4 +240,4 @@
         assert (await w.call(0, "POST", "/v1/jobs", job(20, legs=4, **SERVICE)))[1][
             "status"
         ] == "aborted"
-        assert records.fin_key("run-000020") in w.state.starting("fin/")
+        assert keys.fin_key("run-000020") in w.state.starting("fin/")
--- a/roadbend/test_upgrade.py
+++ b/roadbend/test_upgrade.py
@@ -22,7 +22,7 @@
 from roadbend.placement import ends
 from roadbend.placement.batch import Batch
 from roadbend.settings import Operator, Team
-from roadbend.store import ranges, records
+from roadbend.store import keys, ranges, records
 from roadbend.store.budget import Budget
 from roadbend.store.records import Attempt, Job, Need, Slice, Spec, Use
 from roadbend.store.view import View
@@ -178,14 +178,14 @@
 
 def test_records_are_written_as_production_writes_them_and_its_records_are_read():
     made = {
-        records.job_key("run-1"): JOB.to_value(),
-        records.job_key("run-2"): Job("run-2", SERVICE, AT).to_value(),
+        keys.job_key("run-1"): JOB.to_value(),
+        keys.job_key("run-2"): Job("run-2", SERVICE, AT).to_value(),
         SLICE.key: SLICE.to_value(),
-        records.team_key("red"): Use("red")
+        keys.team_key("red"): Use("red")
         .with_part("east", 16.0, 2.0)
         .with_part("west", 8.5, 1.0)
         .to_value(),
-        records.fin_key("run-3"): records.fin_value("done", 9),
+        keys.fin_key("run-3"): records.fin_value("done", 9),
     }
     assert {key: cbor2.dumps(value).hex() for key, value in made.items()} == RECORDS
     view = View()
@@ -199,14 +199,14 @@
 
 def test_a_gang_stays_one_when_a_version_before_gangs_has_written_its_record():
     view, made = View(), Job("run-1", SPEC, AT).as_gang()
-    view.put(records.gang_key("run-1"), 1, 1)
-    view.put(records.job_key("run-1"), made.to_value(), 1)
+    view.put(keys.gang_key("run-1"), 1, 1)
+    view.put(keys.job_key("run-1"), made.to_value(), 1)
     assert view.jobs["run-1"].spec.gang
-    view.put(records.job_key("run-1"), {k: v for k, v in made.to_value().items() if k != "g"}, 2)
+    view.put(keys.job_key("run-1"), {k: v for k, v in made.to_value().items() if k != "g"}, 2)
     assert view.jobs["run-1"].spec.gang
     # The job's record alone says so, too: it may come by an assignment before the other is read.
     other = View()
-    other.put(records.job_key("run-1"), made.to_value(), 2)
+    other.put(keys.job_key("run-1"), made.to_value(), 2)
     assert other.jobs["run-1"].spec.gang
 
 
