--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -265,7 +265,7 @@
         await self._release_gangs(runtime, now)
         average = bidder.average_queuing(now)
         waits: dict[str, timedelta] = {}
-        for item in runtime.pending():
+        for item in runtime.queue.pending():
             since = runtime.queued.get(item.job.id)
             # A job that has just come cools down first, whatever the average; so it can't go to and
             # fro.
@@ -325,7 +325,7 @@
     ) -> bool:
         """Says whether anybody bid."""
         operator, part, now = self._shared.operator, runtime.part, clock.now()
-        unplaced = runtime.unplaced(job)
+        unplaced = runtime.queue.unplaced(job)
         whole = job.spec.together or job.spec.gang
         if not unplaced or (whole and unplaced != job.alloc.get(part)):
             return True
@@ -351,7 +351,7 @@
             return True
         view, width = self._shared.view, records.shard_width(self._shared.settings.value_bytes)
         # As many shards as conditions leave room for; the rest is offered next time.
-        unplaced = runtime.unplaced(job)
+        unplaced = runtime.queue.unplaced(job)
         # Those that would begin here sooner than the best bidder could have them stay.
         soonest = min(casa.response(bid, operator.omega) for bid in bids) - job.spec.expected
         stay = sum(1 for start in bidder.starts(job) if start <= soonest.total_seconds())
--- a/roadbend/bidding/offers.py
+++ b/roadbend/bidding/offers.py
@@ -43,10 +43,10 @@
             return None
         job = Job(ask.job, spec, clock.wall())
         dear = self._dear(job, ask)
-        queue = runtime.pending()
+        queue = runtime.queue.pending()
         own = sum(item.count for item in queue if item.job.id == ask.job)
         # What queues here comes first: what is left after it can start the asked job now.
-        layout = runtime.layout(spec.priority, frozenset(dear))
+        layout = runtime.layouts.of(spec.priority, frozenset(dear))
         lines = layout.lines
         cores = max(1.0, sum(line.room.total.cpus for line in lines))
         ready = [line.room for line in lines if line.room.ready_in <= 0]
@@ -105,7 +105,7 @@
     def average_queuing(self, now: datetime) -> timedelta:
         """Definition 4 for this part: of those that wait, else of those that were started."""
         runtime = self._runtime
-        waiting = [now - runtime.queued.get(item.job.id, now) for item in runtime.pending()]
+        waiting = [now - runtime.queued.get(item.job.id, now) for item in runtime.queue.pending()]
         return casa.average_queuing(waiting, list(runtime.waits))
 
     def estimate(self, job: Job, now: datetime) -> timedelta:
@@ -128,9 +128,9 @@
         """When the tasks that wait here would begin, in seconds; never, for those beyond the
         forecast."""
         runtime = self._runtime
-        starts = runtime.layout(0, frozenset()).starts.get(job.id, [])
+        starts = runtime.layouts.of(0, frozenset()).starts.get(job.id, [])
         return sorted(starts) + [forecast.NEVER] * (
-            ranges.size(runtime.unplaced(job)) - len(starts)
+            ranges.size(runtime.queue.unplaced(job)) - len(starts)
         )
 
     def _team_left(self, job: Job) -> int:
--- a/roadbend/fakes/rules.py
+++ b/roadbend/fakes/rules.py
@@ -104,7 +104,7 @@
         self.broken: list[str] = []
         # What was reported already; what goes on breaking a rule is reported once.
         self._seen: set[tuple[str, str]] = set()
-        self.calm_since: float | None = None
+        self.quiet_since: float | None = None
         self.starts = 0
         # Called with every job whose user has just learned that it is accepted or over.
         self.watchers: list[Callable[[Case], None]] = []
@@ -307,14 +307,14 @@
 
     # What time shows.
 
-    def calm(self) -> None:
+    def troubles_over(self) -> None:
         """All troubles are over."""
-        self.calm_since = self._now()
+        self.quiet_since = self._now()
         for case in self.cases.values():
-            case.answered, case.waits_since = max(case.answered, self.calm_since), None
+            case.answered, case.waits_since = max(case.answered, self.quiet_since), None
 
     def trouble(self) -> None:
-        self.calm_since = None
+        self.quiet_since = None
 
     def look(self, hung: set[str], rooms: list[tuple[Place, tuple[float, float, float]]]) -> None:
         """`hung`: machines that stand still, whose tasks do nothing. `rooms`: machines that work,
@@ -326,7 +326,7 @@
                     for machine in self.on.get(task, {}):
                         if machine not in hung:
                             self._break("ran_cancelled", task, "on", machine)
-        if self.calm_since is None:
+        if self.quiet_since is None:
             return
         for case in self.cases.values():
             if case.accepted is None or case.over:
--- a/roadbend/fakes/test_fakes.py
+++ b/roadbend/fakes/test_fakes.py
@@ -113,7 +113,7 @@
 
 
 def breach_unanswered(d):
-    d.rules.calm()
+    d.rules.troubles_over()
     for at in range(0, 70, 10):
         d.now = float(at)
         d.ask(None, 503)
@@ -149,7 +149,7 @@
 
 
 def breach_waiting(d):
-    d.rules.calm()
+    d.rules.troubles_over()
     for at in range(0, 90, 5):
         d.ask("pending")
         look(d, float(at), [ROOM])
@@ -217,7 +217,7 @@
         d.submit(job(n), 201)
     for n in range(2, 8):
         d.rules.entered(f"run-{n:06d}/0", Place(f"m-{n}", "g2", "east", False))
-    d.rules.calm()
+    d.rules.troubles_over()
     for at in range(60, 200, 5):
         d.now = float(at)
         for n in range(2, 9):
--- a/roadbend/fakes/world.py
+++ b/roadbend/fakes/world.py
@@ -125,7 +125,7 @@
     async def over(self, within: float = 240) -> None:
         """All troubles are over: users ask after every job until it is done, and the judge's clocks
         for what is forgotten or left waiting run."""
-        self.rules.calm()
+        self.rules.troubles_over()
 
         async def settled() -> bool:
             open_jobs = [
--- a/roadbend/fleet/commands.py
+++ b/roadbend/fleet/commands.py
@@ -46,7 +46,7 @@
         target = runtime.machines.get(machine)
         if target is None:
             return
-        body = {"baton": runtime.token(target), "stint": target.order[0], "orders": orders}
+        body = {"baton": runtime.reports.token(target), "stint": target.order[0], "orders": orders}
         client = Client(self._net, target.address, most=1, keep=0)
         try:
             async with self._direct:
@@ -100,9 +100,9 @@
             session = machine.order[0]
             for key, attempt in rows:
                 machine.direct[key] = Direct(attempt.number, session)
-            machine.calm = None
+            machine.unchanged_mark = None
             orders = [messages.run(*key, attempt.number) for key, attempt in rows]
-            body = {"baton": runtime.token(machine), "stint": session, "orders": orders}
+            body = {"baton": runtime.reports.token(machine), "stint": session, "orders": orders}
             client, report = Client(self._net, machine.address, most=1, keep=0), None
             try:
                 status, answer = await client.request(
@@ -136,7 +136,11 @@
         for _ in range(FENCE_TRIES):
             if runtime.machines.get(machine.id) is not machine or machine.ours:
                 return
-            body = {"baton": runtime.token(machine), "stint": machine.order[0], "orders": []}
+            body = {
+                "baton": runtime.reports.token(machine),
+                "stint": machine.order[0],
+                "orders": [],
+            }
             client = Client(self._net, machine.address, most=1, keep=0)
             try:
                 async with self._direct:
--- a/roadbend/fleet/machines.py
+++ b/roadbend/fleet/machines.py
@@ -64,7 +64,7 @@
     # The tasks as the last report had them, and the count of recorded changes then, if all was in
     # order.
     rows: list | None = None
-    calm: int | None = None
+    unchanged_mark: int | None = None
     # What the records leave free on it, and the mark of the records that this was worked out from.
     free: tuple[int, float, float, float] | None = None
     recall_at: datetime | None = None
@@ -102,7 +102,7 @@
         nothing more is started here before the machine shows it."""
         self.incarnation += 1
         self.ours = self.expected = False
-        self.rows = self.calm = None
+        self.rows = self.unchanged_mark = None
         for row in self.direct.values():
             row.fenced = True
 
@@ -112,7 +112,7 @@
         for row in self.direct.values():
             row.fenced, row.session = True, 1 << 64
         self.tasks, self.images, self.foreign = {}, {}, 0
-        self.rows = self.calm = None
+        self.rows = self.unchanged_mark = None
 
     def note_image(self, image: str, gb: float, cache_gb: float) -> None:
         """Most recently used images stay."""
--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -50,7 +50,7 @@
                 and ownership.tenure(runtime.part) == runtime.tenure
                 and ownership.may_renew(now)
             ):
-                token = runtime.calm(data, now)
+                token = runtime.reports.answer_unchanged(data, now)
                 if token is not None:
                     return Response(200, {"baton": token, "orders": []})
             report = messages.read_report(data)
@@ -59,7 +59,7 @@
         if runtime is not None and ownership.tenure(report.zone) == runtime.tenure:
             if not ownership.may_renew(now):
                 return Response(503, {"error": "no state"})
-            answer = await runtime.report(report)
+            answer = await runtime.reports.handle(report)
             if answer is None:
                 return Response(503, {"error": "old report"})
             if not ownership.may_renew(clock.now()):
--- a/roadbend/fleet/silence.py
+++ b/roadbend/fleet/silence.py
@@ -147,8 +147,12 @@
                 and machine.incarnation == before[1]
             ):
                 machine.doubted = False
-                if report.order <= before[0] or before[2] and report.token < runtime.token(machine):
-                    runtime.begin_incarnation(machine, report.order)
+                if (
+                    report.order <= before[0]
+                    or before[2]
+                    and report.token < runtime.reports.token(machine)
+                ):
+                    runtime.reports.begin_incarnation(machine, report.order)
             return True
         return False
 
--- a/roadbend/fleet/test_lives.py
+++ b/roadbend/fleet/test_lives.py
@@ -41,7 +41,9 @@
         node = w.nodes["node-0"]
         runtime = node.runtimes["east"]
         assert (await w.call(0, "POST", "/hello", late("m-77")))[0] == 200
-        assert (await w.call(0, "POST", "/hello", late("m-78", baton=runtime.token())))[0] == 503
+        assert (await w.call(0, "POST", "/hello", late("m-78", baton=runtime.reports.token())))[
+            0
+        ] == 503
         assert "m-78" not in runtime.machines
         assert await w.submit(0, job(1, **SERVICE), None) == 201
         await trio.sleep(2)
--- a/roadbend/placement/starts.py
+++ b/roadbend/placement/starts.py
@@ -40,7 +40,7 @@
 
 def start(runtime: PartRuntime, batch: Batch, now: datetime) -> bool:
     """Write-ahead of starts. The order goes out only with a report's response, after the answer."""
-    queue = runtime.pending()
+    queue = runtime.queue.pending()
     runtime.queued = {item.job.id: runtime.queued.get(item.job.id, now) for item in queue}
     if not queue:
         runtime.left = []
@@ -278,7 +278,7 @@
     view = runtime.shared.view
     waiting: dict[str, tuple[float, float]] = {}
     overdue = runtime.shared.overdue(now)
-    for item in runtime.pending():
+    for item in runtime.queue.pending():
         # What has waited here for longer may wait for a machine that can't be had; other parts may
         # have room.
         if now - runtime.queued.get(item.job.id, now) < HOLD and not yields(runtime, item, overdue):
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -214,13 +214,13 @@
             del boots[name]
         fresh = self.boot_rooms(runtime, now)
         runtime.booting = fresh
-        queue = self._timed(runtime, self._within_limits(runtime, runtime.pending()))
+        queue = self._timed(runtime, self._within_limits(runtime, runtime.queue.pending()))
         choices = policy.options(self._shared.machine_types.values(), part, self.closed(part, now))
         # The forecast writes on the rooms that it is given.
-        lines = runtime.lines([replace(room) for room in fresh])
+        lines = runtime.layouts.lines([replace(room) for room in fresh])
         # Of a gang the last task counts, however wide it is.
         widest = max((t.item.count for t in queue if t.item.job.spec.gang), default=0)
-        most = max(runtime.most_forecast(lines), widest)
+        most = max(runtime.layouts.most_forecast(lines), widest)
         want = (
             policy.wanted(queue, lines, choices, part, operator.boot_factor, most) if queue else {}
         )
@@ -333,7 +333,7 @@
                 if job is None or job.spec.priority < model.spec.priority:
                     room.give(work.need)
             have += room.count(model.spec.need)
-        return have - sum(item.count for item in runtime.pending() if item.job.spec.service)
+        return have - sum(item.count for item in runtime.queue.pending() if item.job.spec.service)
 
     def _timed(self, runtime: PartRuntime, queue: list[placing.Pending]) -> list[policy.Timing]:
         out, wall, operator = [], clock.wall(), self._shared.operator
@@ -343,7 +343,7 @@
         ).total_seconds()
         for item in queue:
             spec = item.job.spec
-            run = runtime.run_seconds(item.job)
+            run = runtime.layouts.run_seconds(item.job)
             waited = (wall - item.job.at).total_seconds()
             # Estimates are often wrong: the time kept for the run is longer than the likely one.
             kept = 0.0 if spec.service else run * operator.caution
--- a/roadbend/test_growth.py
+++ b/roadbend/test_growth.py
@@ -143,13 +143,23 @@
             runtime, worker = w.nodes["node-0"].runtimes["east"], w.cloud.machines[name].worker
             data, answers = worker.report(), []
             costs.append(
-                calls(lambda r=runtime, d=data, a=answers: a.append(r.calm(d, clock.now())))
+                calls(
+                    lambda r=runtime, d=data, a=answers: a.append(
+                        r.reports.answer_unchanged(d, clock.now())
+                    )
+                )
             )
-            assert answers == [runtime.token(runtime.machines[name])]
+            assert answers == [runtime.reports.token(runtime.machines[name])]
             # The same once more is a copy, and one with other tasks is no calm report.
-            assert runtime.calm(data, clock.now()) is None
-            assert runtime.calm({**worker.report(), "legs": []}, clock.now()) is None
-            assert runtime.calm({**worker.report(), "stint": [1]}, clock.now()) is None
+            assert runtime.reports.answer_unchanged(data, clock.now()) is None
+            assert (
+                runtime.reports.answer_unchanged({**worker.report(), "legs": []}, clock.now())
+                is None
+            )
+            assert (
+                runtime.reports.answer_unchanged({**worker.report(), "stint": [1]}, clock.now())
+                is None
+            )
         assert costs[0] == costs[1] < 30
 
 
