--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -16,14 +16,14 @@
 from roadbend.log import Log
 from roadbend.parts.policy import rendezvous
 from roadbend.peers import frames
-from roadbend.peers.frames import BadFrame
-from roadbend.peers.links import Link, NoReply, Peers
+from roadbend.peers.frames import FrameError
+from roadbend.peers.links import Link, NoReplyError, Peers
 from roadbend.placement import apart_gangs, gangs
 from roadbend.placement.runtime import PartRuntime
 from roadbend.placement.shared import Shared
 from roadbend.retry import drawn
 from roadbend.store import keys, ranges, records
-from roadbend.store.client import Conflict, NoLease, Unavailable, commit, put
+from roadbend.store.client import ConflictError, LeaseEndedError, UnavailableError, commit, put
 from roadbend.store.records import Job
 
 log = Log("bidding")
@@ -133,7 +133,7 @@
             try:
                 view.put(keys.job_key(job), cbor2.loads(value), mod_revision)
             except Exception as error:  # cbor2 raises many kinds on hostile input
-                raise BadFrame("assign") from error
+                raise FrameError("assign") from error
         for runtime in self._runtimes.values():
             runtime.wake_up.set()
         return b""
@@ -159,7 +159,7 @@
         async for job in self._receive:
             try:
                 await self._distribute(job)
-            except (Unavailable, NoLease):
+            except (UnavailableError, LeaseEndedError):
                 pass
             except Exception:
                 log.crash("distribute-failed", job=job)
@@ -193,9 +193,9 @@
             out += messages.unpack_bids(
                 await link.call(kind, payload, self._shared.operator.bid_wait)
             )
-        except NoReply:
+        except NoReplyError:
             pass
-        except BadFrame as error:
+        except FrameError as error:
             log.error("bad-bid", peer=link.peer.name, error=str(error))
 
     async def gather(self, ask: Ask) -> list[Bid]:
@@ -252,7 +252,7 @@
             for runtime in list(self._runtimes.values()):
                 try:
                     await self._reoffer(runtime)
-                except (Unavailable, NoLease):
+                except (UnavailableError, LeaseEndedError):
                     pass
                 except Exception:
                     log.crash("reoffer-failed", part=runtime.part)
@@ -410,7 +410,7 @@
         when = {key: job.mod_revision, **also}
         try:
             revision = await commit(self._shared.state, when, rows, within=timedelta(seconds=3))
-        except Conflict:
+        except ConflictError:
             with trio.move_on_after(1):
                 await self._shared.reader.sync()
             return False
@@ -448,5 +448,5 @@
                 await link.call(kind, payload, self._shared.operator.bid_wait)
             else:
                 await link.cast(kind, payload)
-        except NoReply:
+        except NoReplyError:
             pass
--- a/roadbend/fakes/previous_version.py
+++ b/roadbend/fakes/previous_version.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from roadbend.http.net import Net
-from roadbend.http.server import Malformed, Request, Response, decode
+from roadbend.http.server import MalformedError, Request, Response, decode
 from roadbend.node import Node
 from roadbend.peers import frames
 from roadbend.settings import Operator, Settings
@@ -49,7 +49,7 @@
         if request.path == "/v1/jobs" and request.method == "POST":
             try:
                 data = decode(request.body)
-            except Malformed:
+            except MalformedError:
                 data = None
             if isinstance(data, dict) and data.get("shape") == "group":
                 return Response(400, {"error": "shape: expected batch or daemon"})
--- a/roadbend/fakes/state.py
+++ b/roadbend/fakes/state.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from roadbend.http.server import Malformed, Request, Response, decode
+from roadbend.http.server import MalformedError, Request, Response, decode
 
 
 class FakeStateService:
@@ -97,7 +97,7 @@
             await trio.sleep(3600)
         try:
             response = self._answer(request)
-        except (Malformed, KeyError, TypeError, ValueError) as error:
+        except (MalformedError, KeyError, TypeError, ValueError) as error:
             return Response(400, {"error": repr(error)})
         lost = self._loses_answer(request)
         if lost or host in self.deaf and request.path == "/multi":
--- a/roadbend/fakes/test_fakes.py
+++ b/roadbend/fakes/test_fakes.py
@@ -11,7 +11,7 @@
 from roadbend.fakes.state import FakeStateService
 from roadbend.fakes.submission import job
 from roadbend.fakes.world import MACHINE_TYPE, World, world
-from roadbend.http.client import Client, NoAnswer
+from roadbend.http.client import Client, NoAnswerError
 from roadbend.settings import Team
 
 EAST, WEST = Place("m-1", "g2", "east", False), Place("m-2", "g2", "west", False)
@@ -235,7 +235,7 @@
         network = Network(nursery)
         w = Serving(network, state)
         state.late_writes(1.0, random.Random(1))
-        with pytest.raises(NoAnswer):
+        with pytest.raises(NoAnswerError):
             await w.send("POST", "/multi", body, 1)
         assert state.value("a") is None
         state.late_writes(0.0, None)
@@ -274,7 +274,7 @@
         network = Network(nursery)
         w = Serving(network, state)
         network.hold("user", "state")
-        with pytest.raises(NoAnswer):
+        with pytest.raises(NoAnswerError):
             await w.send("POST", "/multi", {"apply": [{"write": "a", "value": 1}]}, 2)
         await trio.sleep(5)
         assert state.value("a") is None
@@ -321,7 +321,7 @@
             got = True
             try:
                 await client.request("GET", "/inspect", within=timedelta(seconds=1))
-            except NoAnswer:
+            except NoAnswerError:
                 got = False
             assert got == (trouble in ("mute",))
             assert w.board.running(NAME) == [f"{NAME}/0"] and worker.hung == (trouble == "hang")
--- a/roadbend/fakes/user.py
+++ b/roadbend/fakes/user.py
@@ -8,7 +8,7 @@
 import trio
 
 from roadbend.fakes.__main__ import LENGTHS
-from roadbend.http.client import Client, NoAnswer
+from roadbend.http.client import Client, NoAnswerError
 from roadbend.http.net import Net
 
 
@@ -49,7 +49,7 @@
             status, answer = await client.request("GET", path, within=within)
         else:
             status, answer = await client.request("POST", f"{path}/withdraw", {}, within=within)
-    except NoAnswer as error:
+    except NoAnswerError as error:
         print(f"no answer: {error}", file=sys.stderr)
         return 1
     print(status, answer)
--- a/roadbend/fakes/worker.py
+++ b/roadbend/fakes/worker.py
@@ -8,7 +8,7 @@
 import trio
 
 from roadbend.fakes.rules import Place, Rules
-from roadbend.http.client import Client, NoAnswer
+from roadbend.http.client import Client, NoAnswerError
 from roadbend.http.server import Request, Response, Server, decode
 
 
@@ -414,7 +414,7 @@
             status, answer = await clients[self._at].request(
                 "POST", "/hello", body, within=timedelta(seconds=4)
             )
-        except NoAnswer:
+        except NoAnswerError:
             status, answer = 0, None
         await self._up()
         if status == 200 and isinstance(answer, dict):
--- a/roadbend/fakes/world.py
+++ b/roadbend/fakes/world.py
@@ -17,7 +17,7 @@
 from roadbend.fakes.troubles import Troubles
 from roadbend.fakes.user_behaviour import UserBehaviour
 from roadbend.fakes.worker import Board, FakeWorker
-from roadbend.http.client import Client, NoAnswer
+from roadbend.http.client import Client, NoAnswerError
 from roadbend.http.server import Server
 from roadbend.node import Node
 from roadbend.settings import Operator, Peer, Settings, Team
@@ -212,7 +212,7 @@
             status, answer = await client.request(
                 method, path, body, within=timedelta(seconds=within)
             )
-        except NoAnswer:
+        except NoAnswerError:
             return 0, None
         finally:
             await client.close()
--- a/roadbend/fleet/commands.py
+++ b/roadbend/fleet/commands.py
@@ -9,9 +9,9 @@
 from roadbend import clock
 from roadbend.fleet import messages
 from roadbend.fleet.machines import Direct, Key, Machine
-from roadbend.http.client import Client, NoAnswer
+from roadbend.http.client import Client, NoAnswerError
 from roadbend.http.net import Net
-from roadbend.http.server import Malformed
+from roadbend.http.server import MalformedError
 from roadbend.log import Log
 from roadbend.placement.runtime import PartRuntime
 from roadbend.placement.shared import Shared
@@ -51,7 +51,7 @@
         try:
             async with self._direct:
                 await client.request("POST", "/commands", body, within=timedelta(seconds=2))
-        except NoAnswer as error:
+        except NoAnswerError as error:
             log.debug("command-lost", machine=machine, error=error)
 
     def order_now(
@@ -116,7 +116,7 @@
                         if key in machine.direct and machine.direct[key].attempt == attempt.number:
                             del machine.direct[key]
                     return
-            except (NoAnswer, Malformed) as error:
+            except (NoAnswerError, MalformedError) as error:
                 log.debug("command-lost", machine=name, error=error)
         if report is not None and report.machine == name:
             for key, attempt in rows:
@@ -146,7 +146,7 @@
                 async with self._direct:
                     await client.request("POST", "/commands", body, within=FENCE_TIMEOUT)
                 return
-            except NoAnswer as error:
+            except NoAnswerError as error:
                 log.debug("fence-unanswered", machine=machine.id, error=error)
 
     async def send_stops(self, nursery: trio.Nursery) -> None:
--- a/roadbend/fleet/deletions.py
+++ b/roadbend/fleet/deletions.py
@@ -5,8 +5,8 @@
 import trio
 
 from roadbend import clock
-from roadbend.http.client import NoAnswer
-from roadbend.rental.cloud import MAX_NAMES, Busy, Cloud, NoCapacity
+from roadbend.http.client import NoAnswerError
+from roadbend.rental.cloud import MAX_NAMES, Cloud, CloudBusyError, NoCapacityError
 
 # For how long deletions are gathered, and how old they may be when they go out: after longer this
 # process stood still, and what it found silent may have been heard since.
@@ -22,7 +22,7 @@
         self.began = clock.now()
         self.done = trio.Event()
         # Until the call has succeeded, nothing is proven gone.
-        self.error: Exception | None = NoAnswer("not carried out")
+        self.error: Exception | None = NoAnswerError("not carried out")
 
     def is_recent(self) -> bool:
         return clock.now() - self.began < SEND_WITHIN
@@ -52,7 +52,7 @@
         try:
             await self._cloud.delete(batch.names, urgent=True, still=batch.is_recent)
             batch.error = None
-        except (NoAnswer, Busy, NoCapacity) as error:
+        except (NoAnswerError, CloudBusyError, NoCapacityError) as error:
             batch.error = error
             raise
         finally:
--- a/roadbend/fleet/messages.py
+++ b/roadbend/fleet/messages.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
-from roadbend.http.server import Malformed
+from roadbend.http.server import MalformedError
 
 # A notice of more than a month says nothing.
 MAX_NOTICE = 30 * 86400.0
@@ -41,31 +41,31 @@
 
 def whole(value: Any, name: str) -> int:
     if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value < 1 << 64:
-        raise Malformed(f"{name}: expected a whole number")
+        raise MalformedError(f"{name}: expected a whole number")
     return value
 
 
 def number(value: Any, name: str) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise Malformed(f"{name}: expected a number")
+        raise MalformedError(f"{name}: expected a number")
     try:
         value = float(value)
     except OverflowError:
-        raise Malformed(f"{name}: out of range") from None
+        raise MalformedError(f"{name}: out of range") from None
     if not math.isfinite(value) or value < 0:
-        raise Malformed(f"{name}: out of range")
+        raise MalformedError(f"{name}: out of range")
     return value
 
 
 def text(value: Any, name: str, most: int = 200) -> str:
     if not isinstance(value, str) or not 0 < len(value) <= most:
-        raise Malformed(f"{name}: expected text of 1 to {most} characters")
+        raise MalformedError(f"{name}: expected text of 1 to {most} characters")
     return value
 
 
 def flag(value: Any, name: str) -> bool:
     if not isinstance(value, bool):
-        raise Malformed(f"{name}: expected true or false")
+        raise MalformedError(f"{name}: expected true or false")
     return value
 
 
@@ -78,22 +78,22 @@
         or not task_index.isdigit()
         or len(task_index) > 7
     ):
-        raise Malformed("leg: expected job/number")
+        raise MalformedError("leg: expected job/number")
     return job, int(task_index)
 
 
 def read_report(data: Any) -> Report:
     if not isinstance(data, dict):
-        raise Malformed("report: expected a map")
+        raise MalformedError("report: expected a map")
     rows = data.get("legs")
     if rows is None:
         rows = []
     if not isinstance(rows, list):
-        raise Malformed("legs: expected a list")
+        raise MalformedError("legs: expected a list")
     tasks = []
     for row in rows:
         if not isinstance(row, dict):
-            raise Malformed("legs: expected maps")
+            raise MalformedError("legs: expected maps")
         job, task_index = split_task(text(row.get("leg"), "leg"))
         cause = row.get("cause")
         tasks.append(
--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -11,7 +11,7 @@
 from roadbend.fleet.listing import MachineList
 from roadbend.fleet.silence import SilenceWatch
 from roadbend.http.net import Net
-from roadbend.http.server import Malformed, Request, Response, decode
+from roadbend.http.server import MalformedError, Request, Response, decode
 from roadbend.peers.links import Peers
 from roadbend.placement.runtime import PartRuntime
 from roadbend.placement.shared import Shared
@@ -54,7 +54,7 @@
                 if token is not None:
                     return Response(200, {"baton": token, "orders": []})
             report = messages.read_report(data)
-        except (Malformed, TypeError) as error:
+        except (MalformedError, TypeError) as error:
             return Response(400, {"error": str(error)[:200]})
         if runtime is not None and ownership.tenure(report.zone) == runtime.tenure:
             if not ownership.may_renew(now):
--- a/roadbend/fleet/silence.py
+++ b/roadbend/fleet/silence.py
@@ -11,13 +11,13 @@
 from roadbend.fleet.cuts import ZoneCuts
 from roadbend.fleet.deletions import Deletions
 from roadbend.fleet.listing import MachineList
-from roadbend.http.client import Client, NoAnswer
+from roadbend.http.client import Client, NoAnswerError
 from roadbend.http.net import Net
-from roadbend.http.server import Malformed
+from roadbend.http.server import MalformedError
 from roadbend.log import Log
 from roadbend.placement.runtime import PartRuntime
 from roadbend.placement.shared import Shared
-from roadbend.rental.cloud import Busy, Cloud, NoCapacity
+from roadbend.rental.cloud import Cloud, CloudBusyError, NoCapacityError
 
 log = Log("fleet")
 # Machines looked into at once; each takes a connection.
@@ -137,7 +137,7 @@
                     "GET", "/inspect", within=timedelta(seconds=0.7)
                 )
                 report = messages.read_report(body) if status == 200 else None
-            except (NoAnswer, Malformed):
+            except (NoAnswerError, MalformedError):
                 continue
             if report is None or report.machine != name:
                 continue
@@ -214,12 +214,12 @@
                 log.info("fenced", part=runtime.part, machine=name)
                 runtime.gone(name, "deleted")
                 return
-            except Busy as error:
+            except CloudBusyError as error:
                 # Not carried out.
                 log.info("fence-refused", part=runtime.part, machine=name, error=str(error)[:60])
                 if machine is not None:
                     machine.fencing = False
-            except (NoAnswer, NoCapacity) as error:
+            except (NoAnswerError, NoCapacityError) as error:
                 log.info("fence-failed", part=runtime.part, machine=name, error=str(error)[:60])
                 if machine is not None:
                     # The deletion may still be carried out: should it report again, it gets nothing
--- a/roadbend/fleet/test_machines.py
+++ b/roadbend/fleet/test_machines.py
@@ -9,7 +9,7 @@
 from roadbend.fakes.submission import job
 from roadbend.fleet import machines, messages
 from roadbend.fleet.machines import Direct, Machine, Stop
-from roadbend.http.server import Malformed
+from roadbend.http.server import MalformedError
 from roadbend.intake.messages import read_submission
 from roadbend.store.records import Attempt, Job, Need
 from roadbend.store.view import Work
@@ -171,5 +171,5 @@
     ],
 )
 def test_malformed_reports_are_refused(change):
-    with pytest.raises(Malformed):
+    with pytest.raises(MalformedError):
         report(**change)
--- a/roadbend/fleet/test_standing_still.py
+++ b/roadbend/fleet/test_standing_still.py
@@ -5,7 +5,7 @@
 
 from roadbend.fakes.submission import job
 from roadbend.fakes.world import world
-from roadbend.rental.cloud import Busy
+from roadbend.rental.cloud import CloudBusyError
 from roadbend.settings import Team
 
 
@@ -52,6 +52,6 @@
             node.cloud.delete([machine], still=still),
             node.cloud.rent("h-1", "g2", "east", False, 1, still),
         ):
-            with pytest.raises(Busy):
+            with pytest.raises(CloudBusyError):
                 await call
         assert list(w.cloud.machines) == [machine]
--- a/roadbend/http/client.py
+++ b/roadbend/http/client.py
@@ -7,14 +7,15 @@
 import h11
 import trio
 
+from roadbend.errors import RoadbendError
 from roadbend.http.net import Net
-from roadbend.http.server import Malformed, decode
+from roadbend.http.server import MalformedError, decode
 
 # No answer of any service we talk to is near this size; more is nonsense.
 ANSWER_LIMIT = 32 * 1024 * 1024
 
 
-class NoAnswer(Exception):
+class NoAnswerError(RoadbendError):
     """No usable answer came; the request may have been carried out, or may be still."""
 
 
@@ -39,9 +40,9 @@
             trio.BrokenResourceError,
             trio.ClosedResourceError,
         ) as error:
-            raise NoAnswer(f"{type(error).__name__}") from None
-        except (h11.ProtocolError, Malformed) as error:
-            raise NoAnswer(f"nonsense: {error}") from None
+            raise NoAnswerError(f"{type(error).__name__}") from None
+        except (h11.ProtocolError, MalformedError) as error:
+            raise NoAnswerError(f"nonsense: {error}") from None
 
     async def close(self) -> None:
         while self._idle:
@@ -75,11 +76,11 @@
                 elif isinstance(event, h11.Data):
                     data += event.data
                     if len(data) > ANSWER_LIMIT:
-                        raise Malformed("answer too large")
+                        raise MalformedError("answer too large")
                 elif isinstance(event, h11.EndOfMessage):
                     break
                 elif isinstance(event, h11.ConnectionClosed):
-                    raise Malformed("connection closed")
+                    raise MalformedError("connection closed")
             answer = decode(bytes(data)) if data else None
             if (
                 conn.our_state is h11.DONE
--- a/roadbend/http/server.py
+++ b/roadbend/http/server.py
@@ -9,6 +9,7 @@
 import h11
 import trio
 
+from roadbend.errors import RoadbendError
 from roadbend.log import Log
 
 log = Log("http")
@@ -40,7 +41,7 @@
     close: bool = False
 
 
-class Malformed(Exception):
+class MalformedError(RoadbendError):
     """The peer's bytes are not what the protocol asks for."""
 
 
@@ -48,7 +49,7 @@
     try:
         return cbor2.loads(body)
     except Exception as error:  # cbor2 raises many kinds on hostile input
-        raise Malformed(f"not CBOR: {type(error).__name__}") from None
+        raise MalformedError(f"not CBOR: {type(error).__name__}") from None
 
 
 Handle = Callable[[Request], Awaitable[Response]]
--- a/roadbend/intake/messages.py
+++ b/roadbend/intake/messages.py
@@ -4,8 +4,9 @@
 from datetime import timedelta
 from typing import Any
 
+from roadbend.errors import RoadbendError
 from roadbend.fleet.messages import flag, number, text, whole
-from roadbend.http.server import Malformed
+from roadbend.http.server import MalformedError
 from roadbend.rental.cloud import MachineType
 from roadbend.settings import Team
 from roadbend.store.records import PRIORITY, Need, Spec
@@ -25,7 +26,7 @@
 )
 
 
-class NeverRuns(Exception):
+class NeverRunsError(RoadbendError):
     """Well-formed, but can never run."""
 
 
@@ -40,16 +41,16 @@
 def _amount(value: Any, name: str, most: float = 1e9) -> float:
     value = number(value, name)
     if value > most:
-        raise Malformed(f"{name}: too large")
+        raise MalformedError(f"{name}: too large")
     return value
 
 
 def read_id(data: Any) -> str:
     if not isinstance(data, dict):
-        raise Malformed("body: expected a map")
+        raise MalformedError("body: expected a map")
     job = data.get("id")
     if not valid_id(job):
-        raise Malformed("id: expected run- and digits")
+        raise MalformedError("id: expected run- and digits")
     return job
 
 
@@ -57,20 +58,20 @@
     job = read_id(data)
     shape = data.get("shape")
     if shape not in ("batch", "daemon", "group"):
-        raise Malformed("shape: expected batch, daemon or group")
+        raise MalformedError("shape: expected batch, daemon or group")
     rank = data.get("rank")
     if not isinstance(rank, str) or rank not in PRIORITY:
-        raise Malformed("rank: expected production, high, normal or best_effort")
+        raise MalformedError("rank: expected production, high, normal or best_effort")
     task_count = whole(data.get("legs"), "legs")
     if not 1 <= task_count <= MAX_TASKS:
-        raise Malformed("legs: out of range")
+        raise MalformedError("legs: out of range")
     need = Need(
         _amount(data.get("vcpus"), "vcpus"),
         _amount(data.get("gpus"), "gpus"),
         _amount(data.get("memoryGb"), "memoryGb"),
     )
     if need.cpus <= 0 and need.gpus <= 0 and need.memory <= 0:
-        raise Malformed("vcpus: a task that takes nothing")
+        raise MalformedError("vcpus: a task that takes nothing")
     machine_types = data.get("rigs")
     if machine_types is not None:
         if (
@@ -78,7 +79,7 @@
             or not machine_types
             or len(machine_types) > MAX_RIGS
         ):
-            raise Malformed("rigs: expected a list of names")
+            raise MalformedError("rigs: expected a list of names")
         machine_types = tuple(
             text(machine_type, "rigs", MAX_NAME) for machine_type in machine_types
         )
@@ -109,7 +110,7 @@
 def can_run(spec: Spec, teams: dict[str, Team], machine_types: dict[str, MachineType]) -> None:
     team = teams.get(spec.team)
     if team is None:
-        raise NeverRuns("unknown team")
+        raise NeverRunsError("unknown team")
     # A service and a gang need all of their tasks at once, an array one at a time.
     total = spec.need.times(spec.task_count if spec.service or spec.gang else 1)
     for want, most, name in (
@@ -117,7 +118,7 @@
         (total.gpus, team.gpus_max, "gpus"),
     ):
         if 0 < most < want - 1e-9:
-            raise NeverRuns(f"more {name} than the team's limit")
+            raise NeverRunsError(f"more {name} than the team's limit")
     fits = [
         machine_type
         for machine_type in machine_types.values()
@@ -128,9 +129,9 @@
         and spec.need.memory <= machine_type.room.memory + 1e-9
     ]
     if not fits:
-        raise NeverRuns("a task fits no allowed machine type")
+        raise NeverRunsError("a task fits no allowed machine type")
     zones = {
         zone for machine_type in fits for zone in machine_type.zones if spec.zone in (None, zone)
     }
     if spec.apart and spec.task_count > 1 and (len(zones) < 2 or spec.together):
-        raise NeverRuns("apart leaves no zone for the other half")
+        raise NeverRunsError("apart leaves no zone for the other half")
--- a/roadbend/intake/test_intake.py
+++ b/roadbend/intake/test_intake.py
@@ -7,9 +7,9 @@
 
 from roadbend.fakes.submission import job
 from roadbend.fakes.world import MACHINE_TYPE, settings_for, world
-from roadbend.http.server import Malformed
+from roadbend.http.server import MalformedError
 from roadbend.intake.limit import Limit
-from roadbend.intake.messages import NeverRuns, can_run, read_submission
+from roadbend.intake.messages import NeverRunsError, can_run, read_submission
 from roadbend.rental.cloud import read_machine_types
 
 NAN, INF = float("nan"), float("inf")
@@ -64,7 +64,7 @@
 
 @pytest.mark.parametrize("change", MALFORMED, ids=str)
 def test_malformed_submissions_are_refused_with_a_reason(change):
-    with pytest.raises(Malformed) as caught:
+    with pytest.raises(MalformedError) as caught:
         read_submission(job(1, **change))
     assert str(caught.value).split(":")[0] in {*change, "vcpus"}
 
@@ -88,14 +88,14 @@
     body[field] = None
     if not null:
         del body[field]
-    with pytest.raises(Malformed) as caught:
+    with pytest.raises(MalformedError) as caught:
         read_submission(body)
     assert str(caught.value).split(":")[0] == field
 
 
 @pytest.mark.parametrize("body", [[], None, 7, "x", {}])
 def test_what_is_no_submission_at_all_is_refused(body):
-    with pytest.raises(Malformed):
+    with pytest.raises(MalformedError):
         read_submission(body)
 
 
@@ -113,7 +113,7 @@
 def test_what_can_never_run_is_said_so(change):
     settings, machine_types = settings_for(0, 3), read_machine_types([MACHINE_TYPE])
     can_run(read_submission(job(1))[1], settings.teams, machine_types)
-    with pytest.raises(NeverRuns):
+    with pytest.raises(NeverRunsError):
         can_run(read_submission(job(1, **change))[1], settings.teams, machine_types)
 
 
--- a/roadbend/intake/users.py
+++ b/roadbend/intake/users.py
@@ -7,8 +7,8 @@
 import trio
 
 from roadbend import clock
-from roadbend.http.client import NoAnswer
-from roadbend.http.server import Malformed, Request, Response, decode
+from roadbend.http.client import NoAnswerError
+from roadbend.http.server import MalformedError, Request, Response, decode
 from roadbend.intake import messages
 from roadbend.intake.limit import Limit
 from roadbend.intake.messages import (
@@ -16,12 +16,12 @@
     STATUS_DONE,
     STATUS_PENDING,
     STATUS_RUNNING,
-    NeverRuns,
+    NeverRunsError,
 )
 from roadbend.log import Log
 from roadbend.placement.shared import Shared
 from roadbend.store import keys, ranges, records
-from roadbend.store.client import Conflict, Refused, Unavailable, commit, delete, put
+from roadbend.store.client import ConflictError, RefusedError, UnavailableError, commit, delete, put
 from roadbend.store.records import Job
 
 log = Log("intake")
@@ -101,7 +101,7 @@
             if measured and response.status in (200, 201):
                 took = clock.now() - began
             return response
-        except (Refused, NoAnswer, Unavailable):
+        except (RefusedError, NoAnswerError, UnavailableError):
             return self._later("no state")
         finally:
             self.limit.leave(took)
@@ -122,11 +122,11 @@
         try:
             data = decode(request.body)
             name = messages.read_id(data)
-        except Malformed as error:
+        except MalformedError as error:
             return Response(400, {"error": str(error)})
         try:
             _, spec = messages.read_submission(data)
-        except Malformed as error:
+        except MalformedError as error:
             # An accepted job is known whatever a repeat of it looks like.
             return await self._refuse(name, 400, str(error))
         end = self.ends.get(name)
@@ -144,7 +144,7 @@
             return self._later("starting")
         try:
             messages.can_run(spec, shared.settings.teams, shared.machine_types)
-        except NeverRuns as error:
+        except NeverRunsError as error:
             return await self._refuse(name, 422, str(error))
         job = Job(name, spec, clock.wall())
         value = job.to_value()
@@ -161,7 +161,7 @@
         when = {keys.job_key(name): 0, keys.fin_key(name): 0}
         try:
             revision = await commit(shared.state, when, rows, within=timedelta(seconds=2.5))
-        except Conflict:
+        except ConflictError:
             # Known already, by an earlier try or by our own unanswered one.
             with trio.move_on_after(2):
                 await shared.reader.sync()
@@ -203,7 +203,7 @@
             return None
         value, _ = found
         if not isinstance(value, dict) or value.get("s") not in (STATUS_DONE, STATUS_ABORTED):
-            raise NoAnswer("nonsense: end")
+            raise NoAnswerError("nonsense: end")
         self.ends.put(name, value["s"], int(value.get("n", 0)))
         return self.ends.get(name)
 
@@ -282,7 +282,7 @@
                     revision = await commit(
                         shared.state, when, rows, within=timedelta(seconds=2.5), urgent=True
                     )
-                except Conflict:
+                except ConflictError:
                     await shared.reader.sync()
                     continue
                 # Recorded before it is told. Owners stop the tasks of a job that is no longer live.
--- a/roadbend/parts/ownership.py
+++ b/roadbend/parts/ownership.py
@@ -12,18 +12,18 @@
 import trio
 
 from roadbend import clock
-from roadbend.http.client import NoAnswer
+from roadbend.http.client import NoAnswerError
 from roadbend.log import Log
 from roadbend.parts import policy
 from roadbend.peers.links import Peers
 from roadbend.settings import Operator, Settings
 from roadbend.store import keys
 from roadbend.store.client import (
-    Conflict,
-    NoLease,
-    Refused,
+    ConflictError,
+    LeaseEndedError,
+    RefusedError,
     StateClient,
-    Unavailable,
+    UnavailableError,
     commit,
     delete,
     put,
@@ -149,7 +149,7 @@
                     await self._keep_lease()
                     if self._lease_id is not None:
                         await self._consider()
-            except (Refused, NoAnswer, Unavailable):
+            except (RefusedError, NoAnswerError, UnavailableError):
                 pass
             except Exception:
                 log.crash("ownership-failed")
@@ -176,13 +176,13 @@
                     # A late transaction of a former life, or of a lease that we gave up, took it
                     # away.
                     await self._announce(self._lease_id)
-        except Conflict:
+        except ConflictError:
             # Somebody of this name wrote it meanwhile, or our own unanswered try went through; that
             # may hang on a lease that nobody renews. It is written anew on what is there now, under
             # a lease that we renew.
             await self._read()
             return
-        except NoLease:
+        except LeaseEndedError:
             # Our keys are gone with it; what we owned may already be someone else's.
             self._lease_id = self._valid = self._renewed = None
             self._drop_all("lease ended")
@@ -283,7 +283,7 @@
             revision = await commit(
                 self._state, when, rows, within=self._operator.own_lease / 2, urgent=True
             )
-        except Conflict:
+        except ConflictError:
             # Somebody was faster, or an unanswered try of our own went through: the records tell.
             if not await self._read():
                 return
@@ -297,7 +297,7 @@
             ):
                 return
             revision, number = term.mod_revision, term.number
-        except NoLease:
+        except LeaseEndedError:
             self._lease_id = None
             self._drop_all("lease ended")
             return
@@ -333,7 +333,7 @@
                 urgent=True,
             )
             self._view.applied(rows, revision)
-        except Conflict:
+        except ConflictError:
             await self._read()
 
     async def _maybe_hand_over(
--- a/roadbend/peers/frames.py
+++ b/roadbend/peers/frames.py
@@ -6,6 +6,8 @@
 import struct
 from collections.abc import Iterable
 
+from roadbend.errors import RoadbendError
+
 VERSION = 2
 HEAD = struct.Struct("!IBBI")
 MOST = 256 * 1024
@@ -18,13 +20,13 @@
 GANGS = "+gangs"
 
 
-class BadFrame(Exception):
+class FrameError(RoadbendError):
     """Not a frame of ours; the connection is dropped."""
 
 
 def pack(kind: int, number: int, payload: bytes) -> bytes:
     if len(payload) > MOST:
-        raise BadFrame("too long")
+        raise FrameError("too long")
     return HEAD.pack(len(payload) + 6, VERSION, kind, number) + payload
 
 
@@ -39,9 +41,9 @@
         while len(self._data) >= HEAD.size:
             length, version, kind, number = HEAD.unpack_from(self._data)
             if version != VERSION:
-                raise BadFrame(f"version {version}")
+                raise FrameError(f"version {version}")
             if not 6 <= length <= MOST + 6:
-                raise BadFrame(f"length {length}")
+                raise FrameError(f"length {length}")
             if len(self._data) < length + 4:
                 return
             payload = bytes(self._data[HEAD.size : length + 4])
@@ -60,7 +62,7 @@
     def text(self, value: str) -> "Writer":
         data = value.encode()
         if len(data) > 0xFFFF:
-            raise BadFrame("text too long")
+            raise FrameError("text too long")
         return self.put("H", len(data))._raw(data)
 
     def maybe(self, value: str | None) -> "Writer":
@@ -84,7 +86,7 @@
         try:
             values = struct.unpack_from(form, self._data, self._at)
         except struct.error as error:
-            raise BadFrame(str(error)) from None
+            raise FrameError(str(error)) from None
         self._at += struct.calcsize(form)
         return values
 
@@ -95,11 +97,11 @@
         length = self.one("H")
         end = self._at + length
         if end > len(self._data):
-            raise BadFrame("short text")
+            raise FrameError("short text")
         try:
             value = self._data[self._at : end].decode()
         except UnicodeDecodeError:
-            raise BadFrame("text") from None
+            raise FrameError("text") from None
         self._at = end
         return value
 
@@ -108,4 +110,4 @@
 
     def end(self) -> None:
         if self._at != len(self._data):
-            raise BadFrame("bytes left over")
+            raise FrameError("bytes left over")
--- a/roadbend/peers/links.py
+++ b/roadbend/peers/links.py
@@ -9,10 +9,11 @@
 import trio
 
 from roadbend import clock
+from roadbend.errors import RoadbendError
 from roadbend.http.net import Net
 from roadbend.log import Log
 from roadbend.peers import frames
-from roadbend.peers.frames import BadFrame, Splitter
+from roadbend.peers.frames import FrameError, Splitter
 from roadbend.peers.heartbeat import Heartbeat, PeerState
 from roadbend.retry import Backoff
 from roadbend.settings import Peer
@@ -28,8 +29,8 @@
 Handler = Callable[[str, bytes], bytes | None]
 
 
-class NoReply(Exception):
-    pass
+class NoReplyError(RoadbendError):
+    """A peer did not answer a call in time."""
 
 
 class Link:
@@ -49,7 +50,7 @@
 
     async def call(self, kind: int, payload: bytes, within: timedelta) -> bytes:
         if self._stream is None or len(self._waiting) >= MAX_WAITING:
-            raise NoReply(self.peer.name)
+            raise NoReplyError(self.peer.name)
         self._number = (self._number + 1) & 0xFFFFFFFF
         number = self._number
         send, receive = trio.open_memory_channel(1)
@@ -64,7 +65,7 @@
             trio.ClosedResourceError,
             trio.EndOfChannel,
         ):
-            raise NoReply(self.peer.name) from None
+            raise NoReplyError(self.peer.name) from None
         finally:
             self._waiting.pop(number, None)
 
@@ -74,7 +75,7 @@
             with trio.fail_after(0.5):
                 await self._send(frames.pack(kind, 0, payload))
         except (trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError):
-            raise NoReply(self.peer.name) from None
+            raise NoReplyError(self.peer.name) from None
 
     async def _send(self, data: bytes) -> None:
         async with self._sending:
@@ -130,7 +131,7 @@
             reply = await self.call(frames.PING, heartbeat().pack(), HEARTBEAT_TIMEOUT)
             took(self, Heartbeat.unpack(reply), asked)
             return True
-        except (NoReply, BadFrame):
+        except (NoReplyError, FrameError):
             return False
 
     async def _beat(self, heartbeat, took, scope) -> None:
@@ -161,7 +162,7 @@
                             pass
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
-        except BadFrame as error:
+        except FrameError as error:
             log.error("bad-frame", peer=self.peer.name, error=str(error))
         scope.cancel()
 
@@ -196,18 +197,18 @@
                     if sender is None:
                         sender = payload.decode("utf-8", "replace")
                         if kind != frames.HELLO or sender not in self.links:
-                            raise BadFrame("no hello")
+                            raise FrameError("no hello")
                         continue
                     handler = self.handlers.get(kind)
                     if handler is None:
-                        raise BadFrame(f"kind {kind}")
+                        raise FrameError(f"kind {kind}")
                     reply = handler(sender, payload)
                     if reply is not None:
                         out += frames.pack(kind | frames.REPLY, number, reply)
                 if out:
                     with trio.fail_after(5):
                         await stream.send_all(out)
-        except BadFrame as error:
+        except FrameError as error:
             log.error("bad-frame", peer=sender, error=str(error))
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
             pass
@@ -220,5 +221,5 @@
 
 def finite(value: float) -> float:
     if not math.isfinite(value) or value < 0:
-        raise BadFrame("number")
+        raise FrameError("number")
     return value
--- a/roadbend/peers/test_peers.py
+++ b/roadbend/peers/test_peers.py
@@ -8,7 +8,7 @@
 
 from roadbend import clock
 from roadbend.peers import frames
-from roadbend.peers.frames import BadFrame, Splitter
+from roadbend.peers.frames import FrameError, Splitter
 from roadbend.peers.heartbeat import Heartbeat, PeerState
 from roadbend.peers.links import Peers
 from roadbend.settings import Peer
@@ -29,7 +29,7 @@
     "data", [b"\xff" * 16, b"\0\0\0\x01\x01\x01\0\0\0\0", b"\0\0\0\x06\x01\x01\0\0\0\0"]
 )
 def test_malformed_frames_are_refused(data):
-    with pytest.raises(BadFrame):
+    with pytest.raises(FrameError):
         list(Splitter().feed(data))
 
 
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -23,7 +23,7 @@
 from roadbend.placement.reports import Reports
 from roadbend.placement.shared import Shared
 from roadbend.store import keys, records
-from roadbend.store.client import Conflict, TooLarge, Unavailable, commit, put
+from roadbend.store.client import ConflictError, TooLargeError, UnavailableError, commit, put
 from roadbend.store.records import Attempt, Job, Need
 from roadbend.store.view import Rows, Work
 
@@ -211,7 +211,7 @@
                 self.steps_begun += 1
                 try:
                     again = await self.step()
-                except Unavailable:
+                except UnavailableError:
                     # Whether it was carried out shows in the records; every later write is
                     # conditional.
                     await clock.pause(timedelta(milliseconds=200))
@@ -254,15 +254,15 @@
             revision = await commit(
                 self.shared.state, batch.when, rows, within=timedelta(seconds=3)
             )
-        except TooLarge as error:
+        except TooLargeError as error:
             # Certainly not carried out, and never would be: next time in smaller pieces.
             log.error("too-large", part=self.part, changes=len(rows), error=str(error))
             self.most_rows = max(2, len(rows) // 2)
             raise
-        except Unavailable:
+        except UnavailableError:
             self.unsettled = dict(batch.when)
             raise
-        except Conflict as conflict:
+        except ConflictError as conflict:
             log.debug("conflict", part=self.part, failed=conflict.failed)
             with trio.move_on_after(2):
                 await self.shared.reader.sync()
@@ -309,7 +309,7 @@
                     revision = await commit(
                         self.shared.state, when, rows, within=timedelta(seconds=1.5)
                     )
-                except (Conflict, Unavailable):
+                except (ConflictError, UnavailableError):
                     return False
                 view.applied(rows, revision)
                 log.info("made-sure", part=self.part, key=key)
--- a/roadbend/rental/cloud.py
+++ b/roadbend/rental/cloud.py
@@ -6,9 +6,10 @@
 from typing import Any
 
 from roadbend import clock
+from roadbend.errors import RoadbendError
 from roadbend.fleet.messages import number, text
-from roadbend.http.client import Client, NoAnswer
-from roadbend.http.server import Malformed
+from roadbend.http.client import Client, NoAnswerError
+from roadbend.http.server import MalformedError
 from roadbend.store.budget import SharedBucket
 from roadbend.store.records import Need
 
@@ -47,11 +48,11 @@
 
 def read_machine_types(rows: Any) -> dict[str, MachineType]:
     if not isinstance(rows, list):
-        raise Malformed("catalog: expected a list")
+        raise MalformedError("catalog: expected a list")
     machine_types = {}
     for row in rows:
         if not isinstance(row, dict) or not isinstance(row.get("yards"), list):
-            raise Malformed("catalog: expected maps with yards")
+            raise MalformedError("catalog: expected maps with yards")
         machine_type = MachineType(
             text(row.get("name"), "name"),
             Need(
@@ -81,11 +82,11 @@
     age: timedelta
 
 
-class NoCapacity(Exception):
-    pass
+class NoCapacityError(RoadbendError):
+    """No such machine is to be had now."""
 
 
-class Busy(Exception):
+class CloudBusyError(RoadbendError):
     """Over the limit, the cloud is out, or the reason has passed: not executed."""
 
 
@@ -135,19 +136,19 @@
         if not urgent:
             await self._turn(rank)
         if still is not None and not still():
-            raise Busy("no longer")
+            raise CloudBusyError("no longer")
         self._bucket.spend(1)
         status, answer = await self._client.request(
             method, target, body, within=timedelta(seconds=5)
         )
         if status == 503 and isinstance(answer, dict) and answer.get("error") == "no capacity":
-            raise NoCapacity
+            raise NoCapacityError
         if status == 429:
             self._bucket.drain()
         if status in (429, 503):
-            raise Busy(str(status))
+            raise CloudBusyError(str(status))
         if status != 200:
-            raise NoAnswer(f"status {status}")
+            raise NoAnswerError(f"status {status}")
         return answer
 
     async def catalog(self) -> dict[str, MachineType]:
@@ -156,10 +157,10 @@
             machine_types = read_machine_types(
                 answer.get("rigs") if isinstance(answer, dict) else None
             )
-        except Malformed as error:
-            raise NoAnswer(f"nonsense: {error}") from None
+        except MalformedError as error:
+            raise NoAnswerError(f"nonsense: {error}") from None
         if not machine_types:
-            raise NoAnswer("nonsense: empty catalog")
+            raise NoAnswerError("nonsense: empty catalog")
         return machine_types
 
     async def rent(
@@ -175,7 +176,7 @@
         answer = await self._call("POST", "/machines", body, rank=HIRE, still=still)
         rows = answer.get("hitches") if isinstance(answer, dict) else None
         if not isinstance(rows, list) or not all(isinstance(row, str) for row in rows):
-            raise NoAnswer("nonsense: hire")
+            raise NoAnswerError("nonsense: hire")
         return rows
 
     async def delete(
@@ -201,7 +202,7 @@
             answer = await self._call("GET", target)
             page = answer.get("hitches") if isinstance(answer, dict) else None
             if not isinstance(page, list):
-                raise NoAnswer("nonsense: machines")
+                raise NoAnswerError("nonsense: machines")
             try:
                 for row in page:
                     rows.append(
@@ -215,8 +216,8 @@
                             timedelta(seconds=number(row["ageS"], "ageS")),
                         )
                     )
-            except (Malformed, KeyError, TypeError, AttributeError) as error:
-                raise NoAnswer(f"nonsense: {error}") from None
+            except (MalformedError, KeyError, TypeError, AttributeError) as error:
+                raise NoAnswerError(f"nonsense: {error}") from None
             if not answer.get("more") or not page:
                 return rows
             after = rows[-1].id
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -7,8 +7,8 @@
 
 from roadbend import clock
 from roadbend.fleet.service import Fleet
-from roadbend.http.client import NoAnswer
-from roadbend.http.server import Malformed
+from roadbend.http.client import NoAnswerError
+from roadbend.http.server import MalformedError
 from roadbend.log import Log
 from roadbend.placement import forecast
 from roadbend.placement import policy as placing
@@ -19,16 +19,16 @@
 from roadbend.rental.cloud import (
     MAX_HIRED,
     MAX_NAMES,
-    Busy,
     Cloud,
+    CloudBusyError,
     Listed,
-    NoCapacity,
+    NoCapacityError,
     Still,
     read_machine_types,
 )
 from roadbend.retry import Backoff, drawn
 from roadbend.store import keys
-from roadbend.store.client import Conflict, NoLease, Unavailable, commit, put
+from roadbend.store.client import ConflictError, LeaseEndedError, UnavailableError, commit, put
 from roadbend.store.records import Job
 
 log = Log("rental")
@@ -80,7 +80,7 @@
             try:
                 self._shared.machine_types = read_machine_types(self._shared.view.catalog)
                 log.info("catalog-adopted", machine_types=len(self._shared.machine_types))
-            except Malformed as error:
+            except MalformedError as error:
                 log.error("bad-record", key=keys.CATALOG_KEY, error=error)
 
     async def catalog_loop(self) -> None:
@@ -95,7 +95,7 @@
                 await clock.pause(
                     timedelta(seconds=20 if self._shared.view.catalog is not None else 1)
                 )
-            except (NoAnswer, Busy, NoCapacity) as error:
+            except (NoAnswerError, CloudBusyError, NoCapacityError) as error:
                 log.info("no-catalog", error=str(error)[:60])
                 await clock.pause(timedelta(seconds=1 if not self._shared.machine_types else 4))
 
@@ -116,7 +116,7 @@
             view.applied(
                 rows, await commit(self._shared.state, when, rows, within=timedelta(seconds=3))
             )
-        except (Conflict, NoLease, Unavailable):
+        except (ConflictError, LeaseEndedError, UnavailableError):
             pass
 
     async def list_loop(self) -> None:
@@ -126,7 +126,7 @@
                     rows = await self._cloud.machines()
                     self._fleet.listing.take(rows)
                     self._sort_listed(rows)
-            except (NoAnswer, Busy, NoCapacity) as error:
+            except (NoAnswerError, CloudBusyError, NoCapacityError) as error:
                 log.debug("no-list", error=str(error)[:60])
             except Exception:
                 log.crash("list-failed")
@@ -166,7 +166,7 @@
                     # Where looking at everything takes long, it is done less often.
                     pause = max(ROUND, self._shared.rest(clock.now() - now))
                     await self._round(runtime, now, *hires)
-            except (NoAnswer, Busy) as error:
+            except (NoAnswerError, CloudBusyError) as error:
                 log.debug("cloud-trouble", part=part, error=str(error)[:60])
                 await clock.pause(timedelta(seconds=1))
             except Exception:
@@ -389,14 +389,14 @@
                     name, machine_type, part, spot, count, self._still(runtime)
                 )
                 break
-            except NoCapacity:
+            except NoCapacityError:
                 self._refuse(key)
                 return
-            except NoAnswer:
+            except NoAnswerError:
                 # It may have been carried out; the same name tells which machines it got.
                 await clock.pause(waits.next())
         else:
-            raise NoAnswer("hire")
+            raise NoAnswerError("hire")
         now = clock.now()
         for machine in got:
             self._boots.setdefault(part, {})[machine] = Boot(machine, machine_type, spot, now)
--- a/roadbend/rental/test_rental.py
+++ b/roadbend/rental/test_rental.py
@@ -6,7 +6,7 @@
 
 from roadbend import clock
 from roadbend.fakes.world import MACHINE_TYPE
-from roadbend.http.server import Malformed
+from roadbend.http.server import MalformedError
 from roadbend.placement.forecast import Line
 from roadbend.placement.policy import Room
 from roadbend.placement.test_placement import pending
@@ -117,5 +117,5 @@
     "change", [{"vcpus": -1}, {"name": 3}, {"yards": "east"}, {"startupS": float("nan")}]
 )
 def test_a_nonsense_catalog_is_refused(change):
-    with pytest.raises(Malformed):
+    with pytest.raises(MalformedError):
         read_machine_types([{**MACHINE_TYPE, **change}])
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -8,8 +8,10 @@
 
 import sexpdata
 
+from roadbend.errors import RoadbendError
 
-class SettingsError(Exception):
+
+class SettingsError(RoadbendError):
     """A settings file can't be used; the message names the key."""
 
 
--- a/roadbend/store/client.py
+++ b/roadbend/store/client.py
@@ -7,20 +7,21 @@
 from urllib.parse import quote
 
 from roadbend import clock
-from roadbend.http.client import Client, NoAnswer
+from roadbend.errors import RoadbendError
+from roadbend.http.client import Client, NoAnswerError
 from roadbend.retry import Backoff
 from roadbend.store.budget import Budget
 
 
-class Refused(Exception):
+class RefusedError(RoadbendError):
     """Not executed: an outage, or over the limits."""
 
 
-class NoLease(Exception):
+class LeaseEndedError(RoadbendError):
     """The lease has ended."""
 
 
-class Conflict(Exception):
+class ConflictError(RoadbendError):
     def __init__(self, failed: list[str]):
         super().__init__(",".join(failed))
         self.failed = failed
@@ -28,7 +29,7 @@
 
 def _whole(value: Any) -> int:
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise NoAnswer("nonsense: not a whole number")
+        raise NoAnswerError("nonsense: not a whole number")
     return value
 
 
@@ -63,9 +64,9 @@
         status, answer = await self._client.request(method, target, body, within=self._within)
         if status == 429:
             self._budget.push_back(writes > 0)
-            raise Refused("429")
+            raise RefusedError("429")
         if status == 503:
-            raise Refused("503")
+            raise RefusedError("503")
         return status, answer
 
     async def get(self, key: str) -> tuple[Any, int] | None:
@@ -74,7 +75,7 @@
         if status == 404:
             return None
         if status != 200 or not isinstance(answer, dict) or "value" not in answer:
-            raise NoAnswer(f"nonsense: {status}")
+            raise NoAnswerError(f"nonsense: {status}")
         return answer["value"], _whole(answer.get("stamp"))
 
     async def read_all(self, prefix: str) -> tuple[list[tuple[str, Any, int]], int]:
@@ -91,17 +92,17 @@
                 or not isinstance(answer, dict)
                 or not isinstance(answer.get("entries"), list)
             ):
-                raise NoAnswer(f"nonsense: {status}")
+                raise NoAnswerError(f"nonsense: {status}")
             if revision is None:
                 revision = _whole(answer.get("ledger"))
             for row in answer["entries"]:
                 if not isinstance(row, dict) or not isinstance(row.get("path"), str):
-                    raise NoAnswer("nonsense: entry")
+                    raise NoAnswerError("nonsense: entry")
                 rows.append((row["path"], row.get("value"), _whole(row.get("stamp"))))
             if not answer.get("more"):
                 return rows, revision
             if not answer["entries"]:
-                raise NoAnswer("nonsense: more of nothing")
+                raise NoAnswerError("nonsense: more of nothing")
             after = rows[-1][0]
 
     async def follow(self, prefix: str, after: int) -> tuple[list[dict], int] | None:
@@ -112,10 +113,10 @@
         if status == 410:
             return None
         if status != 200 or not isinstance(answer, dict):
-            raise NoAnswer(f"nonsense: {status}")
+            raise NoAnswerError(f"nonsense: {status}")
         events = answer.get("log") or []
         if not isinstance(events, list) or not all(isinstance(e, dict) for e in events):
-            raise NoAnswer("nonsense: log")
+            raise NoAnswerError("nonsense: log")
         return events, _whole(answer.get("ledger"))
 
     async def multi(
@@ -128,29 +129,29 @@
         if status == 200 and isinstance(answer, dict):
             return _whole(answer.get("ledger"))
         if status == 409 and isinstance(answer, dict):
-            raise Conflict([str(k) for k in answer.get("failed") or []])
+            raise ConflictError([str(k) for k in answer.get("failed") or []])
         if status == 400 and isinstance(answer, dict) and answer.get("error") == "no such lease":
-            raise NoLease("write")
+            raise LeaseEndedError("write")
         if status == 400:
             # Nothing else that we send is malformed: a value, or the whole, is larger than the
             # service takes now.
-            raise TooLarge(str(answer)[:120])
-        raise NoAnswer(f"nonsense: {status} {answer!r}"[:200])
+            raise TooLargeError(str(answer)[:120])
+        raise NoAnswerError(f"nonsense: {status} {answer!r}"[:200])
 
     async def lease(self, ttl: timedelta) -> int:
         status, answer = await self._call(
             "POST", "/leases", {"ttlMs": round(ttl.total_seconds() * 1000)}, urgent=True
         )
         if status != 200 or not isinstance(answer, dict):
-            raise NoAnswer(f"nonsense: {status}")
+            raise NoAnswerError(f"nonsense: {status}")
         return _whole(answer.get("permit"))
 
     async def renew(self, lease_id: int) -> None:
         status, _ = await self._call("POST", f"/leases/{lease_id}/renew", {}, urgent=True)
         if status == 404:
-            raise NoLease("renew")
+            raise LeaseEndedError("renew")
         if status != 200:
-            raise NoAnswer(f"nonsense: {status}")
+            raise NoAnswerError(f"nonsense: {status}")
 
 
 def put(key: str, value: Any, lease_id: int | None = None) -> dict:
@@ -164,11 +165,11 @@
     return {"delete": key}
 
 
-class Unavailable(Exception):
+class UnavailableError(RoadbendError):
     """The state service gave no definite answer in time."""
 
 
-class TooLarge(Unavailable):
+class TooLargeError(UnavailableError):
     """Certainly not carried out, and the same would not be later."""
 
 
@@ -189,8 +190,8 @@
     while True:
         try:
             return await state.multi(when, apply, urgent, first)
-        except (Refused, NoAnswer) as error:
+        except (RefusedError, NoAnswerError) as error:
             wait = waits.next()
             if clock.now() + wait >= deadline:
-                raise Unavailable(str(error)) from None
+                raise UnavailableError(str(error)) from None
         await clock.pause(wait)
--- a/roadbend/store/reader.py
+++ b/roadbend/store/reader.py
@@ -5,12 +5,12 @@
 import trio
 
 from roadbend import clock
-from roadbend.http.client import NoAnswer
+from roadbend.http.client import NoAnswerError
 from roadbend.log import Log
 from roadbend.retry import Backoff
 from roadbend.settings import Operator
 from roadbend.store import keys
-from roadbend.store.client import Refused, StateClient
+from roadbend.store.client import RefusedError, StateClient
 from roadbend.store.view import View
 
 log = Log("store")
@@ -57,7 +57,7 @@
             mine, sent = self._begun, clock.now()
             try:
                 await self._read()
-            except (Refused, NoAnswer) as error:
+            except (RefusedError, NoAnswerError) as error:
                 self.refusals += 1
                 if self.refusals in (1, 10) or self.refusals % 100 == 0:
                     log.error("no-state", error=str(error)[:80], times=self.refusals)
--- a/roadbend/store/test_store.py
+++ b/roadbend/store/test_store.py
@@ -10,13 +10,13 @@
 from roadbend.fakes.network import Network
 from roadbend.fakes.state import FakeStateService
 from roadbend.fakes.submission import job
-from roadbend.http.client import Client, NoAnswer
+from roadbend.http.client import Client, NoAnswerError
 from roadbend.http.server import Server
 from roadbend.intake.messages import read_submission
 from roadbend.settings import Operator
 from roadbend.store import keys
 from roadbend.store.budget import Budget
-from roadbend.store.client import Conflict, StateClient, commit, delete, put
+from roadbend.store.client import ConflictError, StateClient, commit, delete, put
 from roadbend.store.reader import Reader
 from roadbend.store.records import Attempt, Job, Need, Slice, Use
 from roadbend.store.view import View
@@ -61,7 +61,7 @@
             desk.service.deaf.clear()
 
         nursery.start_soon(heal)
-        with pytest.raises(Conflict):
+        with pytest.raises(ConflictError):
             await commit(desk.state, {"r/job/x": 0}, rows, within=10 * S)
         assert desk.service.revision == 1
         nursery.cancel_scope.cancel()
@@ -137,7 +137,7 @@
         network.register("state:1", "state", accept)
         state = StateClient(Client(network.port("node"), "state:1"), Budget(1000, 1000, 1))
         for _ in range(3):
-            with pytest.raises(NoAnswer):
+            with pytest.raises(NoAnswerError):
                 await state.get("x")
             answers.append(answers.pop(0))
         nursery.cancel_scope.cancel()
--- a/roadbend/store/view.py
+++ b/roadbend/store/view.py
@@ -9,7 +9,7 @@
 from typing import Any
 from urllib.parse import unquote
 
-from roadbend.http.client import NoAnswer
+from roadbend.http.client import NoAnswerError
 from roadbend.log import Log
 from roadbend.store import keys, ranges
 from roadbend.store.ranges import Ranges
@@ -154,7 +154,7 @@
         for row in rows:
             mod_revision = row.get("stamp")
             if not isinstance(mod_revision, int):
-                raise NoAnswer("nonsense: stamp")
+                raise NoAnswerError("nonsense: stamp")
             if isinstance(row.get("write"), str):
                 self.put(row["write"], row.get("value"), mod_revision)
             elif isinstance(row.get("delete"), str):
--- a/roadbend/test_growth.py
+++ b/roadbend/test_growth.py
@@ -12,7 +12,7 @@
 from roadbend.bidding import exchange
 from roadbend.fakes.submission import job
 from roadbend.fakes.world import world
-from roadbend.http.client import NoAnswer
+from roadbend.http.client import NoAnswerError
 from roadbend.placement import ends, forecast, gang_room, policy, starts
 from roadbend.placement.forecast import Line
 from roadbend.placement.test_placement import pending, room
@@ -325,7 +325,7 @@
         await trio.sleep(0.01)
         self.asked.append((method, target, len((body or {}).get("hitches", ()))))
         if self.fail_at is not None and len(self.asked) == self.fail_at:
-            raise NoAnswer("lost")
+            raise NoAnswerError("lost")
         if target.startswith("/machines?"):
             return 200, {"hitches": [], "more": False}
         return 200, {"hitches": ["m-1"]}
@@ -335,7 +335,7 @@
     client = Calls()
     await Cloud(client, 2.0, 3).delete([f"m-{n}" for n in range(230)], urgent=True)
     assert [count for _, _, count in client.asked] == [100, 100, 30]
-    with pytest.raises(NoAnswer):
+    with pytest.raises(NoAnswerError):
         await Cloud(Calls(fail_at=2), 2.0, 3).delete([f"m-{n}" for n in range(230)], urgent=True)
 
 
