--- a/roadbend/placement/ends.py
+++ b/roadbend/placement/ends.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from collections.abc import Container
+from dataclasses import dataclass, field, replace
 from datetime import datetime, timedelta
 from functools import partial
 from typing import TYPE_CHECKING
@@ -29,125 +30,190 @@
 BACKOFF_MOST = timedelta(seconds=24)
 
 
+@dataclass
+class JobEnds:
+    """Ends of one job's attempts on their way into a transaction."""
+
+    name: str
+    # None: the job is over or cancelled, and only its slices are left.
+    job: Job | None
+    work: Work
+    # The shards that change, as they will be, and the ends that they record.
+    touched: dict[int, Slice] = field(default_factory=dict)
+    ended: list[tuple[int, Fact]] = field(default_factory=list)
+    # In what pieces those are written that are too large by today's limits.
+    plans: dict[int, list[Slice]] = field(default_factory=dict)
+
+    def keep_only(self, shards: Container[int], width: int) -> None:
+        """Leaves out the ends in other shards; they wait for the next transaction."""
+        self.touched = {n: piece for n, piece in self.touched.items() if n in shards}
+        self.ended = [row for row in self.ended if self.work.shard_of(row[0], width) in shards]
+
+
 def record_ends(runtime: PartRuntime, batch: Batch, now: datetime) -> bool:
-    """Ends into the records, and slices and jobs that are over out of them."""
-    view, part = runtime.shared.view, runtime.part
-    by_job: dict[str, list[tuple[int, Fact]]] = {}
-    for (job, task_index), fact in runtime.facts.items():
-        by_job.setdefault(job, []).append((task_index, fact))
-    # Slices of cancelled jobs with nothing left, and slices all done, also end here.
-    for name, work in runtime.works().items():
-        if not work.run:
-            by_job.setdefault(name, [])
+    """Puts ends into the transaction, and takes slices and jobs that are over out of the records;
+    says whether more is left for the next one."""
     more = False
-    for name, facts in by_job.items():
+    for name, facts in facts_by_job(runtime).items():
         work = runtime.works().get(name)
         if work is None:
             continue
-        job = view.jobs.get(name)
-        touched: dict[int, Slice] = {}
-        ended: list[tuple[int, Fact]] = []
-        for task_index, fact in facts:
-            attempt = work.run.get(task_index)
-            if attempt is None or attempt.number != fact.attempt:
-                continue
-            at = work.shard_of(task_index, runtime.width)
-            piece = touched.get(at) or batch.slice(name, work.team, work.need, at)
-            run = {n: a for n, a in piece.run.items() if n != task_index}
-            done = piece.done
-            if fact.done and job is not None and not job.spec.service and not job.spec.gang:
-                done = ranges.union(done, ((task_index, task_index + 1),))
-            touched[at] = replace(piece, run=run, done=done)
-            ended.append((task_index, fact))
-        # What a version with larger values wrote and is too large now is split as it is written.
-        plans = {
-            n: split(runtime, batch, work, piece)
-            for n, piece in touched.items()
-            if not batch.fits(piece)
-        }
-        for n in [n for n, plan in plans.items() if not plan]:
-            # Not in one transaction of today's size: these ends wait until fewer of its tasks are
-            # left.
-            more = more or bool(batch.rows)
-            del plans[n], touched[n]
-            ended = [
-                (task_index, fact)
-                for task_index, fact in ended
-                if work.shard_of(task_index, runtime.width) != n
-            ]
-        if job is not None and job.spec.gang and any(fact.done for _, fact in ended):
-            others = [piece for n, piece in work.shards.items() if n not in touched]
-            written = end_gang(batch, job, touched, others)
+        ends = collect(runtime, batch, name, work, facts)
+        more = plan_splits(runtime, batch, ends) or more
+        if ends.job is not None and ends.job.spec.gang and any(f.done for _, f in ends.ended):
+            written = end_gang(
+                batch,
+                ends.job,
+                ends.touched,
+                [piece for n, piece in work.shards.items() if n not in ends.touched],
+            )
             if written is None:
                 return True
-            for task_index, fact in ended:
-                if work.shard_of(task_index, runtime.width) not in written:
-                    # Its job is over by then: it is recorded like the end of a cancelled task.
-                    more = True
-                    continue
-                batch.ended.add((name, task_index))
-                batch.charge(work.team, work.need, -1)
-                batch.after.append(partial(note_end, runtime, name, task_index, fact, now))
-            continue
-        shards = {**work.shards, **touched}
-        done = ranges.normal(pair for piece in shards.values() for pair in piece.done)
-        held = job.alloc.get(part, ()) if job is not None else ()
-        idle = {n: p for n, p in shards.items() if not p.run}
-        whole = len(idle) == len(shards) and (job is None or not ranges.minus(held, done))
-        if whole or job is None:
-            over = idle
-        else:
-            # A wide array's shards leave the records a few at a time, not one by one.
-            over = {
-                n: p for n, p in idle.items() if not ranges.minus(within(runtime, held, n), p.done)
-            }
-            over = over if len(over) >= FOLD else {}
-        record_keys = [keys.slice_key(part, name, n) for n in touched.keys() | over.keys()]
-        record_keys += [piece.key for plan in plans.values() for piece in plan]
-        if job is not None and over:
-            record_keys += [keys.job_key(name), keys.fin_key(name)]
-        if not record_keys:
+            # What is left out is recorded next, like the end of a cancelled task: the job is over.
+            more = more or written != ends.touched.keys()
+            ends.keep_only(written, runtime.width)
+            note_ends(runtime, batch, ends, now)
             continue
-        if not batch.room_for(*record_keys):
-            if batch.rows:
-                return True
-            # Wider than one transaction: some of it now, the rest in the next.
-            some = sorted(over.keys() | touched.keys())[: max(1, batch.free - 2)]
-            over = {n: p for n, p in over.items() if n in some}
-            touched = {n: p for n, p in touched.items() if n in some and n not in plans}
-            ended = [
-                (task_index, f)
-                for task_index, f in ended
-                if work.shard_of(task_index, runtime.width) in some
-            ]
-            whole, more = False, True
-        for n, piece in touched.items():
-            if n in plans:
-                for row in plans[n]:
-                    batch.set_slice(row)
-                log.info("split", part=part, job=name, shard=n, into=len(plans[n]))
-            elif n not in over:
-                # Fewer attempts never make the record larger than a range each.
-                batch.set_slice(piece)
-        for piece in over.values():
-            batch.drop_slice(piece)
-        if job is not None and over:
-            all_done = ranges.normal(
-                [*job.done, *(pair for piece in over.values() for pair in piece.done)]
-            )
-            if whole and ranges.size(all_done) >= job.spec.task_count:
-                batch.end_job(job, "done", job.spec.task_count)
-            else:
-                batch.set_job(
-                    replace(job.with_part(part, ranges.minus(held, all_done)), done=all_done)
-                )
-        for task_index, fact in ended:
-            batch.ended.add((name, task_index))
-            batch.charge(work.team, work.need, -1)
-            batch.after.append(partial(note_end, runtime, name, task_index, fact, now))
+        result = record_job(runtime, batch, ends)
+        if result is None:
+            return True
+        more = more or result
+        note_ends(runtime, batch, ends, now)
     return more
 
 
+def facts_by_job(runtime: PartRuntime) -> dict[str, list[tuple[int, Fact]]]:
+    """The ends to be recorded, by job; also the jobs with slices of which nothing runs."""
+    by_job: dict[str, list[tuple[int, Fact]]] = {}
+    for (job, task_index), fact in runtime.facts.items():
+        by_job.setdefault(job, []).append((task_index, fact))
+    # Slices of cancelled jobs with nothing left, and slices all done, also end here.
+    for name, work in runtime.works().items():
+        if not work.run:
+            by_job.setdefault(name, [])
+    return by_job
+
+
+def collect(
+    runtime: PartRuntime, batch: Batch, name: str, work: Work, facts: list[tuple[int, Fact]]
+) -> JobEnds:
+    """The shards of one job without the attempts that have ended."""
+    job = runtime.shared.view.jobs.get(name)
+    ends = JobEnds(name, job, work)
+    counts_done = job is not None and not job.spec.service and not job.spec.gang
+    for task_index, fact in facts:
+        attempt = work.run.get(task_index)
+        if attempt is None or attempt.number != fact.attempt:
+            continue
+        at = work.shard_of(task_index, runtime.width)
+        piece = ends.touched.get(at) or batch.slice(name, work.team, work.need, at)
+        run = {n: a for n, a in piece.run.items() if n != task_index}
+        done = piece.done
+        if fact.done and counts_done:
+            done = ranges.union(done, ((task_index, task_index + 1),))
+        ends.touched[at] = replace(piece, run=run, done=done)
+        ends.ended.append((task_index, fact))
+    return ends
+
+
+def plan_splits(runtime: PartRuntime, batch: Batch, ends: JobEnds) -> bool:
+    """What a version with larger values wrote and is too large now is split as it is written.
+    Where that can't be done in one transaction, the ends wait until fewer of its tasks are left;
+    says whether the next transaction may do better."""
+    for n, piece in ends.touched.items():
+        if not batch.fits(piece):
+            ends.plans[n] = split(runtime, batch, ends.work, piece)
+    stuck = {n for n, plan in ends.plans.items() if not plan}
+    if not stuck:
+        return False
+    ends.plans = {n: plan for n, plan in ends.plans.items() if plan}
+    ends.keep_only(ends.touched.keys() - stuck, runtime.width)
+    return bool(batch.rows)
+
+
+def record_job(runtime: PartRuntime, batch: Batch, ends: JobEnds) -> bool | None:
+    """Writes one job's ends; says whether some of them wait for the next transaction. None: all
+    do, for this one has no room left."""
+    over, whole = shards_over(runtime, ends)
+    record_keys = [
+        keys.slice_key(runtime.part, ends.name, n) for n in ends.touched.keys() | over.keys()
+    ]
+    record_keys += [piece.key for plan in ends.plans.values() for piece in plan]
+    if ends.job is not None and over:
+        record_keys += [keys.job_key(ends.name), keys.fin_key(ends.name)]
+    if not record_keys:
+        return False
+    partly = not batch.room_for(*record_keys)
+    if partly:
+        if batch.rows:
+            return None
+        # Wider than one transaction: some of it now, the rest in the next.
+        some = sorted(over.keys() | ends.touched.keys())[: max(1, batch.free - 2)]
+        over = {n: piece for n, piece in over.items() if n in some}
+        ends.keep_only([n for n in some if n not in ends.plans], runtime.width)
+        whole = False
+    write_slices(runtime, batch, ends, over)
+    if ends.job is not None and over:
+        write_job(runtime, batch, ends.job, over, whole)
+    return partly
+
+
+def shards_over(runtime: PartRuntime, ends: JobEnds) -> tuple[dict[int, Slice], bool]:
+    """The shards that leave the records, and whether the part is through with all that it holds of
+    the job."""
+    shards = {**ends.work.shards, **ends.touched}
+    idle = {n: piece for n, piece in shards.items() if not piece.run}
+    if ends.job is None:
+        return idle, len(idle) == len(shards)
+    done = ranges.normal(pair for piece in shards.values() for pair in piece.done)
+    held = ends.job.alloc.get(runtime.part, ())
+    if len(idle) == len(shards) and not ranges.minus(held, done):
+        return idle, True
+    # A wide array's shards leave the records a few at a time, not one by one.
+    over = {
+        n: piece
+        for n, piece in idle.items()
+        if not ranges.minus(within(runtime, held, n), piece.done)
+    }
+    return (over if len(over) >= FOLD else {}), False
+
+
+def write_slices(runtime: PartRuntime, batch: Batch, ends: JobEnds, over: dict[int, Slice]) -> None:
+    """The changed shards, split where they must be, and those that leave the records."""
+    for n, piece in ends.touched.items():
+        if n in ends.plans:
+            for row in ends.plans[n]:
+                batch.set_slice(row)
+            into = len(ends.plans[n])
+            log.info("split", part=runtime.part, job=ends.name, shard=n, into=into)
+        elif n not in over:
+            # Fewer attempts never make the record larger than a range each.
+            batch.set_slice(piece)
+    for piece in over.values():
+        batch.drop_slice(piece)
+
+
+def write_job(
+    runtime: PartRuntime, batch: Batch, job: Job, over: dict[int, Slice], whole: bool
+) -> None:
+    """The job's record, or its end, once shards of it are over."""
+    held = job.alloc.get(runtime.part, ())
+    all_done = ranges.normal([*job.done, *(pair for piece in over.values() for pair in piece.done)])
+    if whole and ranges.size(all_done) >= job.spec.task_count:
+        batch.end_job(job, "done", job.spec.task_count)
+    else:
+        rest = job.with_part(runtime.part, ranges.minus(held, all_done))
+        batch.set_job(replace(rest, done=all_done))
+
+
+def note_ends(runtime: PartRuntime, batch: Batch, ends: JobEnds, now: datetime) -> None:
+    """What follows once the transaction is carried out, and what its later parts may count on."""
+    for task_index, fact in ends.ended:
+        batch.ended.add((ends.name, task_index))
+        batch.charge(ends.work.team, ends.work.need, -1)
+        batch.after.append(partial(note_end, runtime, ends.name, task_index, fact, now))
+
+
 def end_gang(
     batch: Batch, job: Job, touched: dict[int, Slice], others: list[Slice]
 ) -> set[int] | None:
