--- a/roadbend/__main__.py
+++ b/roadbend/__main__.py
@@ -1,3 +1,5 @@
+"""`python3 -m roadbend`: the same as run.py."""
+
 import sys
 
 from roadbend.cli import main
--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -39,6 +39,8 @@
 
 
 class Exchange:
+    """Asks all parts for bids, records who got what, and offers again what waits too long."""
+
     def __init__(
         self,
         shared: Shared,
--- a/roadbend/fakes/cloud.py
+++ b/roadbend/fakes/cloud.py
@@ -12,6 +12,8 @@
 
 @dataclass
 class Rented:
+    """A machine of the fake cloud."""
+
     id: str
     machine_type: str
     zone: str
@@ -24,6 +26,8 @@
 
 
 class FakeCloud:
+    """The cloud in memory: catalog, renting, deletion, the list."""
+
     def __init__(
         self,
         nursery: trio.Nursery,
--- a/roadbend/fakes/network.py
+++ b/roadbend/fakes/network.py
@@ -9,6 +9,8 @@
 
 
 class Network:
+    """Connections between hosts in memory, with cuts, deaf and mute hosts, held packets."""
+
     def __init__(self, nursery: trio.Nursery):
         self._nursery = nursery
         self._listeners: dict[str, tuple[str, Accept]] = {}
--- a/roadbend/fakes/previous_version.py
+++ b/roadbend/fakes/previous_version.py
@@ -18,6 +18,8 @@
 
 
 class PreviousVersionNode(Node):
+    """A controller that reads, writes and says only what the version in production does."""
+
     def __init__(
         self,
         settings: Settings,
--- a/roadbend/fakes/state.py
+++ b/roadbend/fakes/state.py
@@ -11,6 +11,8 @@
 
 
 class FakeStateService:
+    """The state service in memory."""
+
     def __init__(self, clock=trio.current_time, value_bytes: int = 32 * 1024, txn_ops: int = 16):
         self._now = clock
         self._most = (value_bytes, txn_ops)
--- a/roadbend/fakes/worker.py
+++ b/roadbend/fakes/worker.py
@@ -100,6 +100,8 @@
 
 
 class FakeWorker:
+    """The worker of one machine, by the protocol."""
+
     def __init__(
         self,
         net,
--- a/roadbend/fakes/world.py
+++ b/roadbend/fakes/world.py
@@ -65,6 +65,8 @@
 
 
 class World(Troubles, UserBehaviour):
+    """A deployment in memory, its judge, and its troubles."""
+
     def __init__(
         self, nursery: trio.Nursery, count: int, operator: Operator, capacity: int, changes: dict
     ):
--- a/roadbend/fleet/machines.py
+++ b/roadbend/fleet/machines.py
@@ -9,11 +9,15 @@
 from datetime import datetime, timedelta
 
 from roadbend.fleet import messages
-from roadbend.fleet.messages import Report
+from roadbend.fleet.messages import Report, TaskReport
+from roadbend.store import ranges
 from roadbend.store.records import Job
 from roadbend.store.view import Rows
 
+# A task: its job and its index.
 Key = tuple[str, int]
+# How much longer than its grace a task may save.
+SAVE_MARGIN = timedelta(seconds=1)
 
 
 @dataclass
@@ -41,6 +45,8 @@
 
 @dataclass
 class Machine:
+    """A machine of a part, as its owner knows it."""
+
     id: str
     address: str
     machine_type: str
@@ -168,47 +174,22 @@
     for task in report.tasks:
         key = (task.job, task.task_index)
         entry = recorded.get(key)
-        ended = task.state == "ended"
         if entry is None or entry[1].number != task.attempt:
-            # Not in the records (any more): its end has been recorded, or it never should have
-            # been.
-            if ended:
-                orders.append(messages.forget(task.job, task.task_index, task.attempt))
-            else:
-                machine.foreign += 1
-                orders.append(messages.kill(task.job, task.task_index, task.attempt, 0))
-            continue
-        before = machine.tasks.get(key)
-        known = before if before and before.attempt == task.attempt else None
-        running_since = known.running_since if known else None
-        if task.state in ("running", "flushing") and running_since is None:
-            running_since = now
-        same = known is not None and known.state == task.state
-        seen[key] = Seen(task.attempt, task.state, known.since if same else now, running_since)
-        if ended and not machine.settled(key, task.attempt, report, current):
+            orders.append(_order_for_unrecorded(machine, task))
             continue
-        if ended:
-            # `done` stays true however old the report; any other end needs the proof above.
-            if task.cause == "done":
-                facts[key] = Fact(task.attempt, machine.id, True, "done")
-            elif current:
-                facts.setdefault(key, Fact(task.attempt, machine.id, False, task.cause or "ended"))
+        seen[key] = _see(machine, task, now)
+        if task.state == "ended":
+            if machine.settled(key, task.attempt, report, current):
+                _note_end(machine, task, current, facts)
             continue
         stop = stops.get(key)
         if stop is not None and stop.attempt == task.attempt:
-            # A task that saves for longer than it was given is ended by a kill without grace.
-            stuck = task.state == "flushing" and now - seen[key].since > stop.grace + timedelta(
-                seconds=1
-            )
-            grace = 0.0 if stuck else stop.grace.total_seconds()
-            orders.append(messages.kill(task.job, task.task_index, task.attempt, grace))
+            orders.append(_kill(task, stop, now - seen[key].since))
     for key, (work, attempt) in recorded.items():
         if key in seen:
             continue
         job = jobs.get(key[0])
-        held = job is not None and any(
-            low <= key[1] < high for low, high in job.alloc.get(part, ())
-        )
+        held = job is not None and ranges.has(job.alloc.get(part, ()), key[1])
         wanted = (
             held and key not in stops and machine.draining is None and machine.recall_at is None
         )
@@ -225,3 +206,39 @@
         if key in recorded and recorded[key][1].number == row.attempt
     }
     return orders
+
+
+def _order_for_unrecorded(machine: Machine, task: TaskReport) -> dict:
+    """A task that is not in the records (any more): its end has been recorded, or it never should
+    have been."""
+    if task.state == "ended":
+        return messages.forget(task.job, task.task_index, task.attempt)
+    machine.foreign += 1
+    return messages.kill(task.job, task.task_index, task.attempt, 0)
+
+
+def _see(machine: Machine, task: TaskReport, now: datetime) -> Seen:
+    """A task as shown now, with since when it has been so."""
+    before = machine.tasks.get((task.job, task.task_index))
+    known = before if before and before.attempt == task.attempt else None
+    running_since = known.running_since if known else None
+    if task.state in ("running", "flushing") and running_since is None:
+        running_since = now
+    since = known.since if known is not None and known.state == task.state else now
+    return Seen(task.attempt, task.state, since, running_since)
+
+
+def _note_end(machine: Machine, task: TaskReport, current: bool, facts: dict[Key, Fact]) -> None:
+    """`done` stays true however old the report; any other end needs the proof of a current one."""
+    key = (task.job, task.task_index)
+    if task.cause == "done":
+        facts[key] = Fact(task.attempt, machine.id, True, "done")
+    elif current:
+        facts.setdefault(key, Fact(task.attempt, machine.id, False, task.cause or "ended"))
+
+
+def _kill(task: TaskReport, stop: Stop, shown_for: timedelta) -> dict:
+    """A task that saves for longer than it was given is ended by a kill without grace."""
+    stuck = task.state == "flushing" and shown_for > stop.grace + SAVE_MARGIN
+    grace = 0.0 if stuck else stop.grace.total_seconds()
+    return messages.kill(task.job, task.task_index, task.attempt, grace)
--- a/roadbend/fleet/messages.py
+++ b/roadbend/fleet/messages.py
@@ -11,6 +11,8 @@
 
 
 class TaskReport(NamedTuple):
+    """A task as a report shows it."""
+
     job: str
     task_index: int
     attempt: int
@@ -21,6 +23,8 @@
 
 @dataclass(frozen=True)
 class Report:
+    """A worker's report."""
+
     machine: str
     address: str
     machine_type: str
--- a/roadbend/http/client.py
+++ b/roadbend/http/client.py
@@ -20,6 +20,8 @@
 
 
 class Client:
+    """Requests to one address, over a few connections that are kept."""
+
     def __init__(self, net: Net, address: str, most: int = 8, keep: int = 4):
         self.address = address
         self._net = net
@@ -57,31 +59,9 @@
             stream, conn = await self._net.connect(self.address), h11.Connection(h11.CLIENT)
         reusable = False
         try:
-            payload = b"" if body is None else cbor2.dumps(body)
-            headers = [("host", self.address), ("content-length", str(len(payload)))]
-            if payload:
-                headers.append(("content-type", "application/cbor"))
-            out = conn.send(h11.Request(method=method, target=target, headers=headers))
-            if payload:
-                out += conn.send(h11.Data(data=payload))
-            out += conn.send(h11.EndOfMessage())
-            await stream.send_all(out)
-            status, data = None, bytearray()
-            while True:
-                event = conn.next_event()
-                if event is h11.NEED_DATA:
-                    conn.receive_data(await stream.receive_some(65536))
-                elif isinstance(event, h11.Response):
-                    status = event.status_code
-                elif isinstance(event, h11.Data):
-                    data += event.data
-                    if len(data) > ANSWER_LIMIT:
-                        raise MalformedError("answer too large")
-                elif isinstance(event, h11.EndOfMessage):
-                    break
-                elif isinstance(event, h11.ConnectionClosed):
-                    raise MalformedError("connection closed")
-            answer = decode(bytes(data)) if data else None
+            await stream.send_all(self._request_bytes(conn, method, target, body))
+            status, data = await self._read_answer(stream, conn)
+            answer = decode(data) if data else None
             if (
                 conn.our_state is h11.DONE
                 and conn.their_state is h11.DONE
@@ -100,3 +80,34 @@
                 self._idle.append((stream, conn))
             else:
                 await trio.aclose_forcefully(stream)
+
+    def _request_bytes(self, conn: h11.Connection, method: str, target: str, body: Any) -> bytes:
+        payload = b"" if body is None else cbor2.dumps(body)
+        headers = [("host", self.address), ("content-length", str(len(payload)))]
+        if payload:
+            headers.append(("content-type", "application/cbor"))
+        out = conn.send(h11.Request(method=method, target=target, headers=headers))
+        if payload:
+            out += conn.send(h11.Data(data=payload))
+        return out + conn.send(h11.EndOfMessage())
+
+    @staticmethod
+    async def _read_answer(
+        stream: trio.abc.Stream, conn: h11.Connection
+    ) -> tuple[int | None, bytes]:
+        """Status and body of the answer."""
+        status, data = None, bytearray()
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                conn.receive_data(await stream.receive_some(65536))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                data += event.data
+                if len(data) > ANSWER_LIMIT:
+                    raise MalformedError("answer too large")
+            elif isinstance(event, h11.EndOfMessage):
+                return status, bytes(data)
+            elif isinstance(event, h11.ConnectionClosed):
+                raise MalformedError("connection closed")
--- a/roadbend/http/server.py
+++ b/roadbend/http/server.py
@@ -27,6 +27,8 @@
 
 @dataclass(frozen=True)
 class Request:
+    """A request that came whole."""
+
     method: str
     path: str
     query: str
@@ -35,6 +37,8 @@
 
 @dataclass(frozen=True)
 class Response:
+    """What a request is answered."""
+
     status: int
     body: Any = None
     headers: tuple[tuple[str, str], ...] = field(default=())
--- a/roadbend/intake/limit.py
+++ b/roadbend/intake/limit.py
@@ -9,6 +9,8 @@
 
 
 class Limit:
+    """How many requests may be in progress, by how long they take."""
+
     def __init__(self, floor: int = 4, ceiling: int = 64):
         self._floor, self._ceiling = floor, ceiling
         self.limit = float(ceiling) / 2
--- a/roadbend/intake/users.py
+++ b/roadbend/intake/users.py
@@ -54,6 +54,8 @@
 
 
 class Users:
+    """The users' interface: submit, query, cancel."""
+
     def __init__(
         self,
         shared: Shared,
--- a/roadbend/node.py
+++ b/roadbend/node.py
@@ -38,6 +38,8 @@
 
 
 class Node:
+    """A controller: its slices, wired together."""
+
     def __init__(
         self,
         settings: Settings,
--- a/roadbend/parts/ownership.py
+++ b/roadbend/parts/ownership.py
@@ -51,6 +51,8 @@
 
 
 class Ownership:
+    """Which parts this controller owns, and for how long it may act on that."""
+
     def __init__(
         self,
         settings: Settings,
--- a/roadbend/peers/frames.py
+++ b/roadbend/peers/frames.py
@@ -52,6 +52,8 @@
 
 
 class Writer:
+    """Builds a frame's payload."""
+
     def __init__(self):
         self._parts: list[bytes] = []
 
@@ -78,6 +80,8 @@
 
 
 class Scanner:
+    """Reads a frame's payload."""
+
     def __init__(self, data: bytes):
         self._data, self._at = data, 0
 
--- a/roadbend/peers/heartbeat.py
+++ b/roadbend/peers/heartbeat.py
@@ -14,6 +14,8 @@
 
 @dataclass(frozen=True)
 class Heartbeat:
+    """What a controller tells each of the others every second."""
+
     boot: str
     uptime: timedelta
     # Age of the last answered read of the state service; None: none since the process began.
--- a/roadbend/peers/links.py
+++ b/roadbend/peers/links.py
@@ -34,6 +34,8 @@
 
 
 class Link:
+    """The connection to one other controller, and what is known of it."""
+
     def __init__(self, net: Net, peer: Peer, me: str, rng: random.Random):
         self.peer = peer
         self._rng = rng
@@ -168,6 +170,8 @@
 
 
 class Peers:
+    """The links to all other controllers, and the calls that come from them."""
+
     def __init__(
         self, net: Net, me: str, peers: tuple[Peer, ...], rng: random.Random | None = None
     ):
--- a/roadbend/placement/policy.py
+++ b/roadbend/placement/policy.py
@@ -251,13 +251,13 @@
     most_jobs: int = 1_000_000,
     bars: Bars | None = None,
     limits: Allowance | None = None,
-) -> tuple[list[tuple[Pending, int, Room]], list[Pending], bool]:
+) -> tuple[list[Placed], list[Pending], bool]:
     """Takes the tasks in order; gives what was placed, what was not, and whether it stopped after
     `most_jobs` jobs. `bars` names the machines and the types that a job must keep off.
 
     Of a team's limit only what is placed is taken: a wide job that finds no room must not keep the
     team's other jobs from machines that would fit them."""
-    placed: list[tuple[Pending, int, Room]] = []
+    placed: list[Placed] = []
     left: list[Pending] = []
     queue = list(queue)
     # Most machines are full: they are passed over once, not once a job.
@@ -272,50 +272,50 @@
         spec = item.job.spec
         kind = (spec.need, spec.machine_types, spec.zone, spec.spot)
         barred, machine_types = bars(item) if bars is not None else ((), ())
-        free = not barred and not machine_types
-        if kind in hopeless:
-            left.append(item)
-            if limits is not None:
-                limits.hold(item.job, item.count)
-            continue
-        found = suitable(item.job, rooms, barred, machine_types)
+        found = []
+        if kind not in hopeless:
+            found = suitable(item.job, rooms, barred, machine_types)
         if spec.gang and sum(room.count(spec.need) for room in found) < item.count:
-            # Whole or not at all: no gang holds some of the room while another holds the rest.
-            left.append(item)
-            if limits is not None:
-                limits.hold(item.job, item.count)
-            continue
-        if not found:
-            if free:
-                hopeless.add(kind)
-            left.append(item)
-            if limits is not None:
-                limits.hold(item.job, item.count)
-            continue
-        if item.job.id not in jobs and len(jobs) >= most_jobs:
+            # Whole or not at all: no gang holds some of the room while another holds the rest. It
+            # says nothing of others alike, which may need less.
+            rest: Pending | None = item
+        elif found and item.job.id not in jobs and len(jobs) >= most_jobs:
             return placed, left, True
-        jobs.add(item.job.id)
-        tasks, count = ranges.numbers(item.tasks), item.count
-        for room in found:
-            take = min(count, room.count(spec.need))
-            for _ in range(take):
-                room.take(spec.need)
-                placed.append((item, next(tasks), room))
-            if limits is not None:
-                limits.take(spec, take)
-            count -= take
-            if not count:
-                break
-        if count:
-            if free:
+        else:
+            rest = fill_rooms(item, found, placed, limits)
+            if found:
+                jobs.add(item.job.id)
+            if rest is not None and not barred and not machine_types:
                 hopeless.add(kind)
-            rest = ranges.minus(item.tasks, ranges.first(item.tasks, item.count - count))
-            left.append(replace(item, tasks=rest))
+        if rest is not None:
+            left.append(rest)
             if limits is not None:
-                limits.hold(item.job, count)
+                limits.hold(item.job, rest.count)
     return placed, left, False
 
 
+def fill_rooms(
+    item: Pending, found: list[Room], placed: list[Placed], limits: Allowance | None
+) -> Pending | None:
+    """Puts an item's tasks on the rooms in their order; gives those that found no place."""
+    need, tasks, count = item.job.spec.need, ranges.numbers(item.tasks), item.count
+    for room in found:
+        take = min(count, room.count(need))
+        for _ in range(take):
+            room.take(need)
+            placed.append((item, next(tasks), room))
+        if limits is not None:
+            limits.take(item.job.spec, take)
+        count -= take
+        if not count:
+            return None
+    if count == item.count:
+        return item
+    return replace(
+        item, tasks=ranges.minus(item.tasks, ranges.first(item.tasks, item.count - count))
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Victim:
     """A task that runs, as preemption sees it."""
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -35,6 +35,9 @@
 
 
 class PartRuntime:
+    """An owner's work on one part for one term. Its lock guards all fields that are not lent to
+    the objects it is made of."""
+
     def __init__(self, shared: Shared, tenure: Tenure):
         self.lock = threading.RLock()
         self.shared, self.tenure, self.part = shared, tenure, tenure.part
--- a/roadbend/rental/cloud.py
+++ b/roadbend/rental/cloud.py
@@ -22,6 +22,8 @@
 
 @dataclass(frozen=True)
 class MachineType:
+    """A machine type of the catalog."""
+
     name: str
     room: Need
     cache_gb: float
@@ -73,6 +75,8 @@
 
 @dataclass(frozen=True)
 class Listed:
+    """A machine in the cloud's list."""
+
     id: str
     address: str
     machine_type: str
@@ -97,6 +101,8 @@
 
 
 class Cloud:
+    """The cloud's interface, within its limit of calls."""
+
     def __init__(self, client: Client, rps: float, sharers: int):
         self._client = client
         self.sharers, self.rps = max(1, sharers), rps
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -51,11 +51,15 @@
 
 @dataclass
 class Refusal:
+    """Until when a type, zone and kind is not asked for again."""
+
     until: datetime
     pause: timedelta
 
 
 class Rental:
+    """Rents and returns the machines of all parts that this controller owns."""
+
     def __init__(
         self,
         shared: Shared,
--- a/roadbend/retry.py
+++ b/roadbend/retry.py
@@ -11,6 +11,8 @@
 
 
 class Backoff:
+    """Waits between tries that grow to a bound, with jitter."""
+
     def __init__(self, first: timedelta, most: timedelta, rng: random.Random):
         self._first, self._most, self._rng = first, most, rng
         self._wait = first
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -17,6 +17,8 @@
 
 @dataclass(frozen=True)
 class Peer:
+    """Another controller."""
+
     name: str
     zone: str
     address: str
@@ -24,6 +26,8 @@
 
 @dataclass(frozen=True)
 class Team:
+    """A team's guarantee and limit; 0 means none."""
+
     name: str
     cpus: float
     cpus_max: float
@@ -45,6 +49,8 @@
 
 @dataclass(frozen=True)
 class Settings:
+    """What the platform sets."""
+
     name: str
     zone: str
     listen: str
--- a/roadbend/store/budget.py
+++ b/roadbend/store/budget.py
@@ -84,6 +84,8 @@
 
 
 class Budget:
+    """What this controller may ask of the state service, of what all may together."""
+
     """Requests and changes of the state service. What keeps the rules and the leases never waits;
     submissions go before starts and ends."""
 
--- a/roadbend/store/client.py
+++ b/roadbend/store/client.py
@@ -22,6 +22,8 @@
 
 
 class ConflictError(RoadbendError):
+    """A condition of the transaction does not hold."""
+
     def __init__(self, failed: list[str]):
         super().__init__(",".join(failed))
         self.failed = failed
@@ -34,6 +36,8 @@
 
 
 class StateClient:
+    """The interface of the state service."""
+
     def __init__(
         self,
         client: Client,
--- a/roadbend/store/records.py
+++ b/roadbend/store/records.py
@@ -117,6 +117,8 @@
 
 @dataclass(frozen=True)
 class Job:
+    """A live job."""
+
     id: str
     spec: Spec
     at: datetime
@@ -194,6 +196,8 @@
 
 
 class Attempt(NamedTuple):
+    """One start of a task, and the machine it is on."""
+
     number: int
     machine: str
 
@@ -286,6 +290,8 @@
 
 @dataclass(frozen=True)
 class Term:
+    """A part's term."""
+
     number: int
     node: str
     mod_revision: int = 0
@@ -293,6 +299,8 @@
 
 @dataclass(frozen=True)
 class Own:
+    """Who owns a part."""
+
     node: str
     boot: str
     term: int
@@ -301,6 +309,8 @@
 
 @dataclass(frozen=True)
 class Live:
+    """A live controller."""
+
     name: str
     boot: str
     mod_revision: int = 0
