--- a/roadbend/placement/starts.py
+++ b/roadbend/placement/starts.py
@@ -56,8 +56,9 @@
     limits = Allowance(
         partial(team_left, runtime, batch), lambda job: now - runtime.queued.get(job, now) < HOLD
     )
-    ready = [item for item in queue if gangs.may_start(runtime, item.job)]
-    early = [item for item in queue if not gangs.may_start(runtime, item.job)]
+    ready, early = [], []
+    for item in queue:
+        (ready if gangs.may_start(runtime, item.job) else early).append(item)
     yielding = {item.job.id for item in ready if yields(runtime, item, overdue)}
     note_passed_over(runtime, ready, yielding, rooms, now)
     placed, left, more = policy.place(
--- a/roadbend/store/budget.py
+++ b/roadbend/store/budget.py
@@ -15,6 +15,8 @@
 
 
 class Bucket:
+    """Tokens that come at a rate, up to a burst; each request takes one."""
+
     def __init__(self, rate: float, burst: float, now: datetime):
         self.rate = rate
         self.burst = max(1.0, burst)
