--- a/roadbend/fakes/scenario.py
+++ b/roadbend/fakes/scenario.py
@@ -1,12 +1,13 @@
 """A small deployment with work of every kind in it, for scenarios in which troubles meet."""
 
 import random
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import trio
 
 from roadbend.fakes.submission import gang, job
-from roadbend.fakes.world import World
+from roadbend.fakes.world import World, world
 from roadbend.settings import Objective, Operator, Team
 
 S = timedelta(seconds=1)
@@ -121,3 +122,14 @@
             nursery.start_soon(self.cancel, self.long[:4], 0.0, delay)
             await trio.sleep(delay)
             nursery.start_soon(self.w.outage, self.cancel_s + self.rng.uniform(4, 14))
+
+
+async def play(meeting: Callable[[Scenario], Awaitable[None]], seed: int, site: str) -> None:
+    """Plays a meeting of troubles in a deployment with work in it, until all is over."""
+    rng = random.Random(f"{meeting.__name__} {seed}")
+    async with world(capacity=10, operator=OP, teams=TEAMS, objectives=AIMS, **SITES[site]) as w:
+        scenario = Scenario(w, rng, site)
+        await scenario.begin()
+        await meeting(scenario)
+        assert await w.settled()
+        await w.over()
--- a/roadbend/placement/gang_room.py
+++ b/roadbend/placement/gang_room.py
@@ -38,11 +38,23 @@
         log.info("keep-room", part=runtime.part, job=item.job.id, machines=len(machines))
         until = now + KEEP
         for machine in machines:
-            runtime.reservations[machine] = (item.job.id, until)
+            runtime.kept_for_gangs[machine] = (item.job.id, until)
         runtime.keeping_until = until + PAUSE
         return
 
 
+def kept_from(runtime: PartRuntime, item: Pending) -> set[str]:
+    """The machines that an item keeps off for the sake of a gang. Work of higher priority does
+    not wait for one."""
+    out = set()
+    for machine, (name, _) in runtime.kept_for_gangs.items():
+        gang = runtime.live(name)
+        if name != item.job.id and gang is not None:
+            if gang.spec.priority >= item.job.spec.priority:
+                out.add(machine)
+    return out
+
+
 def machines_for(runtime: PartRuntime, item: Pending) -> list[str]:
     """The machines with the most room for the gang, counting what will end by itself as free; none
     where all of them together are too few."""
@@ -51,7 +63,7 @@
     for count, machine in sorted(rows, key=lambda row: (-row[0], row[1])):
         if count == 0 or places >= item.count * SPARE:
             break
-        if machine in runtime.reservations:
+        if machine in runtime.reservations or machine in runtime.kept_for_gangs:
             continue
         chosen.append(machine)
         places += count
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -66,6 +66,8 @@
         self.reports = Reports(self)
         # Machines on which room is being made, for which job, and until when it is kept.
         self.reservations: dict[str, tuple[str, datetime]] = {}
+        # Machines on which room is kept for a gang, and until when; see `gang_room`.
+        self.kept_for_gangs: dict[str, tuple[str, datetime]] = {}
         # Since when jobs are kept from room that fits them for the sake of others.
         self.passed_over: dict[str, datetime] = {}
         # Until when no more room is kept for gangs, see `gang_room`.
@@ -346,14 +348,10 @@
                 del pairs[machine]
             if not pairs:
                 del self.avoid[job]
-        if self.reservations:
-            waiting = {item.job.id for item in self.left}
-            for name in [
-                n
-                for n, (job, until) in self.reservations.items()
-                if until <= now or job not in waiting
-            ]:
-                del self.reservations[name]
+        waiting = {item.job.id for item in self.left}
+        for rows in (self.reservations, self.kept_for_gangs):
+            for machine in [m for m, (j, at) in rows.items() if at <= now or j not in waiting]:
+                del rows[machine]
         for job in [
             j for j, (_, until) in self.backoff.items() if until + timedelta(minutes=5) < now
         ]:
--- a/roadbend/placement/starts.py
+++ b/roadbend/placement/starts.py
@@ -75,6 +75,7 @@
         partial(bars, runtime)
         if runtime.avoid
         or runtime.reservations
+        or runtime.kept_for_gangs
         or runtime.withheld_types
         or runtime.without_image
         or runtime.lost_on
@@ -101,7 +102,8 @@
     now: datetime,
 ) -> None:
     """Remembers since when jobs are kept from room that fits them for the sake of others."""
-    kept = [room for room in rooms if room.id in runtime.reservations]
+    kept_ids = runtime.reservations.keys() | runtime.kept_for_gangs.keys()
+    kept = [room for room in rooms if room.id in kept_ids]
     known: dict[tuple, bool] = {}
     passed = set(yielding)
     for item in items if kept else ():
@@ -380,6 +382,7 @@
     reserved: set[str] = set()
     if not impatient(runtime, name, clock.now()):
         reserved = {machine for machine, (job, _) in runtime.reservations.items() if job != name}
+        reserved |= gang_room.kept_from(runtime, item)
     if name in runtime.lost_on:
         # A machine ignores an order for an attempt that it still holds, ended ones too.
         reserved |= runtime.lost_on[name][1]
--- a/roadbend/test_gang_phases.py
+++ b/roadbend/test_gang_phases.py
@@ -7,7 +7,7 @@
 from roadbend import clock
 from roadbend.fakes.submission import gang, job
 from roadbend.fakes.world import World, world
-from roadbend.placement import starts
+from roadbend.placement import gang_room, starts
 from roadbend.settings import Team
 from roadbend.store import keys
 from roadbend.test_gangs import NAME, TEAMS, attempts, begun, running
@@ -219,3 +219,20 @@
         assert await w.until(lambda: w.board.running("run-000002"), 40)
         await w.withdrawn(NAME)
         await w.over()
+
+
+async def test_room_kept_for_a_gang_keeps_no_work_of_higher_priority_from_it():
+    async with world(count=1, capacity=1, teams=TEAMS) as w:
+        await keep_machines(w, 50, 1)
+        assert await w.submit(0, gang(1, 60, yard="east"), 5.0) == 201
+        await trio.sleep(3)
+        runtime = w.nodes["node-0"].runtimes["east"]
+        until = clock.now() + gang_room.KEEP
+        runtime.kept_for_gangs.update({m: (NAME, until) for m in runtime.machines})
+        small = dict(yard="east", vcpus=2.0, gpus=0.0, memoryGb=1.0, loaners=False, dueS=None)
+        assert await w.submit(0, job(2, **small), 5.0) == 201
+        assert await w.submit(0, job(3, rank="production", **small), 5.0) == 201
+        assert await w.until(lambda: w.board.running("run-000003"), 10)
+        assert not w.board.running("run-000002")
+        await w.withdrawn(NAME)
+        await w.over()
--- a/roadbend/test_meetings.py
+++ b/roadbend/test_meetings.py
@@ -9,7 +9,7 @@
 import trio
 
 from roadbend import node
-from roadbend.fakes.scenario import AIMS, OP, SITES, TEAMS, Scenario, name
+from roadbend.fakes.scenario import AIMS, OP, SITES, TEAMS, Scenario, name, play
 from roadbend.fakes.submission import job
 from roadbend.fakes.world import world
 
@@ -238,13 +238,7 @@
 @pytest.mark.parametrize("seed, site", [(1, "visa"), (2, "pet")])
 @pytest.mark.parametrize("meeting", MEETINGS, ids=lambda meeting: meeting.__name__)
 async def test_no_rule_breaks_in_a_meeting(meeting, seed, site):
-    rng = random.Random(f"{meeting.__name__} {seed}")
-    async with world(capacity=10, operator=OP, teams=TEAMS, objectives=AIMS, **SITES[site]) as w:
-        scenario = Scenario(w, rng, site)
-        await scenario.begin()
-        await meeting(scenario)
-        assert await w.settled()
-        await w.over()
+    await play(meeting, seed, site)
 
 
 # The gap, with what may come on top of it.
--- a/roadbend/test_meetings_of_messages.py
+++ b/roadbend/test_meetings_of_messages.py
@@ -1,12 +1,10 @@
 """Meetings of late and lost messages: those of the users' page that came with its later edition.
 As in `test_meetings`, the judge of `fakes/rules.py` decides; docs/meetings.md has the guards."""
 
-import random
-
 import pytest
 import trio
 
-from roadbend.fakes.scenario import AIMS, OP, SITES, TEAMS, Scenario, name
+from roadbend.fakes.scenario import AIMS, SITES, TEAMS, Scenario, name, play
 from roadbend.fakes.submission import gang, job
 from roadbend.fakes.world import world
 
@@ -165,13 +163,7 @@
 @pytest.mark.parametrize("seed, site", [(1, "visa"), (2, "pet")])
 @pytest.mark.parametrize("meeting", MEETINGS, ids=lambda meeting: meeting.__name__)
 async def test_no_rule_breaks_in_a_meeting_of_messages(meeting, seed, site):
-    rng = random.Random(f"{meeting.__name__} {seed}")
-    async with world(capacity=10, operator=OP, teams=TEAMS, objectives=AIMS, **SITES[site]) as w:
-        scenario = Scenario(w, rng, site)
-        await scenario.begin()
-        await meeting(scenario)
-        assert await w.settled()
-        await w.over()
+    await play(meeting, seed, site)
 
 
 async def test_an_unanswered_order_is_fenced_before_it_can_arrive_late():
