A task ran in two places: three ways, each reproduced, one owner of proofs and admission

Reproduced on the untouched sources (test_ran_twice.py, seen to fail, judged by fakes/rules.py): - An attempt with a proof that it is gone, not recorded yet, was ordered again by the answer to its machine's next report, while the next attempt could begin elsewhere as soon as the proof was recorded. The window is as long as the recording takes: an outage, a full transaction, a lost answer. - A report that waited for what it calls for was read a second time after a newer one had been answered: it set the machine's count back, and a report from between the two then proved absent what the newer one's answer had started. - A split record: the view dropped a task that the taking record names as soon as the giving record was written, so the owner started it again.

Now EndedAttempts holds the proofs: what is in it is not ordered, reported or direct, and a later report that shows the attempt alive withdraws the proof with a warning. Machine.admit is the one place where the machine's count moves on, and a report that waited is read again only while it is the latest of the same machine object, life and term. The view remembers which shard names a task. Also: ends and stops are matched by machine, too (gangs reuse a number); a conflict that could not be read up counts as unsettled; one line whenever an attempt counts as gone, with its proof.

No test was eased; test_machines follows the new names.

--- a/roadbend/fleet/commands.py
+++ b/roadbend/fleet/commands.py
@@ -8,7 +8,8 @@
 
 from roadbend import clock
 from roadbend.fleet import messages
-from roadbend.fleet.machines import Direct, Key, Machine
+from roadbend.fleet.ended_attempts import Key
+from roadbend.fleet.machines import Direct, Machine
 from roadbend.http.client import Client, NoAnswerError
 from roadbend.http.net import Net
 from roadbend.http.server import MalformedError
@@ -86,6 +87,7 @@
                 if key in recorded
                 and recorded[key][1] == attempt
                 and key not in runtime.stops
+                and key not in runtime.ended
                 and runtime.live(key[0])
             ]
             if (
--- /dev/null
+++ b/roadbend/fleet/ended_attempts.py
@@ -0,0 +1,93 @@
+"""Attempts that are proven gone while their records still name them.
+
+Two things must never happen to such an attempt: it is not ordered to start again, since the next
+attempt may begin elsewhere as soon as the end is recorded; and its end is not recorded once a later
+report shows it alive. Everyone who orders a start asks here first."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from roadbend.log import Log
+
+log = Log("fleet")
+
+
+class Key(NamedTuple):
+    """A task: its job and its index."""
+
+    job: str
+    task_index: int
+
+
+@dataclass(frozen=True)
+class AttemptEnd:
+    """A proof that an attempt is gone from its machine. `cause` is what proves it: the end that the
+    machine reported, `absent` from a current report, `deleted`, or `lease`."""
+
+    attempt: int
+    machine: str
+    done: bool
+    cause: str
+
+
+class EndedAttempts:
+    """The proofs that one owner has and that are not in the records yet, a task at a time."""
+
+    def __init__(self) -> None:
+        self._ends: dict[Key, AttemptEnd] = {}
+        # Grows with every proof that is noted or withdrawn.
+        self.changes = 0
+
+    def __contains__(self, key: tuple[str, int]) -> bool:
+        return key in self._ends
+
+    def __len__(self) -> int:
+        return len(self._ends)
+
+    def __getitem__(self, key: tuple[str, int]) -> AttemptEnd:
+        return self._ends[Key(*key)]
+
+    def __iter__(self) -> Iterator[Key]:
+        return iter(list(self._ends))
+
+    def items(self) -> list[tuple[Key, AttemptEnd]]:
+        return list(self._ends.items())
+
+    def note(self, key: tuple[str, int], end: AttemptEnd) -> None:
+        """The first proof stands, unless the task turns out to be done."""
+        known = self._ends.get(Key(*key))
+        if known is not None and (known.done or not end.done):
+            return
+        self._ends[Key(*key)] = end
+        self.changes += 1
+        log.info(
+            "attempt-gone",
+            job=key[0],
+            index=key[1],
+            attempt=end.attempt,
+            machine=end.machine,
+            proof=end.cause,
+        )
+
+    def withdraw(self, key: tuple[str, int], shown_by: str) -> None:
+        """A later report shows the attempt alive: whatever proved its end proves nothing. What is
+        done stays done."""
+        end = self._ends.get(Key(*key))
+        if end is None or end.done:
+            return
+        del self._ends[Key(*key)]
+        self.changes += 1
+        log.warning(
+            "proof-contradicted",
+            job=key[0],
+            index=key[1],
+            attempt=end.attempt,
+            machine=end.machine,
+            shown_by=shown_by,
+            proof=end.cause,
+        )
+
+    def keep_only(self, is_recorded: Callable[[Key, AttemptEnd], bool]) -> None:
+        """Drops what the records do not name any more."""
+        self._ends = {key: end for key, end in self._ends.items() if is_recorded(key, end)}
--- a/roadbend/fleet/machines.py
+++ b/roadbend/fleet/machines.py
@@ -1,23 +1,10 @@
-"""A part's machines as their owner knows them, and what a report means.
-
-Proof that a task is gone comes only from a report that carries this owner's token and is newer than
-all before it: such a report was sent after the response to the last one was resolved, so no order
-of ours, nor of a former owner, is still on its way to the worker. An older token proves presence
-only."""
+"""A part's machines as their owner knows them, and which of their reports are taken in."""
 
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
-from roadbend.fleet import messages
-from roadbend.fleet.messages import Report, TaskReport
-from roadbend.store import ranges
-from roadbend.store.records import Job
-from roadbend.store.view import Rows
-
-# A task: its job and its index.
-Key = tuple[str, int]
-# How much longer than its grace a task may save.
-SAVE_MARGIN = timedelta(seconds=1)
+from roadbend.fleet.ended_attempts import Key
+from roadbend.fleet.messages import Report
 
 
 @dataclass
@@ -54,7 +41,8 @@
     spot: bool
     order: tuple[int, int] = (0, -1)
     reported: datetime | None = None
-    # When we last answered 200: its lease can't count from later than this.
+    # When the last report came that was or may be answered with 200: its lease counts from when
+    # that report was sent, and so from no later than this.
     answered: datetime | None = None
     # When something last showed that an answer of ours reached it. A machine that reports without
     # hearing us looks healthy by `reported` alone.
@@ -86,6 +74,21 @@
     def fresh(self, now: datetime, silent_after: timedelta) -> bool:
         return self.heard_us is not None and now - self.heard_us < silent_after
 
+    def admit(self, report: Report, token: int, now: datetime) -> bool:
+        """Takes a report in if it is newer than all before it and may come from the life of the
+        machine that we know. The one place where the machine's count moves on: what is read of this
+        report later holds only as long as `is_latest`. Else the machine itself has to be asked."""
+        if report.order <= self.order or self.ours and report.token < token:
+            self.doubted = True
+            return False
+        self.order = report.order
+        self.answered = now
+        return True
+
+    def is_latest(self, report: Report) -> bool:
+        """Whether nothing newer of the machine has been taken in than this report."""
+        return self.order == report.order
+
     def note_report(self, now: datetime, report_every: timedelta) -> None:
         """A worker that got its answer comes back after a report's time; one that didn't waits 4 s
         and tries another controller first."""
@@ -128,16 +131,6 @@
             self.images.pop(next(iter(self.images)))
 
 
-@dataclass
-class Fact:
-    """The end of an attempt, to be recorded."""
-
-    attempt: int
-    machine: str
-    done: bool
-    cause: str
-
-
 @dataclass
 class Stop:
     """A task that we want stopped, and why."""
@@ -147,98 +140,3 @@
     why: str
     since: datetime
     machine: str
-
-
-def read(
-    machine: Machine,
-    report: Report,
-    token: int,
-    recorded: Rows,
-    jobs: dict[str, Job],
-    part: str,
-    stops: dict[Key, Stop],
-    facts: dict[Key, Fact],
-    may_start: bool,
-    now: datetime,
-) -> list[dict]:
-    """Takes a report in and gives the orders for its response. Adds to `facts` what it proves."""
-    current = report.token == token
-    machine.ours = machine.ours or current
-    machine.order = report.order
-    machine.address = report.address
-    if report.notice is not None:
-        machine.recall_at = now + timedelta(seconds=report.notice)
-    orders: list[dict] = []
-    seen: dict[Key, Seen] = {}
-    machine.foreign = 0
-    for task in report.tasks:
-        key = (task.job, task.task_index)
-        entry = recorded.get(key)
-        if entry is None or entry[1].number != task.attempt:
-            orders.append(_order_for_unrecorded(machine, task))
-            continue
-        seen[key] = _see(machine, task, now)
-        if task.state == "ended":
-            if machine.settled(key, task.attempt, report, current):
-                _note_end(machine, task, current, facts)
-            continue
-        stop = stops.get(key)
-        if stop is not None and stop.attempt == task.attempt:
-            orders.append(_kill(task, stop, now - seen[key].since))
-    for key, (work, attempt) in recorded.items():
-        if key in seen:
-            continue
-        job = jobs.get(key[0])
-        held = job is not None and ranges.has(job.alloc.get(part, ()), key[1])
-        wanted = (
-            held and key not in stops and machine.draining is None and machine.recall_at is None
-        )
-        if wanted and may_start:
-            # Write-ahead has been done. Repeating an order is harmless: the worker ignores what it
-            # holds, and this attempt has not been forgotten while it is in the records.
-            orders.append(messages.run(work.job, key[1], attempt.number))
-        elif current and not wanted and machine.settled(key, attempt.number, report, current):
-            facts.setdefault(key, Fact(attempt.number, machine.id, False, "absent"))
-    machine.tasks = seen
-    machine.direct = {
-        key: row
-        for key, row in machine.direct.items()
-        if key in recorded and recorded[key][1].number == row.attempt
-    }
-    return orders
-
-
-def _order_for_unrecorded(machine: Machine, task: TaskReport) -> dict:
-    """A task that is not in the records (any more): its end has been recorded, or it never should
-    have been."""
-    if task.state == "ended":
-        return messages.forget(task.job, task.task_index, task.attempt)
-    machine.foreign += 1
-    return messages.kill(task.job, task.task_index, task.attempt, 0)
-
-
-def _see(machine: Machine, task: TaskReport, now: datetime) -> Seen:
-    """A task as shown now, with since when it has been so."""
-    before = machine.tasks.get((task.job, task.task_index))
-    known = before if before and before.attempt == task.attempt else None
-    running_since = known.running_since if known else None
-    if task.state in ("running", "flushing") and running_since is None:
-        running_since = now
-    since = known.since if known is not None and known.state == task.state else now
-    return Seen(task.attempt, task.state, since, running_since)
-
-
-def _note_end(machine: Machine, task: TaskReport, current: bool, facts: dict[Key, Fact]) -> None:
-    """`done` stays true however old the report; any other end needs the proof of a current one."""
-    key = (task.job, task.task_index)
-    if task.cause == "done":
-        facts[key] = Fact(task.attempt, machine.id, True, "done")
-    elif current:
-        facts.setdefault(key, Fact(task.attempt, machine.id, False, task.cause or "ended"))
-
-
-def _kill(task: TaskReport, stop: Stop, shown_for: timedelta) -> dict:
-    """A task that saves for longer than it was given is ended by a kill without grace."""
-    stuck = task.state == "flushing" and shown_for > stop.grace + SAVE_MARGIN
-    grace = 0.0 if stuck else stop.grace.total_seconds()
-    return messages.kill(task.job, task.task_index, task.attempt, grace)
--- a/roadbend/fleet/test_machines.py
+++ b/roadbend/fleet/test_machines.py
@@ -7,7 +7,8 @@
 
 from roadbend import clock
 from roadbend.fakes.submission import job
-from roadbend.fleet import machines, messages
+from roadbend.fleet import messages, reading
+from roadbend.fleet.ended_attempts import EndedAttempts
 from roadbend.fleet.machines import Direct, Machine, Stop
 from roadbend.http.server import MalformedError
 from roadbend.intake.messages import read_submission
@@ -48,23 +49,23 @@
         self.job = Job(name, spec, clock.wall(), {"east": ((0, 1),)})
         self.recorded = {KEY: (Work(name, "east", "red", Need(8, 1, 40)), Attempt(70, "m-1"))}
         self.machine = Machine("m-1", "m-1:1", "g2", "east", False)
-        self.stops, self.facts = {}, {}
+        self.stops, self.ended = {}, EndedAttempts()
         self.jobs = {name: self.job}
         self.may_start = True
 
     def take(self, *args, **kwargs):
-        return machines.read(
-            self.machine,
-            report(*args, **kwargs),
-            TERM,
+        seen = report(*args, **kwargs)
+        assert self.machine.admit(seen, 0, NOW)
+        expected = reading.Expected(
+            "east",
             self.recorded,
             self.jobs,
-            "east",
             self.stops,
-            self.facts,
+            self.ended,
             self.may_start,
-            NOW,
+            {key: attempt for key, (_, attempt) in self.recorded.items()}.get,
         )
+        return reading.read(self.machine, seen, TERM, expected, NOW)
 
 
 def verbs(orders):
@@ -98,30 +99,30 @@
     desk = Desk()
     assert verbs(desk.take()) == [("run", "run-000001/0", 70)]
     assert verbs(desk.take(seq=6, tasks=[("run-000001/0", 70, "fetching", None)])) == []
-    assert desk.facts == {}
+    assert not desk.ended
 
 
 def test_nothing_is_started_without_the_records():
     desk = Desk()
     desk.may_start = False
-    assert desk.take() == [] and desk.facts == {}
+    assert desk.take() == [] and not desk.ended
 
 
 def test_an_old_token_proves_presence_but_never_absence():
     desk = Desk()
     desk.jobs = {}
-    assert desk.take(token=TERM - 1) == [] and desk.facts == {}
+    assert desk.take(token=TERM - 1) == [] and not desk.ended
     # The same report under our own token does: no order of anyone is still on its way.
     desk.take(seq=6)
-    assert desk.facts[KEY].cause == "absent" and not desk.facts[KEY].done
+    assert desk.ended[KEY].cause == "absent" and not desk.ended[KEY].done
 
 
 def test_an_end_under_an_old_token_counts_only_when_it_is_done():
     desk = Desk()
     desk.take(token=TERM - 1, tasks=[("run-000001/0", 70, "ended", "stopped")])
-    assert desk.facts == {}
+    assert not desk.ended
     desk.take(token=TERM - 1, seq=6, tasks=[("run-000001/0", 70, "ended", "done")])
-    assert desk.facts[KEY].done
+    assert desk.ended[KEY].done
 
 
 def test_an_end_is_forgotten_only_once_it_is_recorded():
@@ -153,7 +154,7 @@
     desk = Desk()
     desk.jobs = {"run-000001": replace(desk.job, alloc={})}
     assert desk.take() == []
-    assert KEY in desk.facts
+    assert KEY in desk.ended
 
 
 @pytest.mark.parametrize(
--- a/roadbend/log.py
+++ b/roadbend/log.py
@@ -33,6 +33,11 @@
         if self._log.isEnabledFor(logging.INFO):
             self._log.info(line(event, **fields))
 
+    def warning(self, event: str, /, **fields) -> None:
+        """Something that must not happen and does no harm: shown at `info` and `debug`."""
+        if self._log.isEnabledFor(logging.WARNING):
+            self._log.warning(line(event, **fields))
+
     def error(self, event: str, /, **fields) -> None:
         self._log.error(line(event, **fields))
 
--- a/roadbend/placement/batch.py
+++ b/roadbend/placement/batch.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from roadbend.fleet.machines import Key
+from roadbend.fleet.ended_attempts import Key
 from roadbend.parts.ownership import Tenure
 from roadbend.settings import Settings
 from roadbend.store import keys, records
--- a/roadbend/placement/ends.py
+++ b/roadbend/placement/ends.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from roadbend import clock
-from roadbend.fleet.machines import Fact
+from roadbend.fleet.ended_attempts import AttemptEnd
 from roadbend.log import Log
 from roadbend.placement import gangs
 from roadbend.placement.batch import Batch
@@ -40,7 +40,7 @@
     work: Work
     # The shards that change, as they will be, and the ends that they record.
     touched: dict[int, Slice] = field(default_factory=dict)
-    ended: list[tuple[int, Fact]] = field(default_factory=list)
+    ended: list[tuple[int, AttemptEnd]] = field(default_factory=list)
     # In what pieces those are written that are too large by today's limits.
     plans: dict[int, list[Slice]] = field(default_factory=dict)
 
@@ -54,11 +54,11 @@
     """Puts ends into the transaction, and takes slices and jobs that are over out of the records;
     says whether more is left for the next one."""
     more = False
-    for name, facts in facts_by_job(runtime).items():
+    for name, found in ends_by_job(runtime).items():
         work = runtime.works().get(name)
         if work is None:
             continue
-        ends = collect(runtime, batch, name, work, facts)
+        ends = collect(runtime, batch, name, work, found)
         more = plan_splits(runtime, batch, ends) or more
         if ends.job is not None and ends.job.spec.gang and any(f.done for _, f in ends.ended):
             written = end_gang(
@@ -82,11 +82,11 @@
     return more
 
 
-def facts_by_job(runtime: PartRuntime) -> dict[str, list[tuple[int, Fact]]]:
+def ends_by_job(runtime: PartRuntime) -> dict[str, list[tuple[int, AttemptEnd]]]:
     """The ends to be recorded, by job; also the jobs with slices of which nothing runs."""
-    by_job: dict[str, list[tuple[int, Fact]]] = {}
-    for (job, task_index), fact in runtime.facts.items():
-        by_job.setdefault(job, []).append((task_index, fact))
+    by_job: dict[str, list[tuple[int, AttemptEnd]]] = {}
+    for (job, task_index), end in runtime.ended.items():
+        by_job.setdefault(job, []).append((task_index, end))
     # Slices of cancelled jobs with nothing left, and slices all done, also end here.
     for name, work in runtime.works().items():
         if not work.run:
@@ -95,24 +95,24 @@
 
 
 def collect(
-    runtime: PartRuntime, batch: Batch, name: str, work: Work, facts: list[tuple[int, Fact]]
+    runtime: PartRuntime, batch: Batch, name: str, work: Work, found: list[tuple[int, AttemptEnd]]
 ) -> JobEnds:
     """The shards of one job without the attempts that have ended."""
     job = runtime.shared.view.jobs.get(name)
     ends = JobEnds(name, job, work)
     counts_done = job is not None and not job.spec.service and not job.spec.gang
-    for task_index, fact in facts:
+    for task_index, end in found:
         attempt = work.run.get(task_index)
-        if attempt is None or attempt.number != fact.attempt:
+        if attempt != Attempt(end.attempt, end.machine):
             continue
         at = work.shard_of(task_index, runtime.width)
         piece = ends.touched.get(at) or batch.slice(name, work.team, work.need, at)
         run = {n: a for n, a in piece.run.items() if n != task_index}
         done = piece.done
-        if fact.done and counts_done:
+        if end.done and counts_done:
             done = ranges.union(done, ((task_index, task_index + 1),))
         ends.touched[at] = replace(piece, run=run, done=done)
-        ends.ended.append((task_index, fact))
+        ends.ended.append((task_index, end))
     return ends
 
 
@@ -208,10 +208,10 @@
 
 def note_ends(runtime: PartRuntime, batch: Batch, ends: JobEnds, now: datetime) -> None:
     """What follows once the transaction is carried out, and what its later parts may count on."""
-    for task_index, fact in ends.ended:
+    for task_index, end in ends.ended:
         batch.ended.add((ends.name, task_index))
         batch.charge(ends.work.team, ends.work.need, -1)
-        batch.after.append(partial(note_end, runtime, ends.name, task_index, fact, now))
+        batch.after.append(partial(note_end, runtime, ends.name, task_index, end, now))
 
 
 def end_gang(
@@ -275,37 +275,35 @@
     return tuple((max(a, low), min(b, high)) for a, b in held if a < high and b > low)
 
 
-def note_end(runtime: PartRuntime, job: str, task_index: int, fact: Fact, now: datetime) -> None:
+def note_end(
+    runtime: PartRuntime, job: str, task_index: int, end: AttemptEnd, now: datetime
+) -> None:
     log.debug(
         "ended",
         part=runtime.part,
         task=f"{job}/{task_index}",
-        machine=fact.machine,
-        cause=fact.cause,
+        machine=end.machine,
+        cause=end.cause,
     )
-    if (
-        fact.cause in gangs.REPLACED
-        and (known := runtime.live(job)) is not None
-        and known.spec.gang
-    ):
+    if end.cause in gangs.REPLACED and (known := runtime.live(job)) is not None and known.spec.gang:
         attempt, machines = runtime.lost_on.get(job, (0, set()))
         runtime.lost_on[job] = (
-            fact.attempt,
-            {fact.machine, *(machines if attempt == fact.attempt else ())},
+            end.attempt,
+            {end.machine, *(machines if attempt == end.attempt else ())},
         )
-    if fact.cause == "done":
-        machine = runtime.machines.get(fact.machine)
+    if end.cause == "done":
+        machine = runtime.machines.get(end.machine)
         if machine is not None:
             machine.failures.clear()
             seen, known = machine.tasks.get((job, task_index)), runtime.shared.view.jobs.get(job)
             if known is not None and seen is not None and seen.running_since is not None:
                 runtime.shared.learn(known, seen.since - seen.running_since)
         runtime.backoff.pop(job, None)
-    elif fact.cause in ("error", "unknown", "no_room", "busy"):
-        pause = AVOID if fact.cause == "error" else AVOID / 5
-        runtime.avoid.setdefault(job, {})[fact.machine] = now + pause
-        if fact.cause == "error":
-            machine = runtime.machines.get(fact.machine)
+    elif end.cause in ("error", "unknown", "no_room", "busy"):
+        pause = AVOID if end.cause == "error" else AVOID / 5
+        runtime.avoid.setdefault(job, {})[end.machine] = now + pause
+        if end.cause == "error":
+            machine = runtime.machines.get(end.machine)
             if machine is not None:
                 machine.failures[job] = now
             times = runtime.backoff.get(job, (0, now))[0] + 1
@@ -320,6 +318,6 @@
                 "task-error",
                 part=runtime.part,
                 task=f"{job}/{task_index}",
-                machine=fact.machine,
+                machine=end.machine,
                 times=times,
             )
--- a/roadbend/placement/gangs.py
+++ b/roadbend/placement/gangs.py
@@ -48,7 +48,7 @@
             row is None
             or row.state not in NOT_BEGUN
             or (job.id, task_index) in runtime.stops
-            or (job.id, task_index) in runtime.facts
+            or (job.id, task_index) in runtime.ended
         ):
             return False
         if row.state == "gathering" and now - row.since > runtime.shared.settings.gang_wait * JOIN:
@@ -177,11 +177,9 @@
         if job is None or not job.spec.gang or not work.run:
             continue
         gone = [
-            (task_index, fact)
-            for (other, task_index), fact in runtime.facts.items()
-            if other == name
+            (task_index, end) for (other, task_index), end in runtime.ended.items() if other == name
         ]
-        if any(fact.done for _, fact in gone):
+        if any(end.done for _, end in gone):
             continue
         if apart_gangs.is_apart(job):
             if gone or not apart_gangs.intact(runtime, job, now):
@@ -194,7 +192,7 @@
         rest = {task_index for task_index in work.run} - {task_index for task_index, _ in gone}
         if not rest:
             continue
-        if all(fact.cause in REPLACED for _, fact in gone) and still_gathers(
+        if all(end.cause in REPLACED for _, end in gone) and still_gathers(
             runtime, job, work, rest
         ):
             continue
--- a/roadbend/placement/reports.py
+++ b/roadbend/placement/reports.py
@@ -8,7 +8,7 @@
 import trio
 
 from roadbend import clock
-from roadbend.fleet import machines as fleet
+from roadbend.fleet import reading
 from roadbend.fleet.machines import Machine
 from roadbend.fleet.messages import Report
 from roadbend.log import Log
@@ -105,17 +105,14 @@
                     spot=machine.spot,
                 )
                 runtime.wake_up.set()
-            elif (
-                report.order <= machine.order or machine.ours and report.token < self.token(machine)
-            ):
+            if not machine.admit(report, self.token(machine), now):
                 # A late copy, or a machine that began anew: only the machine itself can tell.
-                machine.doubted = True
                 return None
             had_notice, was_ours = machine.recall_at is not None, machine.ours
-            before = len(runtime.facts)
+            before = runtime.ended.changes
             machine.note_report(now, runtime.shared.settings.report_every)
             orders = self._orders(machine, report, now)
-            news = fresh or len(runtime.facts) != before or machine.ours != was_ours
+            news = fresh or runtime.ended.changes != before or machine.ours != was_ours
             if machine.ours and not was_ours:
                 machine.heard_us = now
             if machine.recall_at is not None and not had_notice:
@@ -123,7 +120,6 @@
                 self._evacuate(machine, runtime.by_machine().get(machine.id, {}), now)
                 news = True
             if not news:
-                machine.answered = now
                 self._note_unchanged(machine, report, orders)
                 return self.token(machine), orders
             runtime.wake_up.set()
@@ -132,18 +128,25 @@
         with trio.move_on_after(ANSWER_WAIT.total_seconds()):
             while runtime.steps_ended < want:
                 await runtime.step_ended.wait()
-        if (
-            runtime.shared.ownership.tenure(runtime.part) != runtime.tenure
-            or machine.incarnation != incarnation
-        ):
-            return None
-        now = clock.now()
         with runtime.lock:
-            machine.answered = now
-            orders = self._orders(machine, report, now)
+            if not self._still_counts(machine, report, incarnation):
+                return None
+            orders = self._orders(machine, report, clock.now())
             self._note_unchanged(machine, report, orders)
             return self.token(machine), orders
 
+    def _still_counts(self, machine: Machine, report: Report, incarnation: int) -> bool:
+        """Whether a report that waited may still be read and answered. Meanwhile the part may have
+        been lost, the machine deleted or begun anew, and a newer report of it answered with orders
+        to start: what this one lacks would then prove nothing."""
+        runtime = self._runtime
+        return (
+            runtime.shared.ownership.tenure(runtime.part) == runtime.tenure
+            and runtime.machines.get(machine.id) is machine
+            and machine.incarnation == incarnation
+            and machine.is_latest(report)
+        )
+
     def _note_unchanged(self, machine: Machine, report: Report, orders: list[dict]) -> None:
         runtime = self._runtime
         machine.rows = report.rows
@@ -154,7 +157,7 @@
             and machine.recall_at is None
             and machine.tasks.keys() == recorded.keys()
         )
-        if still and not any(key in runtime.facts for key in recorded):
+        if still and not any(key in runtime.ended for key in recorded):
             machine.unchanged_mark = runtime.shared.view.marks.get(runtime.part, {}).get(
                 machine.id, 0
             )
@@ -169,18 +172,16 @@
                 runtime._stop_useless(key, attempt, now)
         may_start = runtime.shared.ownership.may_start(now) and not machine.fencing
         jobs = {key[0]: job for key in recorded if (job := runtime.live(key[0])) is not None}
-        orders = fleet.read(
-            machine,
-            report,
-            self.token(machine),
+        expected = reading.Expected(
+            runtime.part,
             recorded,
             jobs,
-            runtime.part,
             runtime.stops,
-            runtime.facts,
+            runtime.ended,
             may_start,
-            now,
+            runtime.recorded_attempt,
         )
+        orders = reading.read(machine, report, self.token(machine), expected, now)
         self._learn(machine, recorded, now)
         return orders
 
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -12,7 +12,8 @@
 import trio
 
 from roadbend import clock
-from roadbend.fleet.machines import Fact, Key, Machine, Stop
+from roadbend.fleet.ended_attempts import AttemptEnd, EndedAttempts, Key
+from roadbend.fleet.machines import Machine, Stop
 from roadbend.log import Log
 from roadbend.parts.ownership import Tenure
 from roadbend.placement import ends, gangs, policy, starts
@@ -42,7 +43,7 @@
         self.lock = threading.RLock()
         self.shared, self.tenure, self.part = shared, tenure, tenure.part
         self.machines: dict[str, Machine] = {}
-        self.facts: dict[Key, Fact] = {}
+        self.ended = EndedAttempts()
         self.stops: dict[Key, Stop] = {}
         # How long what was started had queued here, and since when what waits does.
         self.waits: deque[timedelta] = deque(maxlen=64)
@@ -269,9 +270,10 @@
             raise
         except ConflictError as conflict:
             log.debug("conflict", part=self.part, failed=conflict.failed)
-            with trio.move_on_after(2):
-                await self.shared.reader.sync()
-            return True
+            # It may be our own success, of which the answer was lost: until the records have been
+            # read, nobody knows.
+            self.unsettled = dict(batch.when)
+            return await self._settle()
         else:
             self.shared.view.applied(rows, revision)
             for call in batch.after:
@@ -322,18 +324,19 @@
                 return True
         return False
 
-    def _recorded(self, key: Key) -> Attempt | None:
+    def _is_recorded(self, key: Key, row: AttemptEnd | Stop) -> bool:
+        """Whether the records still name the attempt, on that machine: the tasks of a gang are
+        replaced under one number."""
+        return self.recorded_attempt(key) == Attempt(row.attempt, row.machine)
+
+    def recorded_attempt(self, key: Key) -> Attempt | None:
+        """A task's attempt by the part's records."""
         work = self.works().get(key[0])
         return work.run.get(key[1]) if work is not None else None
 
     def _tidy(self, now: datetime) -> None:
-        for rows in (self.facts, self.stops):
-            for key in [
-                k
-                for k, row in rows.items()
-                if (a := self._recorded(k)) is None or a.number != row.attempt
-            ]:
-                del rows[key]
+        self.ended.keep_only(self._is_recorded)
+        self.stops = {k: stop for k, stop in self.stops.items() if self._is_recorded(k, stop)}
         for job in [j for j in self.joined if self.live(j) is None]:
             del self.joined[job]
         self.to_release = {job for job in self.to_release if self.live(job) is not None}
@@ -364,7 +367,9 @@
         out."""
         with self.lock:
             for key, (_, attempt) in self.by_machine().get(machine, {}).items():
-                self.facts.setdefault(key, Fact(attempt.number, machine, False, cause))
+                self.ended.note(key, AttemptEnd(attempt.number, machine, False, cause))
+            if machine in self.machines:
+                self.machines[machine].unchanged_mark = None
             if cause == "deleted":
                 self.machines.pop(machine, None)
                 self.rented.discard(machine)
--- a/roadbend/placement/starts.py
+++ b/roadbend/placement/starts.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from roadbend import clock
-from roadbend.fleet.machines import Key
+from roadbend.fleet.ended_attempts import Key
 from roadbend.log import Log
 from roadbend.placement import apart_gangs, gang_room, gangs, policy
 from roadbend.placement.batch import Batch
--- a/roadbend/store/view.py
+++ b/roadbend/store/view.py
@@ -21,12 +21,27 @@
 class Work:
     """A part's work on one job: its shards put together."""
 
-    __slots__ = ("job", "part", "team", "need", "shards", "run", "changed", "_done")
+    __slots__ = (
+        "job",
+        "part",
+        "team",
+        "need",
+        "shards",
+        "run",
+        "homes",
+        "twice",
+        "changed",
+        "_done",
+    )
 
     def __init__(self, job: str, part: str, team: str, need: Need):
         self.job, self.part, self.team, self.need = job, part, team, need
         self.shards: dict[int, Slice] = {}
         self.run: dict[int, Attempt] = {}
+        # The shard that each running task was read from, and the tasks that another shard names,
+        # too: a split writes the record that takes a task before the one that gives it up.
+        self.homes: dict[int, int] = {}
+        self.twice: set[int] = set()
         # Another number after every change of the records of any work.
         self.changed = 0
         self._done: Ranges | None = None
@@ -41,11 +56,36 @@
 
     def shard_of(self, task_index: int, width: int) -> int:
         """Where a task's attempt is, or would be, written."""
-        usual = task_index // width
-        if task_index in self.run and task_index not in getattr(self.shards.get(usual), "run", ()):
-            # Written under another width, or by version 0.1.
-            return next((n for n, piece in self.shards.items() if task_index in piece.run), usual)
-        return usual
+        # One that runs may have been written under another width, or by version 0.1.
+        return self.homes.get(task_index, task_index // width)
+
+    def remove(self, shard: int, task_index: int) -> Attempt | None:
+        """A shard names a task's attempt no more. Gives the attempt if it does not run any more."""
+        if self.homes.get(task_index) != shard:
+            return None
+        attempt = self.run[task_index]
+        if task_index in self.twice and self._read_elsewhere(shard, task_index):
+            return None
+        del self.run[task_index], self.homes[task_index]
+        return attempt
+
+    def add(self, shard: int, task_index: int, attempt: Attempt) -> bool:
+        """A shard names a task's attempt; says whether no other one did."""
+        if task_index in self.run:
+            self.twice.add(task_index)
+            return False
+        self.run[task_index], self.homes[task_index] = attempt, shard
+        return True
+
+    def _read_elsewhere(self, shard: int, task_index: int) -> bool:
+        """Takes a task to be where another shard names it; says whether one does so, with the same
+        attempt."""
+        for other, piece in self.shards.items():
+            if other != shard and piece.run.get(task_index) == self.run[task_index]:
+                self.homes[task_index] = other
+                return True
+        self.twice.discard(task_index)
+        return False
 
 
 # What runs on a machine by the records: (job, task) -> its part's work on the job, and the attempt.
@@ -228,8 +268,7 @@
         machines = self.machines.setdefault(part, {})
         change = 0
         for task_index, attempt in before.items():
-            if after.get(task_index) != attempt and work.run.get(task_index) == attempt:
-                del work.run[task_index]
+            if after.get(task_index) != attempt and work.remove(shard, task_index) is not None:
                 change -= 1
                 rows = machines.get(attempt.machine)
                 if rows is not None:
@@ -238,8 +277,7 @@
                         del machines[attempt.machine]
                 self._mark(part, attempt.machine)
         for task_index, attempt in after.items():
-            if before.get(task_index) != attempt and task_index not in work.run:
-                work.run[task_index] = attempt
+            if before.get(task_index) != attempt and work.add(shard, task_index, attempt):
                 change += 1
                 machines.setdefault(attempt.machine, {})[(job, task_index)] = (work, attempt)
                 self._mark(part, attempt.machine)
--- /dev/null
+++ b/roadbend/test_ran_twice.py
@@ -0,0 +1,137 @@
+"""Schedules in which a task ran in two places at once; docs/incidents has them."""
+
+from dataclasses import replace
+from datetime import timedelta
+
+import trio
+
+from roadbend import clock
+from roadbend.fakes.submission import job
+from roadbend.fakes.world import World, world
+from roadbend.fleet.messages import read_report
+from roadbend.settings import Team
+from roadbend.store.records import Attempt, Need, Slice
+from roadbend.store.view import View
+
+TEAMS = {"red": Team("red", 0, 0, 20, 40)}
+SERVICE = dict(shape="daemon", dueS=None, loaners=False, yard="east")
+TASK = ("run-000001", 0)
+
+
+def home(w: World, task: str = "run-000001/0") -> str:
+    """The machine that a task runs on."""
+    return next(iter(w.board.where[task]))
+
+
+def cut_off(w: World, machine: str) -> None:
+    for at in range(w.count):
+        w.network.cut(f"node-{at}", machine)
+
+
+def heal(w: World, machine: str) -> None:
+    for at in range(w.count):
+        w.network.heal(f"node-{at}", machine)
+
+
+async def report_now(w: World, machine: str) -> None:
+    """The machine reports at this very moment, and takes the answer."""
+    worker = w.cloud.machines[machine].worker
+    sent, session, body = trio.current_time(), worker.session, worker.report()
+    status, answer = await w.call(0, "POST", "/hello", body)
+    assert status == 200 and worker.take(answer, sent, session)
+
+
+async def test_an_attempt_with_a_proof_that_is_not_recorded_yet_is_not_ordered_again():
+    """The lease of a machine that was cut off is over, and with it its tasks. Before that is in the
+    records the machine is back for a moment, with nothing on it. Ordered to start the old attempt
+    again, and cut off again, it ran the task while the next attempt began elsewhere."""
+    async with world(count=1, teams=TEAMS, caches_images=True) as w:
+        assert await w.submit(0, job(1, **SERVICE), None) == 201
+        assert await w.submit(0, job(2, legs=2, **SERVICE), None) == 201
+        assert await w.until(
+            lambda: w.board.running("run-000001") and len(w.board.running("run-000002")) == 2, 60
+        )
+        node, machine = w.nodes["node-0"], home(w)
+        assert len(w.cloud.machines) == 2
+        runtime = node.runtimes["east"]
+        w.cloud.down = True
+        cut_off(w, machine)
+        await trio.sleep(15)
+        w.state.down = True
+        assert await w.until(lambda: TASK in runtime.ended, 20, 0.01), "the lease as proof"
+        heal(w, machine)
+        await trio.sleep(3)
+        # The records are back, and the machine reports before its task's end has reached them.
+        w.state.restore()
+        assert await w.until(lambda: node.ownership.may_start(clock.now()), 5, 0.005)
+        assert TASK in runtime.ended
+        await report_now(w, machine)
+        cut_off(w, machine)
+        assert await w.until(lambda: w.board.running("run-000001"), 60)
+        await trio.sleep(10)
+        heal(w, machine)
+        assert await w.until(lambda: w.board.running("run-000001"), 60)
+
+
+async def test_a_report_that_waited_is_not_read_again_once_a_newer_one_was_answered():
+    """A report waits for what it calls for. Meanwhile a newer one of the same machine is answered
+    with an order to start; the older one, read again, must neither set the machine's count back nor
+    let a report from between the two prove that the task is absent."""
+    async with world(count=1, capacity=1, teams=TEAMS, caches_images=True) as w:
+        node = w.nodes["node-0"]
+        assert await w.submit(0, job(2, legs=2, **SERVICE), None) == 201
+        assert await w.until(lambda: len(w.board.running("run-000002")) == 2, 60)
+        machine, runtime = home(w, "run-000002/0"), node.runtimes["east"]
+        assert await w.submit(0, job(1, **SERVICE), None) == 201
+        await trio.sleep(5)
+        worker = w.cloud.machines[machine].worker
+        w.network.silence(machine)
+        await trio.sleep(0.1)
+        # A task has failed: room for the one that waits. It is recorded, but the answer of the
+        # state service is lost, so that the report waits to the end.
+        failed = next(task for task in worker.tasks.values() if task.name == "run-000002/0")
+        worker._end(failed, "error")
+        first, between = worker.report(), worker.report()
+        w.state.deaf.add("node-0")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(runtime.reports.handle, read_report(first))
+            assert await w.until(lambda: TASK in runtime.by_machine()[machine], 0.38, 0.005)
+            await report_now(w, machine)
+        w.state.deaf.clear()
+        attempt = runtime.by_machine()[machine][TASK][1]
+        assert worker.tasks[(f"{TASK[0]}/0", attempt.number)].state != "ended"
+        # The task is to be stopped, nothing reaches the machine, and the report from between comes.
+        w.cloud._capacity, w.cloud.refuse_deletion = 2, True
+        cut_off(w, machine)
+        runtime.stop(TASK, attempt, timedelta(seconds=5), "test", clock.now())
+        await w.call(0, "POST", "/hello", between)
+        await trio.sleep(17)
+        heal(w, machine)
+        w.network.mute.clear()
+        assert await w.until(lambda: w.board.running("run-000001"), 60)
+
+
+def test_a_split_moves_a_task_to_another_record_and_the_view_keeps_it():
+    """A split writes the record that takes a task before the one that gives it up. The view lost
+    the task, which was then started again elsewhere."""
+    wide = Slice(
+        "run-000001",
+        "east",
+        "red",
+        Need(1, 1, 1),
+        run={0: Attempt(5, "m-1"), 200: Attempt(6, "m-2")},
+        shard=0,
+    )
+    taking = replace(wide, shard=1, run={200: Attempt(6, "m-2")})
+    giving = replace(wide, run={0: Attempt(5, "m-1")})
+    for order in ((taking, giving), (giving, taking)):
+        view = View()
+        view.put(wide.key, wide.to_value(), 5)
+        view.applied([{"write": row.key, "value": row.to_value()} for row in order], 9)
+        work = view.slices["east"]["run-000001"]
+        assert work.run == wide.run and view.used["east"]["red"] == (2, 2)
+        assert view.machines["east"].keys() == {"m-1", "m-2"}
+        assert [work.shard_of(index, 102) for index in (0, 200)] == [0, 1]
+        # It is in one record now, and gone with that one.
+        view.applied([{"delete": taking.key}], 10)
+        assert work.run == giving.run and view.machines["east"].keys() == {"m-1"}
