A split record can take a task and lose what another split moved there: one shard at a time

Two shards of a job end in one transaction, one of them too large by today's limits: the split wrote moved tasks into the other shard, and that shard's own end then wrote over them, so 17 running tasks were in no record and would have been started again. Now a transaction splits one shard of a job, and its other ends wait; the giving record is written first, which an older version's view needs. A lease counts from a direct order, too: a machine that had just begun anew would carry it out within that session.

--- a/roadbend/fleet/commands.py
+++ b/roadbend/fleet/commands.py
@@ -103,6 +103,7 @@
             for key, attempt in rows:
                 machine.direct[key] = Direct(attempt.number, session)
             machine.unchanged_mark = None
+            machine.lease_from = now
             orders = [messages.run(*key, attempt.number) for key, attempt in rows]
             body = {"baton": runtime.reports.token(machine), "stint": session, "orders": orders}
             client, report = Client(self._net, machine.address, most=1, keep=0), None
--- a/roadbend/fleet/machines.py
+++ b/roadbend/fleet/machines.py
@@ -41,9 +41,10 @@
     spot: bool
     order: tuple[int, int] = (0, -1)
     reported: datetime | None = None
-    # When the last report came that was or may be answered with 200: its lease counts from when
-    # that report was sent, and so from no later than this.
-    answered: datetime | None = None
+    # Its lease counts from no later than this: when the last report came that is or may be
+    # answered with 200, for a lease counts from when that report was sent; or when the last direct
+    # order to start went out, for a machine that had just begun anew would carry it out.
+    lease_from: datetime | None = None
     # When something last showed that an answer of ours reached it. A machine that reports without
     # hearing us looks healthy by `reported` alone.
     heard_us: datetime | None = None
@@ -81,10 +82,14 @@
         if report.order <= self.order or self.ours and report.token < token:
             self.doubted = True
             return False
-        self.order = report.order
-        self.answered = now
+        self.take_in(report.order, now)
         return True
 
+    def take_in(self, order: tuple[int, int], now: datetime) -> None:
+        """The count of a newer report; it is, or may be, answered."""
+        self.order = order
+        self.lease_from = now
+
     def is_latest(self, report: Report) -> bool:
         """Whether nothing newer of the machine has been taken in than this report."""
         return self.order == report.order
--- a/roadbend/fleet/silence.py
+++ b/roadbend/fleet/silence.py
@@ -233,14 +233,14 @@
         now, s, margin = clock.now(), self._shared.settings, self._shared.operator.state_margin
         machine = runtime.machines.get(name)
         if machine is not None and machine.ours:
-            # It has carried our token, so nobody else's answer counts; ours last did at `answered`.
+            # It has carried our token, so only our answers count, the last one at `lease_from`.
             sure = (
-                machine.answered is not None
-                and now > machine.answered + s.lease * (1 + 2 * clock.DRIFT) + margin
+                machine.lease_from is not None
+                and now > machine.lease_from + s.lease * (1 + 2 * clock.DRIFT) + margin
             )
         else:
             # A former owner renews for cancel_within - lease at most after we took over.
-            last = machine.answered if machine and machine.answered else runtime.tenure.since
+            last = machine.lease_from if machine and machine.lease_from else runtime.tenure.since
             sure = now > max(
                 runtime.tenure.since + s.cancel_within * (1 + 2 * clock.DRIFT) + margin,
                 last + s.lease * (1 + 2 * clock.DRIFT) + margin,
--- a/roadbend/placement/ends.py
+++ b/roadbend/placement/ends.py
@@ -119,16 +119,21 @@
 def plan_splits(runtime: PartRuntime, batch: Batch, ends: JobEnds) -> bool:
     """What a version with larger values wrote and is too large now is split as it is written.
     Where that can't be done in one transaction, the ends wait until fewer of its tasks are left;
-    says whether the next transaction may do better."""
-    for n, piece in ends.touched.items():
-        if not batch.fits(piece):
-            ends.plans[n] = split(runtime, batch, ends.work, piece)
-    stuck = {n for n, plan in ends.plans.items() if not plan}
-    if not stuck:
-        return False
-    ends.plans = {n: plan for n, plan in ends.plans.items() if plan}
-    ends.keep_only(ends.touched.keys() - stuck, runtime.width)
-    return bool(batch.rows)
+    says whether the next transaction may do better.
+
+    A split also writes the shards that take its tasks. None of them may be written twice in one
+    transaction, for the second writing would lose what the first one moved there: so one shard is
+    split at a time, and the ends in the job's other shards wait for the next transaction."""
+    wide = [n for n, piece in ends.touched.items() if not batch.fits(piece)]
+    for n in wide:
+        plan = split(runtime, batch, ends.work, ends.touched[n])
+        if plan:
+            waiting = len(ends.touched) > 1
+            ends.plans = {n: plan}
+            ends.keep_only({n}, runtime.width)
+            return waiting
+    ends.keep_only(ends.touched.keys() - set(wide), runtime.width)
+    return bool(wide) and bool(batch.rows)
 
 
 def record_job(runtime: PartRuntime, batch: Batch, ends: JobEnds) -> bool | None:
@@ -244,7 +249,8 @@
 def split(runtime: PartRuntime, batch: Batch, work: Work, piece: Slice) -> list[Slice]:
     """A slice that is larger than values may be now, in pieces that one transaction takes: its
     attempts go where they would be written today, so a task is in one record before and after.
-    Empty where that can't be done yet."""
+    The one that gives comes first: a version that keeps a task where it read it first would
+    otherwise lose it. Empty where that can't be done yet."""
     homes: dict[int, dict[int, Attempt]] = {}
     for task_index, attempt in piece.run.items():
         homes.setdefault(task_index // runtime.width, {})[task_index] = attempt
@@ -263,8 +269,9 @@
                 for task_index, attempt in kept.items()
                 if task_index not in rows
             }
-    pieces.append(replace(piece, run=kept))
-    return pieces if batch.fits(pieces[-1]) and batch.room_for(*(row.key for row in pieces)) else []
+    giving = replace(piece, run=kept)
+    pieces.insert(0, giving)
+    return pieces if batch.fits(giving) and batch.room_for(*(row.key for row in pieces)) else []
 
 
 def within(runtime: PartRuntime, held: Ranges, shard: int) -> Ranges:
--- a/roadbend/placement/reports.py
+++ b/roadbend/placement/reports.py
@@ -61,9 +61,8 @@
             or marks.get(machine.id, 0) != machine.unchanged_mark
         ):
             return None
-        machine.order = (session, seq)
+        machine.take_in((session, seq), now)
         machine.note_report(now, runtime.shared.settings.report_every)
-        machine.answered = now
         return self.token(machine)
 
     async def handle(self, report: Report) -> tuple[int, list[dict]] | None:
--- a/roadbend/test_ran_twice.py
+++ b/roadbend/test_ran_twice.py
@@ -1,14 +1,20 @@
 """Schedules in which a task ran in two places at once; docs/incidents has them."""
 
+from collections.abc import Iterable
 from dataclasses import replace
 from datetime import timedelta
+from types import SimpleNamespace
 
 import trio
 
 from roadbend import clock
 from roadbend.fakes.submission import job
-from roadbend.fakes.world import World, world
+from roadbend.fakes.world import World, settings_for, world
+from roadbend.fleet.ended_attempts import AttemptEnd
 from roadbend.fleet.messages import read_report
+from roadbend.parts.ownership import Tenure
+from roadbend.placement import ends
+from roadbend.placement.batch import Batch
 from roadbend.settings import Team
 from roadbend.store.records import Attempt, Need, Slice
 from roadbend.store.view import View
@@ -135,3 +141,44 @@
         # It is in one record now, and gone with that one.
         view.applied([{"delete": taking.key}], 10)
         assert work.run == giving.run and view.machines["east"].keys() == {"m-1"}
+
+
+def test_a_split_into_a_shard_that_changes_too_loses_no_task():
+    """The transaction that splits a wide record also records the end of a task in a record that
+    takes some of it. The second writing of that record lost what the first had moved there."""
+    settings = settings_for(0, 1, value_bytes=1200, txn_ops=4)
+    view, width = View(), settings.shard_width
+    # The shard that takes the most is the one that changes, too.
+    indexes = [*range(2 * width), *range(2 * width, 7 * width, 2)]
+    wide = Slice("run-000001", "east", "red", Need(1, 1, 1), run=attempts(indexes), shard=0)
+    other = replace(wide, run=attempts(range(width, width + 3)), shard=1)
+    wide = replace(wide, run={n: a for n, a in wide.run.items() if n not in other.run})
+    view.put(wide.key, wide.to_value(), 5)
+    view.put(other.key, other.to_value(), 6)
+    work = view.slices["east"]["run-000001"]
+    before = dict(work.run)
+    runtime = SimpleNamespace(width=width, part="east")
+    batch = Batch(view, "east", Tenure("east", 7, 1, clock.ORIGIN), settings)
+    found = [
+        (n, AttemptEnd(before[n].number, before[n].machine, False, "error")) for n in (3, width)
+    ]
+    job_ends = ends.collect(fake_records(runtime, view), batch, "run-000001", work, found)
+    more = ends.plan_splits(runtime, batch, job_ends)
+    ends.write_slices(runtime, batch, job_ends, {})
+    recorded = {n for n, _ in job_ends.ended}
+    view.applied(list(batch.rows.values()), 9)
+    assert work.run == {n: a for n, a in before.items() if n not in recorded}
+    reread = View()
+    for piece in work.shards.values():
+        reread.put(piece.key, piece.to_value(), 9)
+    assert reread.slices["east"]["run-000001"].run == work.run
+    assert recorded == {3} and more, "the other end waits for the next transaction"
+    assert next(iter(batch.rows)) == wide.key, "the giving record comes first"
+
+
+def attempts(indexes: Iterable[int]) -> dict[int, Attempt]:
+    return {n: Attempt(7 << 32 | n, f"m-{n:06d}") for n in indexes}
+
+
+def fake_records(runtime: SimpleNamespace, view: View) -> SimpleNamespace:
+    return SimpleNamespace(shared=SimpleNamespace(view=view), **vars(runtime))
