--- a/roadbend/fakes/search.py
+++ b/roadbend/fakes/search.py
@@ -24,9 +24,13 @@
 from roadbend.fakes.world import World, world
 
 # When the first and the last fault may begin, and how long a run goes on after that, in seconds.
-FIRST_FAULT, LAST_FAULT, QUIET = 30.0, 110.0, 45.0
-# How many faults a run has, and how many machines of a kind a zone has room for.
-FEWEST_FAULTS, MOST_FAULTS, CAPACITY = 3, 12, 10
+FIRST_FAULT, LAST_FAULT, QUIET = 25.0, 75.0, 30.0
+# Faults come in clusters, so that they meet: how far around its middle, in seconds.
+CLUSTER = 12.0
+# How many clusters and faults a run has, and how many machines of a kind a zone has room for.
+MOST_CLUSTERS, FEWEST_FAULTS, MOST_FAULTS, CAPACITY = 2, 3, 12, 8
+# Jobs at the beginning, one right after the other, and the longest pause before each later one.
+FIRST_JOBS, LONGEST_PAUSE = 12, 6.0
 IMAGES = ("img-1", "img-2")
 
 
@@ -56,12 +60,16 @@
     """The run of a seed."""
     rng = random.Random(f"run {seed}")
     site = rng.choice(sorted(SITES))
+    clusters = [
+        rng.uniform(FIRST_FAULT + CLUSTER, LAST_FAULT - CLUSTER)
+        for _ in range(rng.randint(1, MOST_CLUSTERS))
+    ]
     faults = []
     for _ in range(rng.randint(FEWEST_FAULTS, MOST_FAULTS)):
         kind = rng.choice(sorted(FAULTS))
         shortest, longest = FAULTS[kind].length
         length = shortest * (longest / shortest) ** rng.random()
-        at = rng.uniform(FIRST_FAULT, LAST_FAULT)
+        at = rng.choice(clusters) + rng.uniform(-CLUSTER, CLUSTER)
         faults.append(Fault(at, kind, length, rng.randrange(1 << 30)))
     return Run(seed, site, tuple(sorted(faults, key=lambda fault: fault.at)))
 
@@ -154,6 +162,15 @@
         nodes = [f"node-{n}" for n in range(self.world.count)]
         await self.world.cut_pairs([(m, node) for m in machines for node in nodes], length)
 
+    async def flap(self, length: float, rng: random.Random) -> None:
+        """Machines are cut off for about as long as a lease, and are back for moments only."""
+        machines, end = self.some_machines(rng), trio.current_time() + length
+        nodes = [f"node-{n}" for n in range(self.world.count)]
+        pairs = [(machine, node) for machine in machines for node in nodes]
+        while trio.current_time() < end:
+            await self.world.cut_pairs(pairs, rng.uniform(14.0, 24.0))
+            await trio.sleep(rng.uniform(0.2, 4.0))
+
     async def hold_packets(self, length: float, rng: random.Random) -> None:
         """Packets between some machines and a controller are held back, one way or both."""
         node = f"node-{self.node(rng)}"
@@ -244,6 +261,7 @@
     "lost-answers": Kind(Deployment.lost_answers, (2.0, 40.0)),
     "no-cloud": Kind(Deployment.no_cloud, (5.0, 70.0)),
     "cut-machines": Kind(Deployment.cut_machines, (1.0, 45.0)),
+    "flap": Kind(Deployment.flap, (10.0, 60.0)),
     "hold-packets": Kind(Deployment.hold_packets, (0.1, 45.0)),
     "hold-state": Kind(Deployment.hold_state, (0.1, 20.0)),
     "reset": Kind(Deployment.reset, (0.5, 20.0)),
@@ -275,12 +293,13 @@
 
 
 async def work(w: World, rng: random.Random) -> None:
-    """Jobs for as long as the run lasts: a handful at once, then one every few seconds."""
+    """Jobs for as long as the run lasts: a dozen at once, then one every few seconds."""
     for number in range(1, 1000):
         body = submission(number, rng, w.zones)
         length = None if body["shape"] == "daemon" else rng.uniform(2, 60)
         w.nursery.start_soon(submit, w, body, length, rng.randrange(w.count))
-        await trio.sleep(rng.uniform(0.1, 1.0) if number < 15 else rng.uniform(1.0, 5.0))
+        pause = 1.0 if number < FIRST_JOBS else LONGEST_PAUSE
+        await trio.sleep(rng.uniform(0.1, pause))
 
 
 async def submit(w: World, body: dict[str, Any], length: float | None, at: int) -> None:
--- /dev/null
+++ b/roadbend/fakes/test_search.py
@@ -0,0 +1,58 @@
+"""The search for broken rules: it sees what it is to see, goes the same way every time, and a few
+of its runs."""
+
+import random
+
+import pytest
+import trio
+
+from roadbend.fakes import search
+from roadbend.fakes.scenario import SITES
+from roadbend.fakes.search import FAULTS, Deployment, Fault, Kind, Run
+from roadbend.fakes.submission import job
+from roadbend.fakes.world import world
+
+
+async def start_again_elsewhere(
+    deployment: Deployment, _length: float, _rng: random.Random
+) -> None:
+    """A planted double start: another machine is told to start a task that runs."""
+    board = deployment.world.board
+    task, homes = next((task, homes) for task, homes in board.where.items() if homes)
+    other = next(worker for worker in deployment.world.workers() if worker.machine not in homes)
+    other.execute([{"verb": "run", "leg": task, "try": 1}])
+
+
+def test_a_planted_double_start_is_found_and_the_run_made_small(monkeypatch):
+    monkeypatch.setitem(FAULTS, "planted", Kind(start_again_elsewhere, (0.1, 0.2)))
+    monkeypatch.setattr(search, "QUIET", 5.0)
+    faults = (Fault(30.0, "cancel", 0.1, 1), Fault(40.0, "planted", 0.1, 2))
+    run = Run(0, sorted(SITES)[0], faults)
+    broken = search.play_alone(run)
+    assert broken and broken[0].startswith("ran_twice")
+    assert search.play_alone(run) == broken, "the same every time"
+    assert [fault.kind for fault in search.shrink(run, "ran_twice").faults] == ["planted"]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_few_runs_of_the_search_break_no_rule(seed):
+    run = search.draw(seed)
+    assert search.play_alone(run) == [], [str(fault) for fault in run.faults]
+
+
+async def test_a_controller_that_stands_still_does_nothing_meanwhile_and_then_goes_on():
+    async with world() as w:
+        answered = []
+
+        async def ask() -> None:
+            await w.call(0, "POST", "/v1/jobs", job(1), within=9)
+            answered.append(trio.current_time())
+
+        began = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(w.stalls.stall, "node-0", 4.0)
+            await trio.sleep(0.5)
+            nursery.start_soon(ask)
+            assert (await w.call(1, "GET", "/v1/jobs/run-000009"))[0] == 404
+            assert trio.current_time() - began < 2
+        assert answered[0] - began >= 4.0
--- a/roadbend/fleet/test_machines.py
+++ b/roadbend/fleet/test_machines.py
@@ -8,7 +8,7 @@
 from roadbend import clock
 from roadbend.fakes.submission import job
 from roadbend.fleet import messages, reading
-from roadbend.fleet.ended_attempts import EndedAttempts
+from roadbend.fleet.ended_attempts import AttemptEnd, EndedAttempts
 from roadbend.fleet.machines import Direct, Machine, Stop
 from roadbend.http.server import MalformedError
 from roadbend.intake.messages import read_submission
@@ -52,6 +52,7 @@
         self.stops, self.ended = {}, EndedAttempts()
         self.jobs = {name: self.job}
         self.may_start = True
+        self.elsewhere: dict = {}
 
     def take(self, *args, **kwargs):
         seen = report(*args, **kwargs)
@@ -63,7 +64,7 @@
             self.stops,
             self.ended,
             self.may_start,
-            {key: attempt for key, (_, attempt) in self.recorded.items()}.get,
+            self.elsewhere.get,
         )
         return reading.read(self.machine, seen, TERM, expected, NOW)
 
@@ -157,6 +158,51 @@
     assert KEY in desk.ended
 
 
+def test_an_attempt_that_is_proven_gone_is_not_ordered_while_the_records_name_it():
+    for cause in ("lease", "absent", "error", "deleted"):
+        desk = Desk()
+        desk.ended.note(KEY, AttemptEnd(70, "m-1", False, cause))
+        assert desk.take(session=2, seq=6) == [] and desk.ended[KEY].cause == cause
+
+
+def test_a_later_report_that_shows_an_attempt_alive_withdraws_the_proof_but_not_a_result(caplog):
+    desk = Desk()
+    desk.ended.note(KEY, AttemptEnd(70, "m-1", False, "lease"))
+    with caplog.at_level("WARNING"):
+        assert desk.take(tasks=[("run-000001/0", 70, "running", None)]) == []
+    assert KEY not in desk.ended
+    for word in ("proof-contradicted", "run-000001", "index=0", "attempt=70", "machine=m-1"):
+        assert word in caplog.text
+    desk.take(seq=6, tasks=[("run-000001/0", 70, "ended", "done")])
+    desk.take(seq=7, tasks=[("run-000001/0", 70, "running", None)])
+    assert desk.ended[KEY].done
+
+
+def test_a_task_that_two_machines_show_is_killed_where_the_records_do_not_name_it(caplog):
+    desk = Desk()
+    desk.elsewhere = {KEY: Attempt(71, "m-2")}
+    desk.recorded = {}
+    with caplog.at_level("WARNING"):
+        orders = desk.take(tasks=[("run-000001/0", 70, "running", None)])
+    assert verbs(orders) == [("kill", "run-000001/0", 70)] and not desk.ended
+    for word in ("unrecorded-task", "machine=m-1", "recorded_machine=m-2", "recorded_attempt=71"):
+        assert word in caplog.text
+
+
+def test_a_report_that_is_not_newer_is_not_taken_in_and_renews_nothing():
+    machine = Machine("m-1", "m-1:1", "g2", "east", False)
+    assert machine.admit(report(seq=5), TERM, NOW) and machine.lease_from == NOW
+    later = NOW + timedelta(seconds=9)
+    for seq in (5, 4):
+        machine.doubted = False
+        assert not machine.admit(report(seq=seq), TERM, later) and machine.doubted
+    assert machine.is_latest(report(seq=5)) and machine.lease_from == NOW
+    # A lower token than the machine has carried: it began anew, or the copy is of a former life.
+    machine.ours = True
+    assert not machine.admit(report(token=TERM - 1, seq=9), TERM, later)
+    assert machine.admit(report(seq=6), TERM, later) and not machine.is_latest(report(seq=5))
+
+
 @pytest.mark.parametrize(
     "change",
     [
--- a/roadbend/test_ran_twice.py
+++ b/roadbend/test_ran_twice.py
@@ -5,23 +5,27 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
+import pytest
 import trio
 
 from roadbend import clock
 from roadbend.fakes.submission import job
 from roadbend.fakes.world import World, settings_for, world
-from roadbend.fleet.ended_attempts import AttemptEnd
+from roadbend.fleet.ended_attempts import AttemptEnd, Key
 from roadbend.fleet.messages import read_report
 from roadbend.parts.ownership import Tenure
 from roadbend.placement import ends
 from roadbend.placement.batch import Batch
 from roadbend.settings import Team
+from roadbend.store.client import ConflictError
 from roadbend.store.records import Attempt, Need, Slice
 from roadbend.store.view import View
 
 TEAMS = {"red": Team("red", 0, 0, 20, 40)}
 SERVICE = dict(shape="daemon", dueS=None, loaners=False, yard="east")
 TASK = ("run-000001", 0)
+# As in the settings of `fakes.world`.
+LEASE_S = 18.0
 
 
 def home(w: World, task: str = "run-000001/0") -> str:
@@ -79,7 +83,10 @@
         assert await w.until(lambda: w.board.running("run-000001"), 60)
 
 
-async def test_a_report_that_waited_is_not_read_again_once_a_newer_one_was_answered():
+@pytest.mark.parametrize("stopped_while_it_waits", [False, True])
+async def test_a_report_that_waited_is_not_read_again_once_a_newer_one_was_answered(
+    stopped_while_it_waits,
+):
     """A report waits for what it calls for. Meanwhile a newer one of the same machine is answered
     with an order to start; the older one, read again, must neither set the machine's count back nor
     let a report from between the two prove that the task is absent."""
@@ -92,6 +99,7 @@
         await trio.sleep(5)
         worker = w.cloud.machines[machine].worker
         w.network.silence(machine)
+        w.cloud._capacity, w.cloud.refuse_deletion = 2, True
         await trio.sleep(0.1)
         # A task has failed: room for the one that waits. It is recorded, but the answer of the
         # state service is lost, so that the report waits to the end.
@@ -103,11 +111,13 @@
             nursery.start_soon(runtime.reports.handle, read_report(first))
             assert await w.until(lambda: TASK in runtime.by_machine()[machine], 0.38, 0.005)
             await report_now(w, machine)
+            attempt = runtime.by_machine()[machine][TASK][1]
+            if stopped_while_it_waits:
+                cut_off(w, machine)
+                runtime.stop(TASK, attempt, timedelta(seconds=5), "test", clock.now())
         w.state.deaf.clear()
-        attempt = runtime.by_machine()[machine][TASK][1]
         assert worker.tasks[(f"{TASK[0]}/0", attempt.number)].state != "ended"
         # The task is to be stopped, nothing reaches the machine, and the report from between comes.
-        w.cloud._capacity, w.cloud.refuse_deletion = 2, True
         cut_off(w, machine)
         runtime.stop(TASK, attempt, timedelta(seconds=5), "test", clock.now())
         await w.call(0, "POST", "/hello", between)
@@ -117,6 +127,110 @@
         assert await w.until(lambda: w.board.running("run-000001"), 60)
 
 
+async def test_a_machine_deleted_while_its_report_waits_is_not_read_again():
+    async with world(count=1, teams=TEAMS) as w:
+        assert await w.submit(0, job(1, **SERVICE), None) == 201
+        assert await w.until(lambda: w.board.running("run-000001"), 60)
+        machine, runtime = home(w), w.nodes["node-0"].runtimes["east"]
+        worker = w.cloud.machines[machine].worker
+        w.network.silence(machine)
+        await trio.sleep(0.1)
+        worker._end(next(iter(worker.tasks.values())), "error")
+        answers = []
+
+        async def report() -> None:
+            answers.append(await runtime.reports.handle(read_report(worker.report())))
+
+        w.state.slow = 1.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(report)
+            await trio.sleep(0.05)
+            runtime.gone(machine, "deleted")
+        assert answers == [None]
+
+
+async def test_an_answer_after_the_lease_counted_as_over_renews_nothing():
+    """A report sent just within the lease comes late, and its answer waits while the lease is
+    judged: the worker drops that answer, for its session is over by then."""
+    async with world(count=1, teams=TEAMS) as w:
+        assert await w.submit(0, job(1, **SERVICE), None) == 201
+        assert await w.until(lambda: w.board.running("run-000001"), 60)
+        node, machine = w.nodes["node-0"], home(w)
+        runtime, worker = node.runtimes["east"], w.cloud.machines[machine].worker
+        w.cloud.down = True
+        cut_off(w, machine)
+        known = runtime.machines[machine]
+        await trio.sleep_until(worker._answered + LEASE_S - 0.05)
+        sent, session, body = trio.current_time(), worker.session, worker.report()
+        while TASK not in runtime.ended and trio.current_time() < sent + 3.9:
+            node.fleet.silence._expire(runtime, machine)
+            await trio.sleep(0.05)
+        assert TASK in runtime.ended
+        report = read_report(body)
+        assert known.admit(report, runtime.reports.token(known), clock.now())
+        answer = {"baton": runtime.reports.token(known), "orders": []}
+        assert not worker.take(answer, sent, session) and not w.board.running("run-000001")
+
+
+async def test_a_direct_order_that_waited_does_not_start_what_is_proven_gone():
+    """Orders that go straight to machines wait for each other; meanwhile the attempt may have
+    ended."""
+    async with world(count=1, teams=TEAMS) as w:
+        assert await w.submit(0, job(1, **SERVICE), None) == 201
+        assert await w.until(lambda: w.board.running("run-000001"), 60)
+        node, machine = w.nodes["node-0"], home(w)
+        runtime, worker = node.runtimes["east"], w.cloud.machines[machine].worker
+        attempt = runtime.recorded_attempt(Key(*TASK))
+        w.state.down = True
+        runtime.ended.note(TASK, AttemptEnd(attempt.number, machine, False, "error"))
+        before = len(worker.orders)
+        await node.fleet.commands._start_directly(runtime, machine, [(Key(*TASK), attempt)])
+        assert len(worker.orders) == before and TASK not in runtime.machines[machine].direct
+        runtime.ended.withdraw(TASK, machine)
+        w.state.restore()
+        await trio.sleep(3)
+        # One that goes out may be carried out by a machine that has just begun anew.
+        known = runtime.machines[machine]
+        known.lease_from, now = clock.ORIGIN, clock.now()
+        await node.fleet.commands._start_directly(runtime, machine, [(Key(*TASK), attempt)])
+        assert known.lease_from >= now
+
+
+async def test_the_end_of_an_attempt_on_another_machine_ends_nothing_here():
+    """The tasks of a gang are replaced under the number that their attempt has."""
+    async with world(count=1, teams=TEAMS) as w:
+        assert await w.submit(0, job(1, **SERVICE), None) == 201
+        assert await w.until(lambda: w.board.running("run-000001"), 60)
+        runtime = w.nodes["node-0"].runtimes["east"]
+        attempt = runtime.recorded_attempt(Key(*TASK))
+        runtime.ended.note(TASK, AttemptEnd(attempt.number, "m-before", False, "absent"))
+        runtime.wake_up.set()
+        await trio.sleep(5)
+        assert runtime.recorded_attempt(Key(*TASK)) == attempt and TASK not in runtime.ended
+        assert len(w.board.starts) == 1
+
+
+async def test_a_conflict_that_cannot_be_read_up_leaves_the_transaction_unsettled(monkeypatch):
+    """It may be our own transaction, whose answer was lost: until the records have been read,
+    nothing is written on top of it."""
+    async with world(count=1, teams=TEAMS) as w:
+        runtime, tried = w.nodes["node-0"].runtimes["east"], []
+
+        async def conflict(_state, when, _rows, **_options):
+            tried.append(when)
+            w.state.down = True
+            raise ConflictError(["r/job/run-000001"])
+
+        monkeypatch.setattr("roadbend.placement.runtime.commit", conflict)
+        assert await w.submit(0, job(1, **SERVICE), None) == 201
+        assert await w.until(lambda: tried, 60)
+        await trio.sleep(4)
+        assert runtime.unsettled == tried[0] and len(tried) == 1
+        monkeypatch.undo()
+        w.state.restore()
+        assert await w.until(lambda: w.board.running("run-000001"), 60)
+
+
 def test_a_split_moves_a_task_to_another_record_and_the_view_keeps_it():
     """A split writes the record that takes a task before the one that gives it up. The view lost
     the task, which was then started again elsewhere."""
