Placement: preemption, restrictions and teams' limits in modules of their own; search kinds

The search draws two composed faults: leases that end while the records can't be reached, and reports that are held back and come at once.

--- a/roadbend/fakes/search.py
+++ b/roadbend/fakes/search.py
@@ -171,6 +171,33 @@
             await self.world.cut_pairs(pairs, rng.uniform(14.0, 24.0))
             await trio.sleep(rng.uniform(0.2, 4.0))
 
+    async def lease_edge(self, length: float, rng: random.Random) -> None:
+        """Machines are cut off until their leases end, and are back for a moment while the records
+        can't be reached, or have just come back; none can be deleted meanwhile."""
+        machines = self.some_machines(rng)
+        pairs = [(m, f"node-{n}") for m in machines for n in range(self.world.count)]
+        self.world.cloud.refuse_deletion = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.world.cut_pairs, pairs, rng.uniform(19.0, 26.0))
+            await trio.sleep(rng.uniform(14.0, 20.0))
+            nursery.start_soon(self.world.outage, rng.uniform(1.0, length))
+        await trio.sleep(rng.uniform(0.1, 2.0))
+        await self.world.cut_pairs(pairs, rng.uniform(2.0, 17.0))
+        self.world.cloud.refuse_deletion = False
+
+    async def held_burst(self, length: float, rng: random.Random) -> None:
+        """Reports of machines are held back and come all at once, while transactions are carried
+        out and their answers lost; then the machines are out of reach."""
+        machines, at = self.some_machines(rng), self.node(rng)
+        self.world.cloud.refuse_deletion = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.world.hold, [(m, f"node-{at}") for m in machines], length)
+            await trio.sleep(length * 0.9)
+            nursery.start_soon(self.lost_answers, 4.0, rng)
+        pairs = [(m, f"node-{n}") for m in machines for n in range(self.world.count)]
+        await self.world.cut_pairs(pairs, rng.uniform(2.0, 17.0))
+        self.world.cloud.refuse_deletion = False
+
     async def hold_packets(self, length: float, rng: random.Random) -> None:
         """Packets between some machines and a controller are held back, one way or both."""
         node = f"node-{self.node(rng)}"
@@ -262,6 +289,8 @@
     "no-cloud": Kind(Deployment.no_cloud, (5.0, 70.0)),
     "cut-machines": Kind(Deployment.cut_machines, (1.0, 45.0)),
     "flap": Kind(Deployment.flap, (10.0, 60.0)),
+    "lease-edge": Kind(Deployment.lease_edge, (2.0, 10.0)),
+    "held-burst": Kind(Deployment.held_burst, (2.0, 12.0)),
     "hold-packets": Kind(Deployment.hold_packets, (0.1, 45.0)),
     "hold-state": Kind(Deployment.hold_state, (0.1, 20.0)),
     "reset": Kind(Deployment.reset, (0.5, 20.0)),
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -16,7 +16,7 @@
 from roadbend.fleet.machines import Machine, Stop
 from roadbend.log import Log
 from roadbend.parts.ownership import Tenure
-from roadbend.placement import ends, gangs, policy, starts
+from roadbend.placement import ends, gangs, policy, starts, team_limits
 from roadbend.placement.batch import Batch
 from roadbend.placement.layouts import Layouts
 from roadbend.placement.policy import Pending, Room
@@ -251,7 +251,7 @@
             )
             more = ends.record_ends(self, batch, now)
             more = starts.start(self, batch, now) or more
-            starts.reserve(self, batch, now)
+            team_limits.reserve(self, batch, now)
         if not batch.rows:
             return False
         rows = list(batch.rows.values())
--- /dev/null
+++ b/roadbend/placement/team_limits.py
@@ -0,0 +1,132 @@
+"""What a team's limit leaves a part, and what is set aside of it in the team's record."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from datetime import datetime, timedelta
+from typing import TYPE_CHECKING
+
+from roadbend import clock
+from roadbend.log import Log
+from roadbend.placement import policy
+from roadbend.placement.batch import Batch
+from roadbend.placement.policy import Allowance, Pending
+from roadbend.store import keys
+from roadbend.store.records import Need
+
+if TYPE_CHECKING:
+    from roadbend.placement.runtime import PartRuntime
+
+log = Log("placement")
+# How long what waits for a machine keeps its team's limit from lesser work, and what is set aside
+# from other parts.
+HOLD = timedelta(seconds=20)
+# For how long a job leaves its team's room to one of another part that has begun nothing.
+YIELD = timedelta(seconds=30)
+# How often a part looks whether it has set too much aside for a team.
+RESERVE_EVERY = timedelta(seconds=1)
+
+
+def team_left(runtime: PartRuntime, batch: Batch, team: str) -> tuple[float, float] | None:
+    """What a team's limit leaves this part, after what the transaction in the making starts and
+    ends."""
+    most = runtime.shared.most_for(team, runtime.part)
+    if most is None:
+        return None
+    used = batch.used(team)
+    return most[0] - used[0], most[1] - used[1]
+
+
+def within(limits: Allowance, items: Iterable[Pending]) -> list[Pending]:
+    """As much of the items, in their order, as the teams' limits permit all together: no room is
+    made, and no machine hired, for what could not use it."""
+    out = []
+    for item in items:
+        item = limits.cut(item)
+        if item is not None:
+            limits.take(item.job.spec, item.count)
+            out.append(item)
+    return out
+
+
+def yields(runtime: PartRuntime, item: Pending, overdue: dict[str, dict[str, int]]) -> bool:
+    """Whether an item leaves its team's room to a job that another part holds and that has begun
+    nothing for too long: a part's own steady stream must not starve it."""
+    jobs = overdue.get(item.job.spec.team)
+    if not jobs or item.overdue:
+        return False
+    view, here = runtime.shared.view, item.job.spec
+    scarce = runtime.shared.room_left(here, runtime.part) < 2 * item.count
+    # Only for so long: one that has not begun by then waits for something else than the team's
+    # room.
+    since = clock.wall() - runtime.shared.operator.begin_within - YIELD
+    return scarce and any(
+        priority >= here.priority and runtime.part not in view.jobs[name].alloc
+        for name, priority in jobs.items()
+        if name in view.jobs and view.jobs[name].at > since
+    )
+
+
+def set_aside(
+    runtime: PartRuntime, batch: Batch, team: str, need: Need, tasks: int, record_keys: list[str]
+) -> bool:
+    """Sees to it that the team's record sets enough aside for this part, in the same transaction.
+    Some more than is needed is taken while there is plenty, so that parts seldom meet there."""
+    limits, team_key = runtime.shared.limits(team), keys.team_key(team)
+    used = batch.used(team)
+    used = (used[0] + tasks * need.cpus, used[1] + tasks * need.gpus)
+    use = batch.team(team)
+    have = use.parts.get(runtime.part, (0.0, 0.0))
+    bound = [most < float("inf") for most in limits]
+    short = any(b and u > h + policy.EPS for b, u, h in zip(bound, used, have, strict=True))
+    if not batch.room_for(*record_keys, *([team_key] if short else [])):
+        return False
+    if short:
+        others = (use.cpus - have[0], use.gpus - have[1])
+        share = 2 * max(1, runtime.shared.settings.controllers)
+        fresh = [
+            max(u, u + (most - other - u) / share) if b else 0.0
+            for b, u, most, other in zip(bound, used, limits, others, strict=True)
+        ]
+        batch.set_team(use.with_part(runtime.part, *fresh))
+    return True
+
+
+def reserve(runtime: PartRuntime, batch: Batch, now: datetime) -> None:
+    """Gives back what is set aside and not needed here, once others may want it."""
+    view = runtime.shared.view
+    waiting: dict[str, tuple[float, float]] = {}
+    overdue = runtime.shared.overdue(now)
+    for item in runtime.queue.pending():
+        # What has waited here for longer may wait for a machine that can't be had; other parts may
+        # have room.
+        if now - runtime.queued.get(item.job.id, now) < HOLD and not yields(runtime, item, overdue):
+            spec = item.job.spec
+            cpus, gpus = waiting.get(spec.team, (0.0, 0.0))
+            waiting[spec.team] = (
+                cpus + item.count * spec.need.cpus,
+                gpus + item.count * spec.need.gpus,
+            )
+    for name, use in view.teams.items():
+        have = use.parts.get(runtime.part)
+        key, limits = keys.team_key(name), runtime.shared.limits(name)
+        if have is None or limits is None or key in batch.rows:
+            continue
+        if now - runtime.reserved_at.get(name, clock.ORIGIN) < RESERVE_EVERY:
+            continue
+        used, wants = batch.used(name), waiting.get(name, (0.0, 0.0))
+        pressed = any(
+            most < float("inf") and total > 0.75 * most
+            for total, most in zip((use.cpus, use.gpus), limits, strict=True)
+        )
+        if not pressed and (any(u > policy.EPS for u in used) or name in waiting):
+            continue
+        fresh = [min(h, u + w) for h, u, w in zip(have, used, wants, strict=True)]
+        if all(h - f <= policy.EPS for h, f in zip(have, fresh, strict=True)) or not batch.room_for(
+            key
+        ):
+            continue
+        runtime.reserved_at[name] = now
+        batch.set_team(
+            use.with_part(runtime.part, *(max(f, u) for f, u in zip(fresh, used, strict=True)))
+        )
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -14,7 +14,7 @@
 from roadbend.placement import policy as placing
 from roadbend.placement.runtime import PartRuntime
 from roadbend.placement.shared import Shared
-from roadbend.placement.starts import within
+from roadbend.placement.team_limits import within
 from roadbend.rental import policy
 from roadbend.rental.cloud import (
     MAX_HIRED,
--- a/roadbend/test_gang_phases.py
+++ b/roadbend/test_gang_phases.py
@@ -7,7 +7,7 @@
 from roadbend import clock
 from roadbend.fakes.submission import gang, job
 from roadbend.fakes.world import World, world
-from roadbend.placement import gang_room, starts
+from roadbend.placement import gang_room, preemption
 from roadbend.settings import Team
 from roadbend.store import keys
 from roadbend.test_gangs import NAME, TEAMS, attempts, begun, running
@@ -207,7 +207,7 @@
 
         async def reserve() -> None:
             while True:
-                until = clock.now() + starts.RESERVATION_LIFETIME
+                until = clock.now() + preemption.RESERVATION_LIFETIME
                 runtime.reservations.update({m: (NAME, until) for m in runtime.machines})
                 await trio.sleep(0.05)
 
--- a/roadbend/test_growth.py
+++ b/roadbend/test_growth.py
@@ -13,7 +13,15 @@
 from roadbend.fakes.submission import job
 from roadbend.fakes.world import world
 from roadbend.http.client import NoAnswerError
-from roadbend.placement import ends, forecast, gang_room, policy, starts
+from roadbend.placement import (
+    ends,
+    forecast,
+    gang_room,
+    policy,
+    preemption,
+    restrictions,
+    team_limits,
+)
 from roadbend.placement.forecast import Line
 from roadbend.placement.test_placement import pending, room
 from roadbend.rental import cloud as renting
@@ -482,9 +490,10 @@
     other is a rest after failures, its team's limit kept for work whose machine boots, and all
     that it is passed over for: room left to a job of another part, being made, or kept for a
     gang."""
-    assert ends.BACKOFF_MOST + starts.HOLD + starts.PASSED_OVER < timedelta(seconds=90)
-    assert starts.YIELD < starts.PASSED_OVER and starts.RESERVATION_LIFETIME < starts.PASSED_OVER
-    assert gang_room.KEEP < starts.PASSED_OVER
+    assert ends.BACKOFF_MOST + team_limits.HOLD + restrictions.PASSED_OVER < timedelta(seconds=90)
+    assert team_limits.YIELD < restrictions.PASSED_OVER
+    assert preemption.RESERVATION_LIFETIME < restrictions.PASSED_OVER
+    assert gang_room.KEEP < restrictions.PASSED_OVER
     # A job that no part can start is offered everywhere well before that, its turn among others
     # counted.
     assert exchange.LONG_WAIT + 4 * Operator().reoffer_every + Operator().cool_down < timedelta(
