--- a/roadbend/fakes/search.py
+++ b/roadbend/fakes/search.py
@@ -13,6 +13,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
+from functools import partial
 from typing import Any
 
 import trio
@@ -29,6 +30,8 @@
 CLUSTER = 12.0
 # How many clusters and faults a run has, and how many machines of a kind a zone has room for.
 MOST_CLUSTERS, FEWEST_FAULTS, MOST_FAULTS, CAPACITY = 2, 3, 12, 8
+# Of a run with faults of given kinds: how many are of the seed's own, and how many are of those.
+OWN_FAULTS, GIVEN_FAULTS = 2, 3
 # Jobs at the beginning, one right after the other, and the longest pause before each later one.
 FIRST_JOBS, LONGEST_PAUSE = 12, 6.0
 IMAGES = ("img-1", "img-2")
@@ -56,6 +59,18 @@
     faults: tuple[Fault, ...]
 
 
+def draw_with(seed: int, kinds: tuple[str, ...]) -> Run:
+    """The run of a seed with a few of its own faults, and some of the given kinds."""
+    run, rng = draw(seed), random.Random(f"kinds {seed}")
+    faults = list(run.faults[:OWN_FAULTS])
+    for _ in range(GIVEN_FAULTS):
+        kind = rng.choice(kinds)
+        length = rng.uniform(*FAULTS[kind].length)
+        at = rng.uniform(FIRST_FAULT, LAST_FAULT - CLUSTER)
+        faults.append(Fault(at, kind, length, rng.randrange(1 << 30)))
+    return Run(seed, run.site, tuple(sorted(faults, key=lambda fault: fault.at)))
+
+
 def draw(seed: int) -> Run:
     """The run of a seed."""
     rng = random.Random(f"run {seed}")
@@ -378,10 +393,10 @@
     return run
 
 
-def look(seed: int) -> tuple[int, list[str], Run]:
+def look(seed: int, kinds: tuple[str, ...] = ()) -> tuple[int, list[str], Run]:
     """Plays a seed's run, and makes it small if it breaks a rule."""
     use_simulated_time_of_day()
-    run = draw(seed)
+    run = draw_with(seed, kinds) if kinds else draw(seed)
     broken = play_alone(run)
     if broken:
         run = shrink(run, broken[0].partition(" ")[0])
@@ -407,12 +422,18 @@
     parser = argparse.ArgumentParser(description=__doc__, prog="roadbend.fakes.search")
     parser.add_argument("--seeds", default="0-99", help="first-last")
     parser.add_argument("--processes", type=int, default=2)
+    parser.add_argument("--kinds", default="", help="kinds of faults to have more of, by commas")
     parser.add_argument("--log", default="CRITICAL")
     options = parser.parse_args()
     logging.basicConfig(level=options.log.upper(), stream=sys.stderr)
+    kinds = tuple(kind for kind in options.kinds.split(",") if kind)
+    if unknown := [kind for kind in kinds if kind not in FAULTS]:
+        parser.error(f"--kinds: {', '.join(unknown)}; there are {', '.join(FAULTS)}")
     count = bad = 0
     with multiprocessing.Pool(options.processes) as pool:
-        for seed, broken, run in pool.imap_unordered(look, seeds(options.seeds)):
+        for seed, broken, run in pool.imap_unordered(
+            partial(look, kinds=kinds), seeds(options.seeds)
+        ):
             count += 1
             if broken:
                 bad += 1
