Test: the run in which the search showed a task in two places

A machine could not be reached for longer than its lease, the cloud refused its deletion, the lease counted as proof; before that was recorded the machine was back and was ordered to start the same attempt again, 0.16 s before the record. 0.2 s later the next attempt began elsewhere.

--- a/roadbend/fakes/test_search.py
+++ b/roadbend/fakes/test_search.py
@@ -42,6 +42,16 @@
     assert search.play_alone(run) == [], [str(fault) for fault in run.faults]
 
 
+def test_the_run_that_showed_a_task_in_two_places_breaks_no_rule_any_more():
+    """Found by the search on 0.6.0 (seed 53) and made small: ran_twice at 51.9 s."""
+    faults = (
+        Fault(28.40, "lease-edge", 4.03, 466052218),
+        Fault(29.95, "hold-packets", 13.38, 446364384),
+        Fault(34.36, "outage", 4.36, 723354304),
+    )
+    assert search.play_alone(Run(53, "pet", faults)) == []
+
+
 async def test_a_controller_that_stands_still_does_nothing_meanwhile_and_then_goes_on():
     async with world() as w:
         answered = []
