A proof that is being recorded is not withdrawn by a report that was held back

Found by reading the mend again: the end of an attempt goes out to the records, a report comes that was held back in the session that is over and shows the task, then one of the new session that lacks it. The proof was withdrawn and the attempt ordered again while its record was on its way, and the next attempt began elsewhere: seen to fail (ran_twice) without the guard. What went into a transaction stays proven gone until the view shows what became of it.

--- a/roadbend/fleet/ended_attempts.py
+++ b/roadbend/fleet/ended_attempts.py
@@ -4,7 +4,7 @@
 attempt may begin elsewhere as soon as the end is recorded; and its end is not recorded once a later
 report shows it alive. Everyone who orders a start asks here first."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -38,6 +38,9 @@
         self._ends: dict[Key, AttemptEnd] = {}
         # Grows with every proof that is noted or withdrawn.
         self.changes = 0
+        # What a transaction records that is on its way, or of which nobody knows whether it was
+        # carried out: it may be in the records already.
+        self._in_transaction: frozenset[tuple[str, int]] = frozenset()
 
     def __contains__(self, key: tuple[str, int]) -> bool:
         return key in self._ends
@@ -70,14 +73,26 @@
             proof=end.cause,
         )
 
+    def begin_transaction(self, keys: Iterable[tuple[str, int]]) -> None:
+        """These ends go out to be recorded: from now on they can't be withdrawn, for the next
+        attempt may begin elsewhere before we know that they were recorded."""
+        self._in_transaction = frozenset(keys)
+
+    def end_transaction(self) -> None:
+        """The view shows what became of the transaction."""
+        self._in_transaction = frozenset()
+
     def withdraw(self, key: tuple[str, int], shown_by: str) -> None:
         """A later report shows the attempt alive: whatever proved its end proves nothing. What is
-        done stays done."""
+        done stays done, and what may be recorded already stays gone. The report may also be one
+        that was held back, of a session that is over by now."""
         end = self._ends.get(Key(*key))
         if end is None or end.done:
             return
-        del self._ends[Key(*key)]
-        self.changes += 1
+        kept = key in self._in_transaction
+        if not kept:
+            del self._ends[Key(*key)]
+            self.changes += 1
         log.warning(
             "proof-contradicted",
             job=key[0],
@@ -86,6 +101,7 @@
             machine=end.machine,
             shown_by=shown_by,
             proof=end.cause,
+            withdrawn=not kept,
         )
 
     def keep_only(self, is_recorded: Callable[[Key, AttemptEnd], bool]) -> None:
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -255,6 +255,7 @@
         if not batch.rows:
             return False
         rows = list(batch.rows.values())
+        self.ended.begin_transaction(batch.ended)
         self.in_flight = {a.machine for piece in batch.slices.values() for a in piece.run.values()}
         try:
             revision = await commit(
@@ -264,6 +265,7 @@
             # Certainly not carried out, and never would be: next time in smaller pieces.
             log.error("too-large", part=self.part, changes=len(rows), error=str(error))
             self.most_rows = max(2, len(rows) // 2)
+            self.ended.end_transaction()
             raise
         except UnavailableError:
             self.unsettled = dict(batch.when)
@@ -276,6 +278,7 @@
             return await self._settle()
         else:
             self.shared.view.applied(rows, revision)
+            self.ended.end_transaction()
             for call in batch.after:
                 call()
             self._order_urgent()
@@ -302,7 +305,7 @@
             if any(
                 view.mod_revision(key) != mod_revision for key, mod_revision in unsettled.items()
             ):
-                self.unsettled = {}
+                self._forget_unsettled()
                 return True
             for key, mod_revision in unsettled.items():
                 value = (
@@ -320,10 +323,15 @@
                     return False
                 view.applied(rows, revision)
                 log.info("made-sure", part=self.part, key=key)
-                self.unsettled = {}
+                self._forget_unsettled()
                 return True
         return False
 
+    def _forget_unsettled(self) -> None:
+        """The records show what became of the last transaction."""
+        self.unsettled = {}
+        self.ended.end_transaction()
+
     def _is_recorded(self, key: Key, row: AttemptEnd | Stop) -> bool:
         """Whether the records still name the attempt, on that machine: the tasks of a gang are
         replaced under one number."""
--- a/roadbend/test_ran_twice.py
+++ b/roadbend/test_ran_twice.py
@@ -83,6 +83,35 @@
         assert await w.until(lambda: w.board.running("run-000001"), 60)
 
 
+async def test_a_proof_that_is_being_recorded_is_not_withdrawn_by_a_report_that_was_held_back():
+    """A lease is over, and that goes out to the records. Then a report comes that was held back in
+    the session that ended, and shows the task; and one of the new session, which lacks it. Ordered
+    again between the two, it ran beside the next attempt."""
+    async with world(count=1, teams=TEAMS, caches_images=True) as w:
+        assert await w.submit(0, job(1, **SERVICE), None) == 201
+        assert await w.submit(0, job(2, legs=2, **SERVICE), None) == 201
+        assert await w.until(
+            lambda: w.board.running("run-000001") and len(w.board.running("run-000002")) == 2, 60
+        )
+        node, machine = w.nodes["node-0"], home(w)
+        runtime, worker = node.runtimes["east"], w.cloud.machines[machine].worker
+        w.cloud.down = True
+        cut_off(w, machine)
+        await trio.sleep(15)
+        held = worker.report()
+        w.state.slow = 0.6
+        assert await w.until(lambda: TASK in runtime.ended._in_transaction, 20, 0.005)
+        assert worker.session == 2 and held["stint"] == 1
+        assert (await w.call(0, "POST", "/hello", held))[0] == 200
+        await report_now(w, machine)
+        cut_off(w, machine)
+        w.state.slow = 0.0
+        assert await w.until(lambda: w.board.running("run-000001"), 60)
+        await trio.sleep(10)
+        heal(w, machine)
+        assert await w.until(lambda: w.board.running("run-000001"), 60)
+
+
 @pytest.mark.parametrize("stopped_while_it_waits", [False, True])
 async def test_a_report_that_waited_is_not_read_again_once_a_newer_one_was_answered(
     stopped_while_it_waits,
