--- a/roadbend/cli.py
+++ b/roadbend/cli.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from roadbend import __version__, log
-from roadbend.settings import SettingsError, load
+from roadbend.settings import Operator, Settings, SettingsError, load
 
 OPERATOR_FILE = Path(__file__).resolve().parent.parent / "deploy" / "roadbend.sexp"
 
@@ -18,7 +18,7 @@
         prog="roadbend", description="A cluster scheduler whose controllers bid for jobs."
     )
     out.add_argument(
-        "--config", type=Path, required=True, help="the platform's settings file (TOML)"
+        "--config", type=Path, help="the platform's settings file (TOML); needed to start"
     )
     out.add_argument(
         "--operator",
@@ -29,12 +29,22 @@
     out.add_argument(
         "--check", action="store_true", help="check the settings and end without starting"
     )
+    out.add_argument(
+        "--compile",
+        action="store_true",
+        help="only import what a controller needs, so that its bytecode is kept (for the build)",
+    )
     out.add_argument("--version", action="version", version=f"roadbend {__version__}")
     return out
 
 
 def main(argv: list[str] | None = None) -> int:
     arguments = parser().parse_args(argv)
+    if arguments.compile:
+        _import_controller()
+        return 0
+    if arguments.config is None:
+        parser().error("the following arguments are required: --config")
     try:
         settings, operator = load(arguments.config, arguments.operator)
     except SettingsError as error:
@@ -44,7 +54,17 @@
         print("settings are good")
         return 0
     log.setup()
-    # Imported late: checking settings and printing help need none of it.
+    _run(settings, operator)
+    return 0
+
+
+def _import_controller() -> None:
+    """Imported late: checking settings and printing help need none of it."""
+    import roadbend.http.net
+    import roadbend.node  # noqa: F401
+
+
+def _run(settings: Settings, operator: Operator) -> None:
     import trio
 
     from roadbend.http.net import Net
@@ -54,9 +74,9 @@
     # every 50,000th, and what was imported is never looked at again.
     gc.freeze()
     gc.set_threshold(50_000, 20, 20)
+    gc.enable()
 
     async def start() -> None:
         await Node(settings, operator, Net(), random.Random(os.urandom(16))).run()
 
     trio.run(start)
-    return 0
--- a/roadbend/test_settings.py
+++ b/roadbend/test_settings.py
@@ -117,3 +117,11 @@
     assert main(["--config", str(config), "--operator", str(operator), "--check"]) == 2
     assert capsys.readouterr().err == "roadbend: unknown key: speed\n"
     assert main(["--config", str(tmp_path / "none"), "--operator", str(operator)]) == 2
+
+
+def test_the_build_compiles_without_settings_and_a_start_needs_them(capsys):
+    assert main(["--compile"]) == 0
+    with pytest.raises(SystemExit) as ended:
+        main([])
+    assert ended.value.code == 2
+    assert "--config" in capsys.readouterr().err
