No limit below 4,000 machines: connections take turns, kills and probes don't pile up

Found by going through every bound. With two controllers left, 4,000 workers have 3,100 connections: whoever found none for a lease lost its tasks. Now a tenth is kept free, by closing connections after their answers. Kills for machines that hang were joined by another every 3 s and took 16 places of all; now one a machine is on its way, in 48 places. 48 machines were looked into at once, a pause of 2 s included: now 96 are asked at once and 1,024 looked into. The list forgot all names that had left it once it knew 4,096. Heartbeats name 1,024 cancellations (256). Each changed bound has a test or only more room; the tests of connections and kills were seen to fail without their guard.

--- a/roadbend/fleet/commands.py
+++ b/roadbend/fleet/commands.py
@@ -21,7 +21,7 @@
 
 log = Log("fleet")
 # Commands in progress at once.
-MAX_COMMANDS = 16
+MAX_COMMANDS = 48
 # How long a direct order to start may go without an answer.
 DIRECT_WITHIN = timedelta(seconds=1.5)
 # The token that fences an unanswered order is shown so many times, each for so long.
@@ -29,9 +29,10 @@
 FENCE_TIMEOUT = timedelta(milliseconds=500)
 # How many incarnations of a machine a token can number.
 MAX_INCARNATIONS = (1 << records.INCARNATION_BITS) - 2
-# How often a kill that brought no end is sent again, and how many are remembered.
+# How often a kill that brought no end is sent again, and how many are remembered before those
+# that are older than `SENT_FOR` are forgotten.
 KILL_EVERY = timedelta(seconds=3)
-MAX_SENT = 2000
+MAX_SENT = 20_000
 SENT_FOR = timedelta(seconds=20)
 
 
@@ -42,6 +43,16 @@
         self._shared, self._net, self._runtimes = shared, net, runtimes
         self._direct = trio.CapacityLimiter(MAX_COMMANDS)
         self._nursery: trio.Nursery | None = None
+        # Machines to which kills are on their way: one that hangs holds up its own kills only, and
+        # however many hang, what waits here is bounded by the machines.
+        self._stopping: set[str] = set()
+
+    async def _send_kills(self, runtime: PartRuntime, machine: str, orders: list[dict]) -> None:
+        self._stopping.add(machine)
+        try:
+            await self.command(runtime, machine, orders)
+        finally:
+            self._stopping.discard(machine)
 
     async def command(self, runtime: PartRuntime, machine: str, orders: list[dict]) -> None:
         target = runtime.machines.get(machine)
@@ -169,6 +180,8 @@
                         mark = (runtime.tenure.term, key, stop.attempt, stop.grace)
                         if now - sent.get(mark, clock.ORIGIN) < KILL_EVERY:
                             continue
+                        if stop.machine in self._stopping:
+                            continue
                         if stop.machine in runtime.machines:
                             sent[mark] = now
                             grace = stop.grace.total_seconds()
@@ -176,4 +189,4 @@
                                 messages.kill(*key, stop.attempt, grace)
                             )
                 for machine, rows in orders.items():
-                    nursery.start_soon(self.command, runtime, machine, rows)
+                    nursery.start_soon(self._send_kills, runtime, machine, rows)
--- a/roadbend/fleet/listing.py
+++ b/roadbend/fleet/listing.py
@@ -2,8 +2,8 @@
 
 from roadbend.rental.cloud import Listed
 
-# Machines remembered as having been listed once.
-MAX_REMEMBERED = 4096
+# Machines remembered as having been listed once, beside those that are listed now.
+MAX_REMEMBERED = 16_384
 
 
 class MachineList:
@@ -11,14 +11,21 @@
 
     def __init__(self) -> None:
         self.rows: dict[str, Listed] = {}
-        self._was_listed: set[str] = set()
+        # In the order in which they were first listed.
+        self._was_listed: dict[str, None] = {}
 
     def take(self, rows: list[Listed]) -> None:
         """A list was read anew."""
         self.rows = {row.id: row for row in rows}
-        self._was_listed |= set(self.rows)
-        if len(self._was_listed) > MAX_REMEMBERED:
-            self._was_listed = set(self.rows)
+        self._was_listed.update(dict.fromkeys(self.rows))
+        self._forget_oldest(len(self._was_listed) - len(self.rows) - MAX_REMEMBERED)
+
+    def _forget_oldest(self, count: int) -> None:
+        if count <= 0:
+            return
+        gone = [name for name in self._was_listed if name not in self.rows]
+        for name in gone[:count]:
+            del self._was_listed[name]
 
     def has_left(self, machine: str) -> bool:
         """Whether a machine was listed before and is not any more: it is gone."""
--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -20,7 +20,7 @@
 # Bytes of names of machines that we tell their owner we hear, and reports of other owners'
 # machines that we remember.
 MAX_HEARD = 64 * 1024
-MAX_FOREIGN_REPORTS = 4096
+MAX_FOREIGN_REPORTS = 16_384
 
 
 class Fleet:
--- a/roadbend/fleet/silence.py
+++ b/roadbend/fleet/silence.py
@@ -20,8 +20,10 @@
 from roadbend.rental.cloud import Cloud, CloudBusyError, NoCapacityError
 
 log = Log("fleet")
-# Machines looked into at once; each takes a connection.
-MAX_PROBES = 48
+# Machines asked at once; each takes a connection. And machines that are looked into, those that
+# wait to be asked or to be looked into again among them; the rest follow as these end.
+MAX_PROBES = 96
+MAX_SUSPECTS = 1024
 # How long looking into a machine may take; more says that we ourselves stood still.
 PROBE_WITHIN = timedelta(seconds=3)
 # Whether a peer hears a machine of a part: part, machine, now.
@@ -45,6 +47,7 @@
         self._listing, self._cuts, self._heard_elsewhere = listing, cuts, heard_elsewhere
         self._deletions = Deletions(cloud)
         self._probing: set[tuple[str, str]] = set()
+        self._connections = trio.CapacityLimiter(MAX_PROBES)
         # When this process went on after standing still, lately, and for how long it had: nobody's
         # silence.
         self._stalls: deque[tuple[datetime, timedelta]] = deque(maxlen=64)
@@ -111,7 +114,7 @@
             for name in silent
         }
         for name in sorted(silent, key=ages.__getitem__):
-            if len(self._probing) >= MAX_PROBES:
+            if len(self._probing) >= MAX_SUSPECTS:
                 break
             if (runtime.part, name) not in self._probing:
                 self._probing.add((runtime.part, name))
@@ -158,17 +161,20 @@
 
     async def _probe_once(self, runtime: PartRuntime, name: str) -> None:
         settings = self._shared.settings
-        machine, listed = runtime.machines.get(name), self._listing.rows.get(name)
-        address = machine.address if machine else (listed.address if listed else "")
-        failed = listed is not None and listed.status == "failed"
-        began = clock.now()
-        before = machine.heard_us if machine else None
-        if address and not failed and await self._inspect(runtime, name, address):
+        async with self._connections:
+            machine, listed = runtime.machines.get(name), self._listing.rows.get(name)
+            address = machine.address if machine else (listed.address if listed else "")
+            failed = listed is not None and listed.status == "failed"
+            began = clock.now()
+            before = machine.heard_us if machine else None
+            answered = bool(address) and not failed and await self._inspect(runtime, name, address)
+            took = clock.now() - began
+        if answered:
             if clock.now() - (before or runtime.tenure.since) < settings.lease * 1.5:
                 # It lives and will report, or end its lease; till then nothing more is put on it.
                 await clock.pause(timedelta(seconds=2))
                 return
-        if clock.now() - began > PROBE_WITHIN:
+        if took > PROBE_WITHIN:
             # Its answers may lie unread: we stood still while we asked.
             return
         machine = runtime.machines.get(name)
--- /dev/null
+++ b/roadbend/fleet/test_large_fleet.py
@@ -0,0 +1,55 @@
+"""What a fleet of thousands of machines needs: nothing is forgotten, and nothing piles up."""
+
+from datetime import timedelta
+
+import trio
+
+from roadbend.fakes.submission import job
+from roadbend.fakes.world import world
+from roadbend.fleet import listing
+from roadbend.fleet.listing import MachineList
+from roadbend.rental.cloud import Listed
+from roadbend.settings import Team
+
+
+def listed(numbers) -> list[Listed]:
+    return [
+        Listed(f"m-{n:06d}", f"m-{n}:1", "g2", "east", False, "running", timedelta())
+        for n in numbers
+    ]
+
+
+def test_a_machine_that_left_a_list_of_thousands_is_known_to_be_gone(monkeypatch):
+    """With more than 4,096 names the list once forgot what it had shown before."""
+    machines = MachineList()
+    machines.take(listed(range(6000)))
+    machines.take(listed(range(100, 6000)))
+    assert machines.has_left("m-000099") and not machines.has_left("m-000100")
+    assert not machines.has_left("m-009999")
+    # It is bounded all the same; what left first is forgotten first.
+    monkeypatch.setattr(listing, "MAX_REMEMBERED", 150)
+    machines.take(listed(range(200, 6000)))
+    assert machines.has_left("m-000199") and not machines.has_left("m-000049")
+    assert len(machines._was_listed) == 5800 + 150
+
+
+async def test_kills_for_a_machine_that_hangs_do_not_pile_up_or_hold_up_others():
+    """A kill that waits for a machine that hangs was joined by another every three seconds, and a
+    few dozen of them held up the kills for all other machines."""
+    async with world(count=1, teams={"red": Team("red", 0, 0, 4, 40)}, capacity=20) as w:
+        assert await w.submit(0, job(1, legs=8, yard="east", shape="daemon", dueS=None)) == 201
+        assert await w.until(lambda: len(w.board.running("run-000001")) == 8, 60)
+        commands, underway = w.nodes["node-0"].fleet.commands, []
+
+        async def hang(runtime, machine, orders):
+            underway.append(machine)
+            await trio.sleep(60)
+
+        commands.command = hang
+        for worker in w.workers():
+            w.nursery.start_soon(worker.hang, 8)
+        assert (await w.call(0, "POST", "/v1/jobs/run-000001/withdraw"))[0] == 200
+        await trio.sleep(8)
+        assert underway and len(underway) == len(set(underway))
+        # The answers to the machines' reports end the tasks all the same.
+        assert await w.until(lambda: not w.board.running("run-000001"), 25)
--- a/roadbend/http/net.py
+++ b/roadbend/http/net.py
@@ -4,6 +4,9 @@
 
 import trio
 
+# Connections that wait to be accepted: after a controller ends, all its workers come at once.
+BACKLOG = 4096
+
 Handler = Callable[[trio.abc.Stream], Awaitable[None]]
 
 
@@ -53,7 +56,7 @@
         sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
         sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
         await sock.bind((host, port))
-        sock.listen(256)
+        sock.listen(BACKLOG)
 
         async def accepted(stream: trio.SocketStream) -> None:
             await handler(_Accepted(stream))
--- a/roadbend/http/server.py
+++ b/roadbend/http/server.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import cbor2
@@ -76,7 +76,8 @@
 
 class Server:
     """`most`: connections at once. `favoured`: requests whose connections are kept before all
-    others, and for `stale` seconds at least without another request."""
+    others, and for `stale` seconds at least without another request. `spare`: so many connections
+    are kept free for those who come, by closing others after their answers."""
 
     def __init__(
         self,
@@ -84,8 +85,9 @@
         most: int,
         favoured: Callable[[Request], bool] | None = None,
         stale: float = IDLE_S,
+        spare: int = 0,
     ):
-        self._handle, self._most = handle, most
+        self._handle, self._most, self._spare = handle, most, spare
         self._favoured, self._stale = favoured, stale
         self._links: set[_Link] = set()
         # Those that wait for a request, by kind, the longest waiting first.
@@ -137,6 +139,11 @@
         self._forget(link)
         link.scope.cancel()
 
+    def _is_crowded(self) -> bool:
+        """Whether connections are closed after their answers, so that more clients than there are
+        connections take turns: a worker that found no connection would lose its lease."""
+        return self._spare > 0 and len(self._links) > self._most - self._spare
+
     def _make_room(self) -> bool:
         """Ends the connection that has waited longest. Workers' are kept from users' storms: one of
         theirs goes only when a living worker would long have used it, as after a cut that left it
@@ -187,6 +194,8 @@
                     log.crash("request-failed", path=request.path[:80])
                     response = Response(500, {"error": "internal"})
             link.until = trio.current_time() + WRITE_S
+            if self._is_crowded() and not response.close:
+                response = replace(response, close=True)
             if known:
                 body = b"" if response.body is None else cbor2.dumps(response.body)
                 await stream.send_all(
--- a/roadbend/http/test_server.py
+++ b/roadbend/http/test_server.py
@@ -79,6 +79,24 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_more_workers_than_connections_take_turns():
+    """Four thousand workers and two controllers with 1,800 sockets each: whoever found no
+    connection for the length of its lease would lose its tasks."""
+    async with trio.open_nursery() as nursery:
+        server = Server(answer, most=12, favoured=lambda request: request.path == "/hello", spare=4)
+        workers = [Caller(nursery, server) for _ in range(30)]
+        for _ in range(3):
+            for n, worker in enumerate(workers):
+                status = await worker.ask("/hello")
+                if status is None:
+                    # Its connection was closed after the last answer; it opens another.
+                    workers[n] = worker = Caller(nursery, server)
+                    status = await worker.ask("/hello")
+                assert status == 200
+            assert len(server._links) <= 8
+        nursery.cancel_scope.cancel()
+
+
 async def test_a_connection_that_says_nothing_is_closed_and_one_whose_answer_is_being_made_is_not():
     async def slow(request: Request) -> Response:
         await trio.sleep(IDLE_S * 2)
--- a/roadbend/node.py
+++ b/roadbend/node.py
@@ -31,10 +31,13 @@
 from roadbend.store.view import View
 
 log = Log("node")
-MAX_TOLD = 256
+# Cancellations that a heartbeat names; with more its list reaches back less far, and says so.
+MAX_TOLD = 1024
 # Sockets kept for what we open ourselves (the state service 16, the cloud 6, machines asked and
-# told 64, peers), for peers' connections to us, and for connections that are just being closed.
-OWN_SOCKETS = 200
+# told 144, peers), for peers' connections to us, and for connections that are just being closed.
+OWN_SOCKETS = 240
+# The share of all other sockets that is kept free for clients to come, see `Server`.
+SPARE_SOCKETS = 0.1
 
 
 class Node:
@@ -86,11 +89,13 @@
         # Workers' connections are kept from storms of users, until a living worker would have
         # reported twice.
         stale = 2.5 * settings.report_every + timedelta(seconds=4)
+        served = max(64, settings.sockets - OWN_SOCKETS)
         self.server = Server(
             self.handle,
-            max(64, settings.sockets - OWN_SOCKETS),
+            served,
             self._from_worker,
             stale.total_seconds(),
+            round(served * SPARE_SOCKETS),
         )
         self.peers.handlers[frames.PING] = self._on_ping
         self.view.watchers.append(self._on_record)
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -32,7 +32,7 @@
 # A transaction gathers what comes within this time.
 STEP_GAP = timedelta(milliseconds=90)
 # Most machines remembered as deleted.
-MAX_DELETED = 8192
+MAX_DELETED = 32_768
 
 
 class PartRuntime:
--- a/roadbend/placement/shared.py
+++ b/roadbend/placement/shared.py
@@ -20,7 +20,7 @@
 REST = 12
 # Most cancellations remembered that peers told of, beside those whose jobs the records still name
 # as live.
-MAX_CANCELLED = 4096
+MAX_CANCELLED = 16_384
 
 
 @dataclass
