Preemption passes over machines on which nothing may be stopped

Left were 560,000 machines sorted by loss in a minute, on most of which nothing may be stopped for the item. That is known a machine at once.

--- a/roadbend/placement/preemption.py
+++ b/roadbend/placement/preemption.py
@@ -61,6 +61,11 @@
     def __init__(self, runtime: PartRuntime, rooms: list[Room], running: dict[str, list[Victim]]):
         self._runtime, self._rooms, self._running = runtime, rooms, running
         self._known: dict[tuple, list[Clearing]] = {}
+        # The lowest priority on each machine, and the teams that are beyond their guarantees there.
+        self._lowest = {name: min(row.priority for row in rows) for name, rows in running.items()}
+        self._beyond = {
+            name: {row.team for row in rows if row.beyond} for name, rows in running.items()
+        }
         # Machines that are taken already.
         self.taken: set[str] = set()
 
@@ -78,11 +83,21 @@
             open_to = [
                 room
                 for room in self._rooms
-                if room.machine_type not in kept_from and room.id not in without_image
+                if self._may_clear(item, room.id)
+                and room.machine_type not in kept_from
+                and room.id not in without_image
             ]
             found = self._known[kind] = policy.clearings(item, open_to, self._running)
         return (row for row in found if row[0].id not in self.taken)
 
+    def _may_clear(self, item: Pending, machine: str) -> bool:
+        """Whether anything on a machine may be stopped for an item: `policy.may_stop` for all that
+        runs there at once."""
+        spec = item.job.spec
+        if self._lowest[machine] < spec.priority:
+            return True
+        return item.guaranteed and any(team != spec.team for team in self._beyond[machine])
+
 
 def stoppable(
     runtime: PartRuntime, waiting: list[Pending], now: datetime
