--- a/roadbend/fleet/silence.py
+++ b/roadbend/fleet/silence.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 import trio
@@ -11,6 +12,7 @@
 from roadbend.fleet.cuts import ZoneCuts
 from roadbend.fleet.deletions import Deletions
 from roadbend.fleet.listing import MachineList
+from roadbend.fleet.machines import Machine
 from roadbend.http.client import Client, NoAnswerError
 from roadbend.http.net import Net
 from roadbend.http.server import MalformedError
@@ -26,10 +28,29 @@
 MAX_SUSPECTS = 1024
 # How long looking into a machine may take; more says that we ourselves stood still.
 PROBE_WITHIN = timedelta(seconds=3)
+# How long a machine that was looked into is left alone.
+PROBE_PAUSE = timedelta(seconds=2)
 # Whether a peer hears a machine of a part: part, machine, now.
 HeardElsewhere = Callable[[str, str, datetime], bool]
 
 
+@dataclass(frozen=True)
+class _Probe:
+    """What asking a silent machine brought."""
+
+    name: str
+    answered: bool
+    # The cloud lists it as failed.
+    failed: bool
+    took: timedelta
+    # When it last heard us before it was asked; `last`: that, or when our tenure began.
+    heard: datetime | None
+    last: datetime
+
+    def silence(self) -> timedelta:
+        return clock.now() - self.last
+
+
 class SilenceWatch:
     """Looks after the silent machines of all parts that this controller owns."""
 
@@ -160,79 +181,95 @@
         return False
 
     async def _probe_once(self, runtime: PartRuntime, name: str) -> None:
-        settings = self._shared.settings
-        async with self._connections:
-            machine, listed = runtime.machines.get(name), self._listing.rows.get(name)
-            address = machine.address if machine else (listed.address if listed else "")
-            failed = listed is not None and listed.status == "failed"
-            began = clock.now()
-            before = machine.heard_us if machine else None
-            answered = bool(address) and not failed and await self._inspect(runtime, name, address)
-            took = clock.now() - began
-        if answered:
-            if clock.now() - (before or runtime.tenure.since) < settings.lease * 1.5:
-                # It lives and will report, or end its lease; till then nothing more is put on it.
-                await clock.pause(timedelta(seconds=2))
-                return
-        if took > PROBE_WITHIN:
+        """Asks a silent machine; deletes it where nothing speaks for it."""
+        probe = await self._ask(runtime, name)
+        if probe.answered and probe.silence() < self._shared.settings.lease * 1.5:
+            # It lives and will report, or end its lease; till then nothing more is put on it.
+            await clock.pause(PROBE_PAUSE)
+            return
+        if probe.took > PROBE_WITHIN:
             # Its answers may lie unread: we stood still while we asked.
             return
         machine = runtime.machines.get(name)
         if machine is not None:
             machine.doubted = False
-            if (
-                machine.heard_us != before
-                or before is not None
-                and clock.now() - before < settings.report_every * 1.3
-            ):
+            if self._was_heard_meanwhile(machine, probe):
                 return
         if self._shared.ownership.tenure(runtime.part) != runtime.tenure:
             return
-        # A machine that reports to our peers is not dead: it is we who can't be reached.
-        last = before or runtime.tenure.since
-        elsewhere = (
-            self._heard_elsewhere(runtime.part, name, clock.now())
-            and clock.now() - last < settings.lease * 1.5
+        if self._may_be_alive(runtime, machine, probe):
+            log.info("doubt", part=runtime.part, machine=name)
+        elif await self._fence(runtime, machine, name):
+            return
+        self._expire(runtime, name)
+        await clock.pause(PROBE_PAUSE)
+
+    async def _ask(self, runtime: PartRuntime, name: str) -> _Probe:
+        """Asks the machine itself, once there is a connection for it."""
+        async with self._connections:
+            machine, listed = runtime.machines.get(name), self._listing.rows.get(name)
+            address = machine.address if machine else (listed.address if listed else "")
+            failed = listed is not None and listed.status == "failed"
+            began = clock.now()
+            heard = machine.heard_us if machine else None
+            answered = bool(address) and not failed and await self._inspect(runtime, name, address)
+            took = clock.now() - began
+        return _Probe(name, answered, failed, took, heard, heard or runtime.tenure.since)
+
+    def _was_heard_meanwhile(self, machine: Machine, probe: _Probe) -> bool:
+        if machine.heard_us != probe.heard:
+            return True
+        return (
+            probe.heard is not None and probe.silence() < self._shared.settings.report_every * 1.3
         )
-        if (
-            machine is not None
-            and machine.reported is not None
-            and machine.reported - last > timedelta(seconds=4)
-        ):
-            # Deaf: its reports reach us, our answers don't reach it. It runs what it has until its
-            # lease ends; then it is replaced.
-            elsewhere = clock.now() - last < settings.lease * 0.8
+
+    def _may_be_alive(self, runtime: PartRuntime, machine: Machine | None, probe: _Probe) -> bool:
+        """Whether a machine that did not answer may only be out of our reach."""
         recalled = (
             machine is not None
             and machine.recall_at is not None
             and clock.now() > machine.recall_at
         )
-        doubt = self._cuts.common_cause(runtime, name, clock.now())
-        if (doubt or elsewhere) and not failed and not recalled:
-            log.info("doubt", part=runtime.part, machine=name)
-            await clock.pause(timedelta(seconds=2))
-        else:
+        if probe.failed or recalled:
+            return False
+        if machine is not None and machine.reported is not None:
+            if machine.reported - probe.last > timedelta(seconds=4):
+                # Deaf: its reports reach us, our answers don't reach it. It runs what it has until
+                # its lease ends; then it is replaced.
+                return (
+                    probe.silence() < self._shared.settings.lease * 0.8
+                    or self._cuts.common_cause(runtime, probe.name, clock.now())
+                )
+        # A machine that reports to our peers is not dead: it is we who can't be reached.
+        elsewhere = (
+            self._heard_elsewhere(runtime.part, probe.name, clock.now())
+            and probe.silence() < self._shared.settings.lease * 1.5
+        )
+        return elsewhere or self._cuts.common_cause(runtime, probe.name, clock.now())
+
+    async def _fence(self, runtime: PartRuntime, machine: Machine | None, name: str) -> bool:
+        """Deletes a machine; says whether it is proven gone."""
+        if machine is not None:
+            # From here on no order goes to it, so the deletion can't overtake one.
+            machine.fencing = True
+        try:
+            await self._deletions.delete(name)
+        except CloudBusyError as error:
+            # Not carried out.
+            log.info("fence-refused", part=runtime.part, machine=name, error=str(error)[:60])
             if machine is not None:
-                # From here on no order goes to it, so the deletion can't overtake one.
-                machine.fencing = True
-            try:
-                await self._deletions.delete(name)
-                log.info("fenced", part=runtime.part, machine=name)
-                runtime.gone(name, "deleted")
-                return
-            except CloudBusyError as error:
-                # Not carried out.
-                log.info("fence-refused", part=runtime.part, machine=name, error=str(error)[:60])
-                if machine is not None:
-                    machine.fencing = False
-            except (NoAnswerError, NoCapacityError) as error:
-                log.info("fence-failed", part=runtime.part, machine=name, error=str(error)[:60])
-                if machine is not None:
-                    # The deletion may still be carried out: should it report again, it gets nothing
-                    # new.
-                    machine.draining, machine.fencing = "fence", False
-        self._expire(runtime, name)
-        await clock.pause(timedelta(seconds=2))
+                machine.fencing = False
+            return False
+        except (NoAnswerError, NoCapacityError) as error:
+            log.info("fence-failed", part=runtime.part, machine=name, error=str(error)[:60])
+            if machine is not None:
+                # The deletion may still be carried out: should it report again, it gets nothing
+                # new.
+                machine.draining, machine.fencing = "fence", False
+            return False
+        log.info("fenced", part=runtime.part, machine=name)
+        runtime.gone(name, "deleted")
+        return True
 
     def _expire(self, runtime: PartRuntime, name: str) -> None:
         """No deletion to be had: the worker's own lease is the proof, where it is one."""
--- /dev/null
+++ b/roadbend/rental/returns.py
@@ -0,0 +1,134 @@
+"""Machines that are given back: the empty ones, and those on which tasks keep failing."""
+
+from datetime import datetime, timedelta
+
+from roadbend import clock
+from roadbend.fleet.machines import Machine
+from roadbend.log import Log
+from roadbend.placement import policy as placing
+from roadbend.placement.runtime import PartRuntime
+from roadbend.placement.shared import Shared
+from roadbend.rental import policy
+from roadbend.rental.cloud import MAX_NAMES, Cloud, Still
+from roadbend.store.records import Job
+
+log = Log("rental")
+# Returns of machines are gathered for this long.
+GATHER = timedelta(seconds=2)
+
+
+class Returns:
+    """Gives machines of all parts back to the cloud."""
+
+    def __init__(self, shared: Shared, cloud: Cloud):
+        self._shared, self._cloud = shared, cloud
+        # When machines of each part were last given back.
+        self._returned: dict[str, datetime] = {}
+
+    async def give_back(
+        self,
+        runtime: PartRuntime,
+        now: datetime,
+        model: Job | None,
+        surplus: int,
+        still: Still,
+    ) -> None:
+        """`model`: the service that warm room is kept for, of which `surplus` places may go.
+        `still`: whether the part is still ours when the call goes out."""
+        names = self._faulty(runtime) + self._unneeded(runtime, now, model, surplus)
+        if not names or not self._is_worth_a_call(runtime, names, now):
+            return
+        names = names[:MAX_NAMES]
+        self._returned[runtime.part] = now
+        for name in names:
+            # Marked before the call: nothing is started on it while the answer is out.
+            if runtime.machines[name].draining is None:
+                runtime.machines[name].draining = "returned"
+        names = [name for name in names if name not in runtime.by_machine()]
+        if not names:
+            return
+        await self._cloud.delete(names, still=still)
+        log.info("returned", part=runtime.part, count=len(names), machines=",".join(names))
+        for name in names:
+            runtime.gone(name, "deleted")
+
+    def _is_worth_a_call(self, runtime: PartRuntime, names: list[str], now: datetime) -> bool:
+        """A few at a time would take a call each."""
+        last = self._returned.get(runtime.part, clock.ORIGIN)
+        return len(names) >= MAX_NAMES // 4 or now - last >= GATHER
+
+    def _faulty(self, runtime: PartRuntime) -> list[str]:
+        """Machines that are being drained and hold nothing any more; those on which the tasks of
+        several jobs failed are drained from here on."""
+        names = []
+        for machine in runtime.machines.values():
+            failed = len(machine.failures) >= self._shared.operator.error_limit
+            if failed and machine.draining is None:
+                machine.draining = "sick"
+                log.info("sick", part=runtime.part, machine=machine.id)
+            if machine.draining is not None and not _is_busy(runtime, machine):
+                names.append(machine.id)
+        return names
+
+    def _unneeded(
+        self, runtime: PartRuntime, now: datetime, model: Job | None, surplus: int
+    ) -> list[str]:
+        """Machines that have been empty for long enough, as far as warm room and gangs that wait
+        don't need them."""
+        idle = [
+            (machine.id, machine.empty_since, self._warm_places(runtime, machine, model))
+            for machine in runtime.machines.values()
+            if machine.draining is None
+            and machine.ours
+            and machine.empty_since is not None
+            and machine.recall_at is None
+            and not _is_busy(runtime, machine)
+        ]
+        idle.sort(key=lambda row: row[1])
+        kept = self._kept_for_gangs(runtime, [name for name, _, _ in idle])
+        free = [row for row in idle if row[0] not in kept]
+        return policy.to_return(free, now, self._shared.operator.idle_return, surplus)
+
+    def _warm_places(self, runtime: PartRuntime, machine: Machine, model: Job | None) -> int:
+        """How many places of warm room an empty machine is."""
+        if model is None or not placing.allowed(
+            model, machine.machine_type, machine.zone, machine.spot
+        ):
+            return 0
+        return self._places(runtime, machine, model)
+
+    def _places(self, runtime: PartRuntime, machine: Machine, job: Job) -> int:
+        """How many of a job's tasks an empty machine takes."""
+        machine_type = self._shared.machine_types.get(machine.machine_type)
+        if machine_type is None:
+            return 0
+        option = policy.Option(machine_type, machine.spot, 0.0)
+        return policy.empty_room("", option, runtime.part).count(job.spec.need)
+
+    def _kept_for_gangs(self, runtime: PartRuntime, idle: list[str]) -> set[str]:
+        """Empty machines that a waiting gang needs: it begins when the last one is up, and those
+        that came up before would be returned meanwhile, again and again."""
+        kept: set[str] = set()
+        for item in runtime.left:
+            places = item.count if item.job.spec.gang else 0
+            for name in idle:
+                if places <= 0:
+                    break
+                machine = runtime.machines[name]
+                if machine.machine_type not in self._shared.machine_types or not placing.allowed(
+                    item.job, machine.machine_type, machine.zone, machine.spot
+                ):
+                    continue
+                places -= self._places(runtime, machine, item.job)
+                kept.add(name)
+        return kept
+
+
+def _is_busy(runtime: PartRuntime, machine: Machine) -> bool:
+    """Whether a machine holds work, or may, or is being deleted."""
+    return bool(
+        machine.id in runtime.by_machine()
+        or machine.foreign
+        or machine.id in runtime.in_flight
+        or machine.fencing
+    )
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -18,7 +18,6 @@
 from roadbend.rental import policy
 from roadbend.rental.cloud import (
     MAX_HIRED,
-    MAX_NAMES,
     Cloud,
     CloudBusyError,
     Listed,
@@ -26,6 +25,8 @@
     Still,
     read_machine_types,
 )
+from roadbend.rental.returns import Returns
+from roadbend.rental.warm_room import WarmRoom
 from roadbend.retry import Backoff, drawn
 from roadbend.store import keys
 from roadbend.store.client import ConflictError, LeaseEndedError, UnavailableError, commit, put
@@ -33,8 +34,6 @@
 
 log = Log("rental")
 ROUND = timedelta(milliseconds=900)
-# Returns of machines are gathered for this long.
-GATHER = timedelta(seconds=2)
 # Requests to rent machines of one type and kind in a round; after these the queue is looked at
 # anew.
 MAX_REQUESTS = 8
@@ -77,7 +76,8 @@
         self._boots: dict[str, dict[str, Boot]] = {}
         self._names = 0
         self._first_listed: dict[str, datetime] = {}
-        self._returned: dict[str, datetime] = {}
+        self._warm_room = WarmRoom(shared)
+        self._returns = Returns(shared, cloud)
 
     # The catalog and the list, once a controller.
 
@@ -231,8 +231,8 @@
         want = (
             policy.wanted(queue, lines, choices, part, operator.boot_factor, most) if queue else {}
         )
-        model, keep = self._warm(part)
-        have = self._warm_now(runtime, model, fresh) if model is not None else 0
+        model, keep = self._warm_room.wanted(part)
+        have = self._warm_room.available(runtime, model, fresh) if model is not None else 0
         if model is not None and have < keep:
             dear = policy.expensive_machine_types(
                 model, self._shared.machine_types.values(), operator.dear, part
@@ -258,7 +258,7 @@
         boots = self._boots.setdefault(part, {})
         for (machine_type, spot), count in want.items():
             await self._rent_all(runtime, machine_type, spot, count)
-        await self._give_back(runtime, now, model, surplus)
+        await self._returns.give_back(runtime, now, model, surplus, self._still(runtime))
         late = []
         for boot in list(boots.values()):
             machine_type = self._shared.machine_types.get(boot.machine_type)
@@ -282,66 +282,6 @@
                 boots.pop(name, None)
                 runtime.gone(name, "deleted")
 
-    def _warm(self, part: str) -> tuple[Job | None, int]:
-        """The service to keep room for, and how many places of this part: for classes whose aim is
-        a start sooner than a machine boots, as many as measured arrivals justify."""
-        operator, wall = self._shared.operator, clock.wall()
-        arrivals: list[int] = []
-        model = None
-        boot = max(
-            (machine_type.startup for machine_type in self._shared.machine_types.values()),
-            default=clock.ZERO,
-        )
-        for job in self._shared.view.jobs.values():
-            within = self._shared.start_within(job.spec)
-            # Boots take up to half as long again as they nominally do.
-            if within is None or within > boot * 1.5 or not job.spec.service:
-                continue
-            if model is None or job.at > model.at:
-                model = job
-            if wall - job.at < operator.spare_window:
-                arrivals.append(job.spec.task_count)
-        if model is None:
-            return None, 0
-        # Only parts that can host it cheaply keep room for it.
-        machine_types = self._shared.machine_types
-        zones = {zone for machine_type in machine_types.values() for zone in machine_type.zones}
-        dear = {
-            zone: policy.expensive_machine_types(model, machine_types.values(), operator.dear, zone)
-            for zone in zones
-        }
-        hosts = {
-            zone
-            for name, machine_type in machine_types.items()
-            for zone in machine_type.zones
-            if name not in dear[zone]
-        }
-        if part not in hosts:
-            return None, 0
-        parts = len(hosts)
-        return model, policy.warm_places(
-            arrivals, boot * operator.boot_factor, operator.spare_window, parts, operator.spare_most
-        )
-
-    def _warm_now(self, runtime: PartRuntime, model: Job, fresh: list[placing.Room]) -> int:
-        """Places that are free, or that work which may be stopped for it holds."""
-        index, have = runtime.by_machine(), 0
-        dear = policy.expensive_machine_types(
-            model, self._shared.machine_types.values(), self._shared.operator.dear, runtime.part
-        )
-        for room in runtime.rooms() + [replace(room) for room in fresh]:
-            if (
-                not placing.allowed(model, room.machine_type, room.zone, room.spot)
-                or room.machine_type in dear
-            ):
-                continue
-            for key, (work, _) in index.get(room.id, {}).items():
-                job = self._shared.view.jobs.get(key[0])
-                if job is None or job.spec.priority < model.spec.priority:
-                    room.give(work.need)
-            have += room.count(model.spec.need)
-        return have - sum(item.count for item in runtime.queue.pending() if item.job.spec.service)
-
     def _timed(self, runtime: PartRuntime, queue: list[placing.Pending]) -> list[policy.Timing]:
         out, wall, operator = [], clock.wall(), self._shared.operator
         boot = max(
@@ -454,75 +394,3 @@
         log.info(
             "refused", part=key[0], machine_type=key[1], spot=key[2], pause=pause.total_seconds()
         )
-
-    def _kept_for_gangs(self, runtime: PartRuntime, idle: list[str]) -> set[str]:
-        """Empty machines that a waiting gang needs: it begins when the last one is up, and those
-        that came up before would be returned meanwhile, again and again."""
-        kept: set[str] = set()
-        for item in runtime.left:
-            places = item.count if item.job.spec.gang else 0
-            for name in idle:
-                if places <= 0:
-                    break
-                machine = runtime.machines[name]
-                machine_type = self._shared.machine_types.get(machine.machine_type)
-                if machine_type is None or not placing.allowed(
-                    item.job, machine.machine_type, machine.zone, machine.spot
-                ):
-                    continue
-                option = policy.Option(machine_type, machine.spot, 0.0)
-                places -= policy.empty_room("", option, runtime.part).count(item.job.spec.need)
-                kept.add(name)
-        return kept
-
-    async def _give_back(
-        self, runtime: PartRuntime, now: datetime, model: Job | None, surplus: int
-    ) -> None:
-        operator = self._shared.operator
-        index = runtime.by_machine()
-        idle, sick = [], []
-        for machine in runtime.machines.values():
-            busy = machine.id in index or machine.foreign or machine.id in runtime.in_flight
-            if len(machine.failures) >= operator.error_limit and machine.draining is None:
-                machine.draining = "sick"
-                log.info("sick", part=runtime.part, machine=machine.id)
-            if busy or machine.fencing:
-                continue
-            if machine.draining is not None:
-                sick.append(machine.id)
-            elif machine.ours and machine.empty_since is not None and machine.recall_at is None:
-                places = 0
-                machine_type = self._shared.machine_types.get(machine.machine_type)
-                if model is not None and machine_type is not None:
-                    if placing.allowed(model, machine.machine_type, machine.zone, machine.spot):
-                        option = policy.Option(machine_type, machine.spot, 0.0)
-                        places = policy.empty_room("", option, runtime.part).count(model.spec.need)
-                idle.append((machine.id, machine.empty_since, places))
-        kept = self._kept_for_gangs(
-            runtime, [name for name, _, _ in sorted(idle, key=lambda row: row[1])]
-        )
-        back = policy.to_return(
-            [row for row in idle if row[0] not in kept], now, operator.idle_return, surplus
-        )
-        names = sick + back
-        if (
-            not names
-            or len(names) < MAX_NAMES // 4
-            and now - self._returned.get(runtime.part, clock.ORIGIN) < GATHER
-        ):
-            # A few at a time would take a call each.
-            return
-        names = names[:MAX_NAMES]
-        self._returned[runtime.part] = now
-        for name in names:
-            # Marked before the call: nothing is started on it while the answer is out.
-            if runtime.machines[name].draining is None:
-                runtime.machines[name].draining = "returned"
-        if any(name in runtime.by_machine() for name in names):
-            names = [name for name in names if name not in runtime.by_machine()]
-        if not names:
-            return
-        await self._cloud.delete(names, still=self._still(runtime))
-        log.info("returned", part=runtime.part, count=len(names), machines=",".join(names))
-        for name in names:
-            runtime.gone(name, "deleted")
