--- a/roadbend/node.py
+++ b/roadbend/node.py
@@ -11,7 +11,7 @@
 from roadbend.bidding.exchange import Exchange
 from roadbend.fleet.service import Fleet
 from roadbend.http.client import Client
-from roadbend.http.net import Net
+from roadbend.http.net import BACKLOG, Net
 from roadbend.http.server import Request, Response, Server
 from roadbend.intake.limit import Limit
 from roadbend.intake.users import Users
@@ -89,7 +89,7 @@
         # Workers' connections are kept from storms of users, until a living worker would have
         # reported twice.
         stale = 2.5 * settings.report_every + timedelta(seconds=4)
-        served = max(64, settings.sockets - OWN_SOCKETS)
+        served = max(64, settings.sockets - OWN_SOCKETS - BACKLOG)
         self.server = Server(
             self.handle,
             served,
