--- a/roadbend/http/net.py
+++ b/roadbend/http/net.py
@@ -8,8 +8,8 @@
 from roadbend.log import Log
 
 log = Log("http")
-# Connections that wait to be accepted; they take sockets, too. Whoever finds no place tries the next
-# controller, and a longer queue would be of clients that have given up.
+# Connections that wait to be accepted; they take sockets, too. Whoever finds no place tries the
+# next controller, and a longer queue would be of clients that have given up.
 BACKLOG = 128
 # Connections accepted before other tasks have their turn, and the pause after the system had no
 # sockets left.
