Rehearsal of a cold restart: scenario, measurement, verdict; fakes that lose writes

Need: before recovery is built, what a restart of all controllers costs today must be measured from outside. Change: roadbend/rehearsal with typed scenarios, actions and verdicts; the fakes count the orders that reach workers and work out the true differences without the product's code; the fake state service can lose its newest writes. The product is untouched.

--- a/roadbend/fakes/cloud.py
+++ b/roadbend/fakes/cloud.py
@@ -51,6 +51,7 @@
         # Zones in which there is no machine to be had.
         self.closed_zones: set[str] = set()
         self.names: list[str] = []
+        self.requests = 0
         # How long a boot takes, whatever the type says; None: as the type says.
         self.boot_seconds: float | None = None
 
@@ -81,6 +82,7 @@
         machine.scope.cancel()
 
     async def handle(self, request: Request, host: str = "") -> Response:
+        self.requests += 1
         await trio.sleep(0.05)
         if self.down:
             return Response(503, {"error": "trouble"})
--- a/roadbend/fakes/state.py
+++ b/roadbend/fakes/state.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
@@ -10,6 +11,15 @@
 from roadbend.http.server import MalformedError, Request, Response, decode
 
 
+@dataclass(frozen=True)
+class StoredCopy:
+    """What the service held at one instant."""
+
+    keys: dict[str, tuple[Any, int, int | None]]
+    revision: int
+    log: list[tuple[str, dict]]
+
+
 class FakeStateService:
     """The state service in memory."""
 
@@ -187,6 +197,18 @@
                 self.log.append((row["delete"], {"delete": row["delete"], "stamp": self.revision}))
         return Response(200, {"ledger": self.revision})
 
+    def copy_records(self) -> "StoredCopy":
+        """The records as they are, for `restore_records`."""
+        return StoredCopy(dict(self.keys), self.revision, list(self.log))
+
+    def restore_records(self, copy: "StoredCopy") -> None:
+        """The service lost everything written since, as after a restore from a copy; what hung on
+        a lease that has ended meanwhile is gone all the same."""
+        self.revision, self.log = copy.revision, list(copy.log)
+        self.keys = {
+            key: row for key, row in copy.keys.items() if row[2] is None or row[2] in self.leases
+        }
+
     def value(self, key: str) -> Any:
         return self.keys[key][0] if key in self.keys else None
 
--- a/roadbend/fakes/worker.py
+++ b/roadbend/fakes/worker.py
@@ -27,6 +27,18 @@
     over: bool = False
 
 
+@dataclass(frozen=True)
+class ReceivedOrder:
+    """An order that reached a worker, and whether it changed anything there."""
+
+    at: float
+    machine: str
+    verb: str
+    task: str
+    attempt: int
+    effective: bool
+
+
 @dataclass
 class Board:
     """What all workers together show, and the judge who sees it."""
@@ -42,6 +54,8 @@
     # machines.
     gangs: dict[tuple[str, int], Gang] = field(default_factory=dict)
     progress: dict[str, float] = field(default_factory=dict)
+    # Every order that was carried out or found nothing to do, in the order of arrival.
+    received: list[ReceivedOrder] = field(default_factory=list)
 
     def body(self, job: str) -> dict:
         case = self.rules.cases.get(job) if self.rules is not None else None
@@ -334,6 +348,7 @@
             self.orders.append(order)
             key = (order["leg"], order["try"])
             task = self.tasks.get(key)
+            self._note_received(order, task)
             if order["verb"] == "run" and task is None:
                 self._board.order(order["leg"], self.machine)
                 task = self.tasks[key] = _Task(*key, hangs=lambda: self.hung)
@@ -345,6 +360,22 @@
                 del self.tasks[key]
                 self._changed.set()
 
+    def _note_received(self, order: dict, task: _Task | None) -> None:
+        effective = {
+            "run": task is None,
+            "kill": task is not None and task.state != "ended",
+            "forget": task is not None and task.state == "ended",
+        }[order["verb"]]
+        received = ReceivedOrder(
+            trio.current_time(),
+            self.machine,
+            order["verb"],
+            order["leg"],
+            order["try"],
+            effective,
+        )
+        self._board.received.append(received)
+
     def take(self, answer: dict, sent: float, session: int) -> bool:
         """A 200: its token and session decide whether it counts."""
         if (
--- a/roadbend/fakes/world.py
+++ b/roadbend/fakes/world.py
@@ -76,8 +76,11 @@
         capacity: int,
         changes: dict,
         caches_images: bool = False,
+        equip: Callable[[Node], None] | None = None,
     ):
         self._caches_images = caches_images
+        # Switches on what a controller of today's version has beside its core.
+        self._equip = equip
         self.nursery, self.count, self.operator, self._changes = nursery, count, operator, changes
         self.network = Network(nursery)
         self.stalls = Stalls()
@@ -195,6 +198,8 @@
         node = make(
             settings, self.operator, self.network.port(name), random.Random(self._boots), boot
         )
+        if self._equip is not None and not previous_version:
+            self._equip(node)
         scope = trio.CancelScope()
         self.nodes[name], self._scopes[name] = node, scope
 
@@ -274,12 +279,16 @@
     previous_version: bool = False,
     judge: Callable[[list[str]], None] | None = None,
     caches_images: bool = False,
+    equip: Callable[[Node], None] | None = None,
     **changes,
 ) -> AsyncIterator[World]:
     """`judge` gets the broken rules at the end; without it, one broken rule fails. With
-    `caches_images` a task whose image is on its machine begins at once."""
+    `caches_images` a task whose image is on its machine begins at once. `equip` is called with
+    every controller of today's version before it starts."""
     async with trio.open_nursery() as nursery:
-        made = World(nursery, count, operator or Operator(), capacity, changes, caches_images)
+        made = World(
+            nursery, count, operator or Operator(), capacity, changes, caches_images, equip
+        )
         for at in range(count):
             made.start(at, previous_version)
         assert await made.settled()
--- /dev/null
+++ b/roadbend/rehearsal/report.py
@@ -0,0 +1,60 @@
+"""What a rehearsal shows, as text for a duty officer and as JSON."""
+
+import json
+from dataclasses import asdict, dataclass
+
+from roadbend.rehearsal.measurement import Measured
+from roadbend.rehearsal.verdict import Verdict
+
+
+@dataclass(frozen=True)
+class Report:
+    """The outcome of one rehearsal. All times are simulated."""
+
+    scenario: str
+    summary: str
+    seed: int
+    workers: int
+    recovery: bool
+    events: tuple[tuple[float, str], ...]
+    measured: Measured
+    verdict: Verdict
+
+    def text(self) -> str:
+        """A page that can be read without knowing the code."""
+        measured = self.measured
+        lines = [
+            f"Rehearsal {self.scenario}, seed {self.seed}, {self.workers} workers, "
+            f"recovery {'on' if self.recovery else 'off'} (all times simulated)",
+            self.summary,
+            "",
+            "What happened",
+            *(f"  {at:7.1f} s  {event}" for at, event in self.events),
+            "",
+            "What was found",
+            *(
+                f"  {'pass' if finding.passed else 'FAIL'}  {finding.check}: {finding.detail}"
+                for finding in self.verdict.findings
+            ),
+            "",
+            "Figures",
+            f"  machines {measured.machines}, attempts that matched {measured.matching}, "
+            f"differences {sum(measured.differences.values())}",
+            f"  unrecorded attempts kept {measured.unrecorded_kept}, "
+            f"stopped {measured.unrecorded_stopped}",
+            f"  orders repeated: {_pairs(measured.repeated)}",
+            f"  state service: {measured.state_requests} requests, "
+            f"{measured.state_changes} changes; cloud: {measured.cloud_requests} requests, "
+            f"{measured.rented} of them to rent",
+            "",
+            f"Verdict: {'PASS' if self.verdict.passed else 'FAIL'}",
+        ]
+        return "\n".join(lines)
+
+    def as_json(self) -> str:
+        """The same for programs."""
+        return json.dumps({**asdict(self), "passed": self.verdict.passed}, indent=2, sort_keys=True)
+
+
+def _pairs(counts: dict[str, int]) -> str:
+    return ", ".join(f"{name} {count}" for name, count in counts.items())
