Recovery: records and reports compared and settled after a restart of all controllers

Cause, measured on the untouched sources with 200 fake workers: cancelled work got every kill twice (56 to 66 of 151 to 194 orders too many), a lost term had 48 to 84 running tasks end with their leases and begin again, and lost writes had tasks started beside the unrecorded ones (ran_twice) or stopped and begun again. The core asks null objects where it is off.

--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -225,6 +225,8 @@
             job = view.jobs.get(name)
             if job is None or not job.free or name in self._shared.cancelled:
                 return
+            if self._shared.recovery.holds_back(name):
+                return
             waited = max(clock.ZERO, clock.wall() - job.at)
             ask = Ask(
                 name, len(self._peers.links) + 1, ranges.size(job.free), job.spec, waited=waited
--- a/roadbend/cli.py
+++ b/roadbend/cli.py
@@ -1,15 +1,30 @@
 """The command line. Exit status: 0 all well, 2 bad arguments or settings."""
 
+from __future__ import annotations
+
 import argparse
 import gc
+import importlib
 import os
 import random
 import sys
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
 from roadbend import __version__, log
 from roadbend.settings import Operator, Settings, SettingsError, load
 
+if TYPE_CHECKING:
+    from roadbend.node import Node
+
+    # Switches something on in a controller that has not started yet.
+    Extension = Callable[[Node], Any]
+
+# Commands of operators beside starting a controller: the module has a `main(argv)`, and is imported
+# only when it is asked for.
+SUBCOMMANDS = {"recovery": "roadbend.recovery.commands"}
 OPERATOR_FILE = Path(__file__).resolve().parent.parent / "deploy" / "roadbend.sexp"
 
 
@@ -26,6 +41,12 @@
         default=OPERATOR_FILE,
         help="operators' own settings (S-expressions); a missing file means the defaults",
     )
+    out.add_argument(
+        "--recovery", type=Path, help="switches recovery on: its settings (deploy/recovery.sexp)"
+    )
+    out.add_argument(
+        "--tracing", type=Path, help="switches tracing on: its settings (deploy/tracing.sexp)"
+    )
     out.add_argument(
         "--check", action="store_true", help="check the settings and end without starting"
     )
@@ -39,6 +60,10 @@
 
 
 def main(argv: list[str] | None = None) -> int:
+    """Starts a controller, or carries out a subcommand; gives the exit status."""
+    argv = sys.argv[1:] if argv is None else argv
+    if argv and argv[0] in SUBCOMMANDS:
+        return importlib.import_module(SUBCOMMANDS[argv[0]]).main(argv[1:])
     arguments = parser().parse_args(argv)
     if arguments.compile:
         _import_controller()
@@ -47,6 +72,7 @@
         parser().error("the following arguments are required: --config")
     try:
         settings, operator = load(arguments.config, arguments.operator)
+        extensions = load_extensions(arguments.recovery, arguments.tracing)
     except SettingsError as error:
         print(f"roadbend: {error}", file=sys.stderr)
         return 2
@@ -54,17 +80,27 @@
         print("settings are good")
         return 0
     log.setup()
-    _run(settings, operator)
+    _run(settings, operator, extensions)
     return 0
 
 
+def load_extensions(recovery: Path | None, tracing: Path | None) -> list[Extension]:
+    """What is switched on beside the core. What is off is not imported."""
+    extensions: list[Extension] = []
+    if recovery is not None:
+        from roadbend.recovery import service, settings
+
+        extensions.append(partial(service.install, settings=settings.load(recovery)))
+    return extensions
+
+
 def _import_controller() -> None:
     """Imported late: checking settings and printing help need none of it."""
     import roadbend.http.net
     import roadbend.node  # noqa: F401
 
 
-def _run(settings: Settings, operator: Operator) -> None:
+def _run(settings: Settings, operator: Operator, extensions: list[Extension]) -> None:
     import trio
 
     from roadbend.http.net import Net
@@ -77,6 +113,9 @@
     gc.enable()
 
     async def start() -> None:
-        await Node(settings, operator, Net(), random.Random(os.urandom(16))).run()
+        node = Node(settings, operator, Net(), random.Random(os.urandom(16)))
+        for install in extensions:
+            install(node)
+        await node.run()
 
     trio.run(start)
--- a/roadbend/fleet/commands.py
+++ b/roadbend/fleet/commands.py
@@ -180,7 +180,7 @@
                         mark = (runtime.tenure.term, key, stop.attempt, stop.grace)
                         if now - sent.get(mark, clock.ORIGIN) < KILL_EVERY:
                             continue
-                        if stop.machine in self._stopping:
+                        if stop.machine in self._stopping or runtime.recovery.spaces_out(stop, now):
                             continue
                         if stop.machine in runtime.machines:
                             sent[mark] = now
--- a/roadbend/fleet/listing.py
+++ b/roadbend/fleet/listing.py
@@ -11,12 +11,15 @@
 
     def __init__(self) -> None:
         self.rows: dict[str, Listed] = {}
+        # How often a list was read.
+        self.reads = 0
         # In the order in which they were first listed.
         self._was_listed: dict[str, None] = {}
 
     def take(self, rows: list[Listed]) -> None:
         """A list was read anew."""
         self.rows = {row.id: row for row in rows}
+        self.reads += 1
         self._was_listed.update(dict.fromkeys(self.rows))
         self._forget_oldest(len(self._was_listed) - len(self.rows) - MAX_REMEMBERED)
 
--- a/roadbend/fleet/machines.py
+++ b/roadbend/fleet/machines.py
@@ -145,3 +145,5 @@
     why: str
     since: datetime
     machine: str
+    # When the answer to a report last carried the kill.
+    told_at: datetime | None = None
--- a/roadbend/fleet/reading.py
+++ b/roadbend/fleet/reading.py
@@ -36,6 +36,8 @@
     may_start: bool
     # The attempt of a task that the part's records name on any machine.
     recorded_attempt: Callable[[Key], Attempt | None]
+    # Whether a task that no record names is left alone for now.
+    keeps_unrecorded: Callable[[TaskReport], bool] = lambda task: False
 
 
 def read(
@@ -56,7 +58,9 @@
         key = Key(task.job, task.task_index)
         entry = recorded.get(key)
         if entry is None or entry[1].number != task.attempt:
-            orders.append(_order_for_unrecorded(machine, task, expected))
+            order = _order_for_unrecorded(machine, task, expected)
+            if order is not None:
+                orders.append(order)
             continue
         seen[key] = _see(machine, task, now)
         if task.state == "ended":
@@ -68,6 +72,7 @@
         stop = stops.get(key)
         if stop is not None and stop.attempt == task.attempt:
             orders.append(_kill(task, stop, now - seen[key].since))
+            stop.told_at = now
     for key, (work, attempt) in recorded.items():
         if key in seen or key in ended:
             # An attempt that is proven gone is not ordered again, though the records name it yet.
@@ -96,9 +101,12 @@
     return held and key not in expected.stops and not leaving
 
 
-def _order_for_unrecorded(machine: Machine, task: TaskReport, expected: Expected) -> dict:
+def _order_for_unrecorded(machine: Machine, task: TaskReport, expected: Expected) -> dict | None:
     """A task that is not in the records (any more): its end has been recorded, or it never should
-    have been."""
+    have been, or the records have lost it."""
+    if expected.keeps_unrecorded(task):
+        machine.foreign += 1
+        return None
     if task.state == "ended":
         return messages.forget(task.job, task.task_index, task.attempt)
     machine.foreign += 1
--- a/roadbend/intake/users.py
+++ b/roadbend/intake/users.py
@@ -148,6 +148,9 @@
             messages.can_run(spec, shared.settings.teams, shared.machine_types)
         except NeverRunsError as error:
             return await self._refuse(name, 422, str(error))
+        if name in shared.view.unrecorded:
+            # Machines run it though no record names it; it is accepted once they have stopped.
+            return self._later("being recovered")
         job = Job(name, spec, clock.wall())
         value = job.to_value()
         if records.weigh(value) > shared.settings.value_bytes * LARGEST:
@@ -160,7 +163,7 @@
         rows = [put(keys.job_key(name), value)]
         if spec.gang:
             rows.insert(0, put(keys.gang_key(name), 1))
-        when = {keys.job_key(name): 0, keys.fin_key(name): 0}
+        when = {keys.job_key(name): 0, keys.fin_key(name): 0, keys.unrecorded_key(name): 0}
         try:
             revision = await commit(shared.state, when, rows, within=timedelta(seconds=2.5))
         except ConflictError:
@@ -169,6 +172,8 @@
                 await shared.reader.sync()
                 if name in shared.view.jobs:
                     self._submit(name)
+                elif name in shared.view.unrecorded:
+                    return self._later("being recovered")
                 return await self._state(name, 200)
             return self._later("no state")
         shared.view.applied(rows, revision)
--- a/roadbend/node.py
+++ b/roadbend/node.py
@@ -3,6 +3,7 @@
 import random
 import secrets
 from collections import OrderedDict
+from collections.abc import Awaitable, Callable
 from datetime import datetime, timedelta
 
 import trio
@@ -100,6 +101,8 @@
         self.peers.handlers[frames.PING] = self._on_ping
         self.view.watchers.append(self._on_record)
         self.ownership.changed.append(self._on_ownership)
+        # What else runs as long as the controller does, such as recovery where it is switched on.
+        self.background: list[Callable[[], Awaitable[None]]] = []
         self._nursery: trio.Nursery | None = None
 
     # Routes.
@@ -243,6 +246,7 @@
             return
         runtime = PartRuntime(self.shared, tenure)
         runtime.order_now = self.fleet.commands.order_now
+        runtime.recovery = self.shared.recovery.for_part(runtime)
         self.runtimes[part] = runtime
         if self._nursery is not None:
             self._nursery.start_soon(runtime.run)
@@ -314,4 +318,6 @@
             nursery.start_soon(self.exchange.run_reoffer)
             for _ in range(4):
                 nursery.start_soon(self.exchange.run_worker)
+            for run in self.background:
+                nursery.start_soon(run)
             task_status.started()
--- a/roadbend/parts/ownership.py
+++ b/roadbend/parts/ownership.py
@@ -73,6 +73,8 @@
         self._absent: dict[str, datetime] = {}
         self._alive_since: dict[str, datetime] = {}
         self._declining_until: dict[str, datetime] = {}
+        # Terms that machines have seen and the records have lost, by part.
+        self._lost_terms: dict[str, int] = {}
         self.tenures: dict[str, Tenure] = {}
         self.changed: list[Callable[[str], None]] = []
 
@@ -125,6 +127,11 @@
         log.info("stepped-down", part=part, term=mine.term, higher=term)
         self._tell(part)
 
+    def raise_above(self, part: str, term: int) -> None:
+        """Machines have seen a term that the records have lost: as long as ours is not above it
+        they refuse our answers. The part is taken again under a higher one."""
+        self._lost_terms[part] = max(term, self._lost_terms.get(part, 0))
+
     def on_record(self, key: str) -> None:
         if key.startswith("r/term/"):
             for part, term in list(self._view.terms.items()):
@@ -249,6 +256,9 @@
                 await self._take(part, own.mod_revision, now)
             elif own.node == me and mine is None:
                 await self._release(part)
+            elif mine is not None and own.node == me and self._lost_terms.get(part, 0) >= mine.term:
+                log.info("term-lost", part=part, term=mine.term, seen=self._lost_terms[part])
+                await self._take(part, own.mod_revision, now)
             elif mine is not None and own.node != me:
                 self._forget(part, "held by another")
             elif mine is not None:
@@ -267,7 +277,7 @@
 
     async def _take(self, part: str, own_mod_revision: int, now: datetime) -> None:
         old = self._view.terms.get(part)
-        number = (old.number if old else 0) + 1
+        number = max(old.number if old else 0, self._lost_terms.get(part, 0)) + 1
         me = self._settings.name
         rows = [
             put(keys.term_key(part), {"n": number, "node": me}),
--- a/roadbend/placement/queue.py
+++ b/roadbend/placement/queue.py
@@ -95,7 +95,10 @@
         return self.pending()
 
     def unplaced(self, job: Job) -> Ranges:
-        """Tasks of a job that this part holds and has not placed."""
+        """Tasks of a job that this part holds, has not placed, and may place."""
+        return self._runtime.recovery.placeable(job, self._not_placed(job))
+
+    def _not_placed(self, job: Job) -> Ranges:
         runtime = self._runtime
         work = runtime.works().get(job.id)
         if work is None:
--- /dev/null
+++ b/roadbend/placement/recovery_hooks.py
@@ -0,0 +1,61 @@
+"""What owners and controllers ask before they act on records that may not match the machines yet.
+
+The classes here hold nothing back: they stand in where recovery (`roadbend.recovery`) is switched
+off, so that the core has no condition on it and imports none of it."""
+
+from __future__ import annotations
+
+from datetime import datetime
+from typing import TYPE_CHECKING
+
+from roadbend.store.ranges import Ranges
+from roadbend.store.records import Job
+
+if TYPE_CHECKING:
+    from roadbend.fleet.machines import Machine, Stop
+    from roadbend.fleet.messages import Report, TaskReport
+    from roadbend.placement.batch import Batch
+    from roadbend.placement.runtime import PartRuntime
+
+
+class PartRecovery:
+    """Questions about one part, for one term."""
+
+    def keeps_unrecorded(self, machine: Machine, task: TaskReport, now: datetime) -> bool:
+        """Whether a task that no record names is left alone for now."""
+        return False
+
+    def placeable(self, job: Job, tasks: Ranges) -> Ranges:
+        """Those of a job's unplaced tasks that may be given a machine now."""
+        return tasks
+
+    def knows_machines(self) -> bool:
+        """Whether the part's machines are known well enough to rent more in advance."""
+        return True
+
+    def spaces_out(self, stop: Stop, now: datetime) -> bool:
+        """Whether a direct kill may wait, since the answer to a report has just carried it."""
+        return False
+
+    def note_report(self, machine: Machine, report: Report, now: datetime) -> None:
+        """A report was taken in and read."""
+
+    def note_term_in_use(self, machine: str, term: int) -> None:
+        """A machine that we have not answered has seen a term that is ours or higher."""
+
+    def adopt(self, batch: Batch, now: datetime) -> bool:
+        """Puts unrecorded attempts that are to be kept into the transaction; says whether some are
+        left for the next one."""
+        return False
+
+
+class Recovery:
+    """Questions about a whole controller."""
+
+    def for_part(self, runtime: PartRuntime) -> PartRecovery:
+        """What answers for a part that this controller has just taken."""
+        return PartRecovery()
+
+    def holds_back(self, job: str) -> bool:
+        """Whether a job that nobody holds is not offered for now."""
+        return False
--- a/roadbend/placement/reports.py
+++ b/roadbend/placement/reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import datetime, timedelta
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import trio
@@ -82,11 +83,15 @@
             fresh = machine is None
             if report.token >> records.INCARNATION_BITS > runtime.tenure.term:
                 # It follows a newer owner; our answer would be dropped.
+                term = report.token >> records.INCARNATION_BITS
+                runtime.recovery.note_term_in_use(report.machine, term)
                 return None
             if machine is None:
                 if report.token >> records.INCARNATION_BITS == runtime.tenure.term:
                     # Only machines that we answered in this term carry its token, and we know them
-                    # all until they are deleted: a late copy from a machine that is no more.
+                    # all until they are deleted: a late copy from a machine that is no more; or
+                    # the records have lost a term, and ours was another owner's before.
+                    runtime.recovery.note_term_in_use(report.machine, runtime.tenure.term)
                     return None
                 machine = Machine(
                     report.machine, report.address, report.machine_type, report.zone, report.spot
@@ -154,6 +159,8 @@
             not orders
             and machine.ours
             and machine.recall_at is None
+            # What no record names is judged anew with every report.
+            and machine.foreign == 0
             and machine.tasks.keys() == recorded.keys()
         )
         if still and not any(key in runtime.ended for key in recorded):
@@ -179,8 +186,10 @@
             runtime.ended,
             may_start,
             runtime.recorded_attempt,
+            partial(runtime.recovery.keeps_unrecorded, machine, now=now),
         )
         orders = reading.read(machine, report, self.token(machine), expected, now)
+        runtime.recovery.note_report(machine, report, now)
         self._learn(machine, recorded, now)
         return orders
 
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -21,6 +21,7 @@
 from roadbend.placement.layouts import Layouts
 from roadbend.placement.policy import Pending, Room
 from roadbend.placement.queue import Queue
+from roadbend.placement.recovery_hooks import PartRecovery
 from roadbend.placement.reports import Reports
 from roadbend.placement.shared import Shared
 from roadbend.store import keys, records
@@ -105,6 +106,8 @@
         # large.
         self.most_rows: int | None = None
         self.reserved_at: dict[str, datetime] = {}
+        # Asked before the records are acted on; answers otherwise where recovery is switched on.
+        self.recovery = PartRecovery()
 
     # Looking at the records.
 
@@ -255,6 +258,7 @@
                 self.shared.view, self.part, self.tenure, self.shared.settings, self.most_rows
             )
             more = ends.record_ends(self, batch, now)
+            more = self.recovery.adopt(batch, now) or more
             more = starts.start(self, batch, now) or more
             team_limits.reserve(self, batch, now)
             self._step_took = clock.now() - now
--- a/roadbend/placement/shared.py
+++ b/roadbend/placement/shared.py
@@ -8,6 +8,7 @@
 from roadbend import clock
 from roadbend.parts.ownership import Ownership
 from roadbend.placement import policy
+from roadbend.placement.recovery_hooks import Recovery
 from roadbend.rental.cloud import MachineType
 from roadbend.settings import Operator, Settings
 from roadbend.store.client import StateClient
@@ -51,6 +52,8 @@
     _deadlines: dict[str, tuple[float, ...]] = field(default_factory=dict)
     # By job class, how long tasks ran over how long their owner said, learnt as they end.
     factors: dict[str, float] = field(default_factory=dict)
+    # Asked before records that may not match the machines yet are acted on.
+    recovery: Recovery = field(default_factory=Recovery)
 
     def rest(self, took: timedelta) -> timedelta:
         """For how long what took so long to work out serves before it is worked out anew. Of a core
--- /dev/null
+++ b/roadbend/recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Recovery: stored records and reporting workers compared and settled after a restart."""
--- /dev/null
+++ b/roadbend/recovery/commands.py
@@ -0,0 +1,181 @@
+"""`roadbend recovery status|differences|plan`: reads, prints, and changes nothing.
+
+Exit status: 0 all well, 1 the state service or the cloud could not be read, 2 bad arguments or
+settings."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict
+from pathlib import Path
+
+import trio
+
+from roadbend import clock
+from roadbend.http.net import Net
+from roadbend.recovery.differences import Difference
+from roadbend.recovery.settlement import PlannedStep, plan
+from roadbend.recovery.survey import PartStatus, PartSurvey, SurveyError, Surveyor
+from roadbend.settings import Settings, SettingsError, read_file, read_platform
+
+Show = Callable[[Surveyor, argparse.Namespace], Awaitable[None]]
+LEAST_PAUSE, MOST_LINES = 1.0, 200
+
+
+def parser() -> argparse.ArgumentParser:
+    """The arguments of `roadbend recovery`."""
+    out = argparse.ArgumentParser(
+        prog="roadbend recovery",
+        description="Shows how stored records and machines differ, and what settles that.",
+    )
+    commands = out.add_subparsers(dest="command", required=True)
+    for name, text in (
+        ("status", "how far each part's recovery is, as recorded by its owner"),
+        ("differences", "what differs now between the records and the machines"),
+        ("plan", "what would be done about each difference, and why (a dry run)"),
+    ):
+        command = commands.add_parser(name, help=text, description=text)
+        command.add_argument("--config", type=Path, required=True, help="the platform's settings")
+        command.add_argument("--json", action="store_true")
+        if name == "differences":
+            command.add_argument(
+                "--every", type=float, metavar="SECONDS", help="look again and again"
+            )
+            command.add_argument("--looks", type=int, default=0, help="end after so many looks")
+    return out
+
+
+def main(argv: list[str]) -> int:
+    """Carries out one command."""
+    arguments = parser().parse_args(argv)
+    every = getattr(arguments, "every", None)
+    if every is not None and not LEAST_PAUSE <= every <= 3600:
+        parser().error(f"argument --every: must be from {LEAST_PAUSE:g} to 3600")
+    try:
+        settings = read_platform(read_file(arguments.config))
+    except SettingsError as error:
+        print(f"roadbend: {error}", file=sys.stderr)
+        return 2
+    return trio.run(run, settings, Net(), arguments)
+
+
+async def run(settings: Settings, net: Net, arguments: argparse.Namespace) -> int:
+    """Carries out a command against the outside that the settings name."""
+    show: dict[str, Show] = {
+        "status": _show_status,
+        "differences": _follow if getattr(arguments, "every", None) else _show_differences,
+        "plan": _show_plan,
+    }
+    try:
+        await show[arguments.command](Surveyor(settings, net), arguments)
+    except SurveyError as error:
+        print(f"roadbend: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+async def _show_status(surveyor: Surveyor, arguments: argparse.Namespace) -> None:
+    rows = await surveyor.status()
+    if arguments.json:
+        print(json.dumps([asdict(row) for row in rows], indent=2))
+        return
+    for row in rows:
+        print(_status_line(row))
+
+
+def _status_line(row: PartStatus) -> str:
+    lost = ", the state service lost writes" if row.lost_writes else ""
+    found = ", ".join(f"{count} {kind}" for kind, count in row.differences.items()) or "none"
+    return (
+        f"{row.part}: {row.phase} after {row.seconds:.1f} s, term {row.term}, "
+        f"owner {row.owner or 'none'}, heard {row.heard} of {row.expected} machines, "
+        f"differences found: {found}{lost}"
+    )
+
+
+async def _show_differences(surveyor: Surveyor, arguments: argparse.Namespace) -> None:
+    parts = await surveyor.survey()
+    if arguments.json:
+        rows = {part.part: [_as_map(row) for row in part.comparison.differences] for part in parts}
+        print(json.dumps(rows, indent=2))
+        return
+    for part in parts:
+        print(_summary(part))
+        for row in part.comparison.differences[:MOST_LINES]:
+            print(f"  {describe(row)}")
+        if len(part.comparison.differences) > MOST_LINES:
+            print(f"  and {len(part.comparison.differences) - MOST_LINES} more (--json has all)")
+
+
+def _summary(part: PartSurvey) -> str:
+    counts = part.comparison.counts()
+    found = ", ".join(f"{count} {kind}" for kind, count in counts.items()) or "no differences"
+    return f"{part.part}: {part.machines} machines, {part.comparison.matching} matching, {found}"
+
+
+def describe(row: Difference) -> str:
+    """A difference as a line."""
+    if row.task is None:
+        return f"{row.kind}: machine {row.machine}"
+    return f"{row.kind}: task {row.task} attempt {row.attempt} on {row.machine}"
+
+
+def _as_map(row: Difference) -> dict:
+    task = None if row.task is None else str(row.task)
+    return {"kind": row.kind, "machine": row.machine, "task": task, "attempt": row.attempt}
+
+
+async def _show_plan(surveyor: Surveyor, arguments: argparse.Namespace) -> None:
+    steps = {part.part: plan(part.comparison, part.services) for part in await surveyor.survey()}
+    if arguments.json:
+        print(json.dumps({part: [_planned(row) for row in rows] for part, rows in steps.items()}))
+        return
+    for part, rows in steps.items():
+        orders = sum(row.settlement.orders for row in rows)
+        print(f"{part}: {len(rows)} steps, {orders} orders")
+        for row in rows[:MOST_LINES]:
+            step = row.settlement
+            print(f"  {step.step}  {describe(row.difference)}  ({step.why})")
+
+
+def _planned(row: PlannedStep) -> dict:
+    return {**_as_map(row.difference), "step": row.settlement.step, "why": row.settlement.why}
+
+
+async def _follow(surveyor: Surveyor, arguments: argparse.Namespace) -> None:
+    # Only this needs the libraries for bitmaps and sketches.
+    from roadbend.recovery.watch import Watch
+
+    watch, looks = Watch(), 0
+    while True:
+        parts = await surveyor.survey()
+        found = [row for part in parts for row in part.comparison.differences]
+        look = watch.look(found, clock.now())
+        middle, worst = watch.age_quantile(0.5), watch.age_quantile(0.99)
+        if arguments.json:
+            staying = [_as_map(row) for row in look.staying]
+            print(
+                json.dumps(
+                    {
+                        "open": look.open,
+                        "new": len(look.new),
+                        "settled": look.settled,
+                        "staying": staying,
+                        "age_median": middle,
+                        "age_p99": worst,
+                    }
+                )
+            )
+        else:
+            ages = "" if middle is None else f", settled at {middle:.0f} s (99%: {worst:.0f} s)"
+            print(f"open {look.open}, new {len(look.new)}, settled {look.settled}{ages}")
+            for row in look.staying[:MOST_LINES]:
+                print(f"  stays  {describe(row)}")
+        sys.stdout.flush()
+        looks += 1
+        if arguments.looks and looks >= arguments.looks:
+            return
+        await trio.sleep(arguments.every)
--- /dev/null
+++ b/roadbend/recovery/survey.py
@@ -0,0 +1,186 @@
+"""Compares records and machines from outside the controllers, and changes nothing.
+
+Records are read from the state service, machines are listed by the cloud and asked themselves
+(`GET /inspect`). So an operator sees what differs also while no controller is up."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import trio
+
+from roadbend.fleet import messages
+from roadbend.http.client import Client, NoAnswerError
+from roadbend.http.net import Net
+from roadbend.http.server import MalformedError
+from roadbend.recovery.differences import (
+    Comparison,
+    DesiredState,
+    ObservedState,
+    Presence,
+    Recorded,
+    Reported,
+    TaskId,
+    compare,
+)
+from roadbend.rental.cloud import Cloud, CloudBusyError, Listed
+from roadbend.settings import Settings
+from roadbend.store import keys
+from roadbend.store.budget import Budget
+from roadbend.store.client import RefusedError, StateClient
+from roadbend.store.view import View
+
+# Machines asked at once, and how long one may take.
+MOST_ASKED = 48
+ANSWER_WITHIN = timedelta(seconds=2)
+
+
+@dataclass(frozen=True)
+class PartStatus:
+    """How far the recovery of a part is, by the records."""
+
+    part: str
+    owner: str | None
+    term: int
+    phase: str
+    lost_writes: bool
+    heard: int
+    expected: int
+    seconds: float
+    differences: dict[str, int]
+
+
+@dataclass(frozen=True)
+class PartSurvey:
+    """What differs in one part."""
+
+    part: str
+    comparison: Comparison
+    services: frozenset[str]
+    machines: int
+    silent: tuple[str, ...]
+
+
+@dataclass
+class _PartState:
+    recorded: set[Recorded] = field(default_factory=set)
+    reported: set[Reported] = field(default_factory=set)
+    machines: dict[str, Presence] = field(default_factory=dict)
+
+
+class SurveyError(Exception):
+    """The state service or the cloud could not be read; the message says which."""
+
+
+class Surveyor:
+    """Reads what an operator wants to know."""
+
+    def __init__(self, settings: Settings, net: Net):
+        self._settings, self._net = settings, net
+        budget = Budget(settings.state_rps, settings.state_write_rps, settings.controllers)
+        self._state = StateClient(Client(net, settings.state, most=4, keep=2), budget)
+        self._cloud = Cloud(
+            Client(net, settings.cloud, most=2, keep=1), settings.cloud_rps, settings.controllers
+        )
+
+    async def read_records(self) -> View:
+        """All records of what is live."""
+        try:
+            rows, revision = await self._state.read_all(keys.LIVE)
+        except (NoAnswerError, RefusedError) as error:
+            raise SurveyError(f"state service: {error}") from None
+        view = View()
+        view.load(rows, revision)
+        return view
+
+    async def status(self) -> list[PartStatus]:
+        """How far each part's recovery is, as its owner recorded it."""
+        view = await self.read_records()
+        return [self._status_of(view, part) for part in sorted(view.terms)]
+
+    @staticmethod
+    def _status_of(view: View, part: str) -> PartStatus:
+        term, own, progress = view.terms[part], view.owns.get(part), view.recoveries.get(part)
+        owner = own.node if own is not None else None
+        if progress is None or progress.term != term.number:
+            return PartStatus(part, owner, term.number, "nothing recorded", False, 0, 0, 0.0, {})
+        return PartStatus(
+            part,
+            owner,
+            term.number,
+            progress.phase,
+            progress.lost_writes,
+            progress.heard,
+            progress.expected,
+            progress.took,
+            progress.differences,
+        )
+
+    async def survey(self) -> list[PartSurvey]:
+        """What differs now, part by part."""
+        view = await self.read_records()
+        listed = await self._list_machines()
+        parts: dict[str, _PartState] = {}
+        for part, machines in view.machines.items():
+            state = parts.setdefault(part, _PartState())
+            for machine, rows in machines.items():
+                state.machines[machine] = Presence.GONE
+                for (job, index), (_, attempt) in rows.items():
+                    state.recorded.add(Recorded(TaskId(job, index), attempt.number, machine))
+        await self._ask_all(listed, parts)
+        live = frozenset(view.jobs)
+        services = frozenset(name for name, job in view.jobs.items() if job.spec.service)
+        return [
+            PartSurvey(
+                part,
+                compare(
+                    DesiredState(frozenset(state.recorded), live),
+                    ObservedState(frozenset(state.reported), state.machines),
+                ),
+                services,
+                len(state.machines),
+                tuple(sorted(n for n, p in state.machines.items() if p is Presence.SILENT)),
+            )
+            for part, state in sorted(parts.items())
+        ]
+
+    async def _list_machines(self) -> list[Listed]:
+        try:
+            return await self._cloud.machines()
+        except (NoAnswerError, CloudBusyError) as error:
+            raise SurveyError(f"cloud: {error}") from None
+
+    async def _ask_all(self, listed: list[Listed], parts: dict[str, _PartState]) -> None:
+        limit = trio.CapacityLimiter(MOST_ASKED)
+        async with trio.open_nursery() as nursery:
+            for row in listed:
+                state = parts.setdefault(row.zone, _PartState())
+                nursery.start_soon(self._ask, limit, row, state)
+
+    async def _ask(self, limit: trio.CapacityLimiter, row: Listed, state: _PartState) -> None:
+        if row.status != "running":
+            known = {"booting": Presence.BOOTING, "failed": Presence.GONE}
+            state.machines[row.id] = known.get(row.status, Presence.SILENT)
+            return
+        async with limit:
+            report = await self._inspect(row)
+        state.machines[row.id] = Presence.SILENT if report is None else Presence.HEARD
+        for task in report.tasks if report is not None else ():
+            shown = Reported(
+                TaskId(task.job, task.task_index), task.attempt, row.id, task.state == "ended"
+            )
+            state.reported.add(shown)
+
+    async def _inspect(self, row: Listed) -> messages.Report | None:
+        if not row.address:
+            return None
+        client = Client(self._net, row.address, most=1, keep=0)
+        try:
+            status, body = await client.request("GET", "/inspect", within=ANSWER_WITHIN)
+            report = messages.read_report(body) if status == 200 else None
+        except (NoAnswerError, MalformedError):
+            return None
+        finally:
+            await client.close()
+        return report if report is not None and report.machine == row.id else None
--- a/roadbend/rehearsal/__main__.py
+++ b/roadbend/rehearsal/__main__.py
@@ -4,7 +4,10 @@
 
 import argparse
 import sys
+from functools import partial
 
+from roadbend.recovery.service import install
+from roadbend.recovery.settings import RecoverySettings
 from roadbend.rehearsal import cold_restart
 from roadbend.rehearsal.runner import play
 from roadbend.rehearsal.scenario import FEWEST_WORKERS, MOST_WORKERS
@@ -38,7 +41,10 @@
         if unknown:
             parser().error(f"--cases: {', '.join(unknown)}")
     make = SCENARIOS[arguments.scenario]
-    report = play(make(arguments.seed, arguments.workers, not arguments.without_recovery, cases))
+    report = play(
+        make(arguments.seed, arguments.workers, not arguments.without_recovery, cases),
+        partial(install, settings=RecoverySettings()),
+    )
     print(report.as_json() if arguments.json else report.text())
     return 0 if report.verdict.passed else 1
 
--- a/roadbend/rehearsal/measurement.py
+++ b/roadbend/rehearsal/measurement.py
@@ -112,6 +112,7 @@
             order
             for order in world.board.received[self._received :]
             if order.attempt >> ATTEMPT_BITS <= self._last_term
+            and not self._ends_gang(order, rules)
         ]
         needless = self._needless_stops(received, rules)
         unrecorded = {(row.task, row.attempt, row.machine) for row in self.before.unrecorded}
@@ -142,6 +143,13 @@
             rented=len(world.cloud.names) - self._rented,
         )
 
+    @staticmethod
+    def _ends_gang(order: ReceivedOrder, rules: Rules) -> bool:
+        """The first task of a gang that is done ends its job, and the others are told to stop,
+        though they end by themselves: no part of a restart."""
+        case = rules.cases[order.task.rpartition("/")[0]]
+        return order.verb == "kill" and case.body["shape"] == "group" and case.complete
+
     def _needless_stops(self, received: list[ReceivedOrder], rules: Rules) -> list[ReceivedOrder]:
         """Stops of tasks that worked when the controllers returned, whose users had not called
         them off, and whose room no task of a higher priority took."""
--- a/roadbend/rental/service.py
+++ b/roadbend/rental/service.py
@@ -37,6 +37,8 @@
 # Requests to rent machines of one type and kind in a round; after these the queue is looked at
 # anew.
 MAX_REQUESTS = 8
+# How often a controller without a part looks whether it has one, before it reads the list.
+LIST_SOON = timedelta(milliseconds=300)
 
 
 @dataclass
@@ -128,11 +130,14 @@
 
     async def list_loop(self) -> None:
         while True:
+            if not self._runtimes:
+                # Soon after a part was taken its machines are to be known.
+                await clock.pause(LIST_SOON)
+                continue
             try:
-                if self._runtimes:
-                    rows = await self._cloud.machines()
-                    self._fleet.listing.take(rows)
-                    self._sort_listed(rows)
+                rows = await self._cloud.machines()
+                self._fleet.listing.take(rows)
+                self._sort_listed(rows)
             except (NoAnswerError, CloudBusyError, NoCapacityError) as error:
                 log.debug("no-list", error=str(error)[:60])
             except Exception:
@@ -233,7 +238,7 @@
         )
         model, keep = self._warm_room.wanted(part)
         have = self._warm_room.available(runtime, model, fresh) if model is not None else 0
-        if model is not None and have < keep:
+        if model is not None and have < keep and runtime.recovery.knows_machines():
             dear = policy.expensive_machine_types(
                 model, self._shared.machine_types.values(), operator.dear, part
             )
--- a/roadbend/settings.py
+++ b/roadbend/settings.py
@@ -2,14 +2,19 @@
 (every key checked, an unknown key or a bad value refused by name)."""
 
 import tomllib
-from dataclasses import dataclass, field, fields
+from dataclasses import Field, dataclass, field, fields
 from datetime import timedelta
 from pathlib import Path
+from typing import Any, TypeVar
 
 import sexpdata
 
 from roadbend.errors import RoadbendError
 
+# The longest text that a setting may be.
+MAX_TEXT = 200
+_Form = TypeVar("_Form")
+
 
 class SettingsError(RoadbendError):
     """A settings file can't be used; the message names the key."""
@@ -219,14 +224,16 @@
     return min(now, _positive(table, f"deployment.state.next.{key}", now))
 
 
-def _s(default: float, low: float, high: float, text: str):
+def seconds(default: float, low: float, high: float, text: str):
+    """A duration of the operators' settings, with its range and what it means."""
     return field(
         default=timedelta(seconds=default),
         metadata={"low": timedelta(seconds=low), "high": timedelta(seconds=high), "text": text},
     )
 
 
-def _n(default: float, low: float, high: float, text: str):
+def number(default: float, low: float, high: float, text: str):
+    """A number of the operators' settings, with its range and what it means."""
     return field(default=default, metadata={"low": low, "high": high, "text": text})
 
 
@@ -234,116 +241,132 @@
 class Operator:
     """Operators' own settings. Durations are written in seconds."""
 
-    omega: float = _n(1.0, 0.0, 1.0, "weight of promised (shadow) load in a bid; the paper's ω")
-    mu: float = _n(
+    omega: float = number(1.0, 0.0, 1.0, "weight of promised (shadow) load in a bid; the paper's ω")
+    mu: float = number(
         1.0, 0.0, 100.0, "relative queuing delay from which a job is offered again; the paper's μ"
     )
-    varpi: float = _n(
+    varpi: float = number(
         1.0, 0.0, 100.0, "weight of a bidder's average queuing time when reoffering; the paper's ϖ"
     )
-    bid_wait: timedelta = _s(0.25, 0.01, 5, "how long a requester waits for bids")
-    promise_life: timedelta = _s(2.0, 0.1, 60, "when a promise that nobody revoked expires")
-    rebid_every: timedelta = _s(1.0, 0.1, 60, "how often jobs that no part holds are offered again")
-    reoffer_every: timedelta = _s(3.0, 0.5, 600, "period of offering long waiters again")
-    cool_down: timedelta = _s(
+    bid_wait: timedelta = seconds(0.25, 0.01, 5, "how long a requester waits for bids")
+    promise_life: timedelta = seconds(2.0, 0.1, 60, "when a promise that nobody revoked expires")
+    rebid_every: timedelta = seconds(
+        1.0, 0.1, 60, "how often jobs that no part holds are offered again"
+    )
+    reoffer_every: timedelta = seconds(3.0, 0.5, 600, "period of offering long waiters again")
+    cool_down: timedelta = seconds(
         5.0, 0, 600, "a job is not offered again before it has waited here for this long"
     )
-    own_lease: timedelta = _s(
+    own_lease: timedelta = seconds(
         8.0, 1, 60, "lease on owning parts; a dead controller's parts wait this long"
     )
-    takeover_grace: timedelta = _s(
+    takeover_grace: timedelta = seconds(
         1.5, 0, 60, "wait before taking a part whose own controller seems alive"
     )
-    hand_back_after: timedelta = _s(
+    hand_back_after: timedelta = seconds(
         5.0, 0, 600, "a returned controller gets its part back after this time"
     )
-    sync_every: timedelta = _s(0.3, 0.02, 5, "how often the records are read when nobody asks")
-    sync_gap: timedelta = _s(0.12, 0.0, 5, "least time between two reads of the records")
-    silent_reports: float = _n(
+    sync_every: timedelta = seconds(0.3, 0.02, 5, "how often the records are read when nobody asks")
+    sync_gap: timedelta = seconds(0.12, 0.0, 5, "least time between two reads of the records")
+    silent_reports: float = number(
         1.7, 1.3, 50, "times the report interval after which a silent machine is looked into"
     )
-    find_owner: timedelta = _s(
+    find_owner: timedelta = seconds(
         14.0, 2, 120, "time a new owner gives machines to report before doubting them"
     )
-    fence_share: float = _n(
+    fence_share: float = number(
         0.5, 0.05, 1.0, "part of the machines silent at once that makes us doubt our own net"
     )
-    dear: float = _n(
+    dear: float = number(
         1.3, 1.0, 100, "times the cheapest price a task above which a part does not bid to hire"
     )
-    dear_wait: timedelta = _s(
+    dear_wait: timedelta = seconds(
         3.0, 0, 600, "a job that has waited for this long is bid for at any price"
     )
-    caution: float = _n(
+    caution: float = number(
         1.0, 1.0, 10, "times the predicted run time that is kept free before a deadline"
     )
-    boot_factor: float = _n(
+    boot_factor: float = number(
         1.1, 0.5, 10, "times the nominal boot time that a new machine is expected to take"
     )
-    common_share: float = _n(
+    common_share: float = number(
         0.25, 0.05, 1.0, "part of the machines silent at once that points to the network"
     )
-    idle_return: timedelta = _s(8.0, 0, 3600, "an empty machine is returned after this time")
-    boot_patience: float = _n(
+    idle_return: timedelta = seconds(8.0, 0, 3600, "an empty machine is returned after this time")
+    boot_patience: float = number(
         2.5, 1.1, 20, "times the nominal boot time after which a machine counts as dead"
     )
-    refusal_pause: timedelta = _s(
+    refusal_pause: timedelta = seconds(
         6.0, 0.5, 600, "pause after the cloud refused a type, zone and kind"
     )
-    refusal_pause_max: timedelta = _s(
+    refusal_pause_max: timedelta = seconds(
         30.0, 0.5, 3600, "the longest such pause, reached by doubling"
     )
-    spare_window: timedelta = _s(
+    spare_window: timedelta = seconds(
         300, 10, 86400, "span over which arrivals are counted for the warm room"
     )
-    spare_most: int = _n(
+    spare_most: int = number(
         512, 0, 10000, "most places that an owner keeps warm for services that must start at once"
     )
-    begin_within: timedelta = _s(
+    begin_within: timedelta = seconds(
         90, 5, 86400, "a job that has begun nothing for this long goes before its peers"
     )
-    error_limit: int = _n(3, 1, 100, "failures of different jobs after which a machine is replaced")
-    state_margin: timedelta = _s(2.0, 0.2, 30, "safety margin in the arguments about leases")
-    users_at_once: int = _n(
+    error_limit: int = number(
+        3, 1, 100, "failures of different jobs after which a machine is replaced"
+    )
+    state_margin: timedelta = seconds(2.0, 0.2, 30, "safety margin in the arguments about leases")
+    users_at_once: int = number(
         64, 4, 1024, "most requests of users in progress; the adaptive limit's ceiling"
     )
 
 
-_FIELDS = {spec.name.replace("_", "-"): spec for spec in fields(Operator)}
-
-
 def read_operator(text: str) -> Operator:
     """(roadbend (omega 1.0) (bid-wait 0.25) ...)"""
+    return read_form(text, "roadbend", Operator)
+
+
+def read_form(text: str, name: str, kind: type[_Form]) -> _Form:
+    """Settings of one kind, written as (name (key value) ...). Every key is one of the fields of
+    `kind`, whose metadata hold the range."""
     try:
         tree = sexpdata.loads(text)
     except Exception as error:  # sexpdata raises several unrelated kinds
         raise SettingsError(f"not an S-expression: {type(error).__name__}") from None
-    if not isinstance(tree, list) or not tree or tree[0] != sexpdata.Symbol("roadbend"):
-        raise SettingsError("operators' settings must have the form (roadbend (key value) ...)")
-    values = {}
+    if not isinstance(tree, list) or not tree or tree[0] != sexpdata.Symbol(name):
+        raise SettingsError(f"operators' settings must have the form ({name} (key value) ...)")
+    specs = {spec.name.replace("_", "-"): spec for spec in fields(kind)}
+    values: dict[str, Any] = {}
     for row in tree[1:]:
         if not isinstance(row, list) or len(row) != 2 or not isinstance(row[0], sexpdata.Symbol):
             raise SettingsError(f"expected (key value), found: {sexpdata.dumps(row)}")
-        key, value = row[0].value(), row[1]
-        spec = _FIELDS.get(key)
+        key = row[0].value()
+        spec = specs.get(key)
         if spec is None:
             raise SettingsError(f"unknown key: {key}")
         if spec.name in values:
             raise SettingsError(f"key given twice: {key}")
-        if isinstance(value, bool) or not isinstance(value, int | float) or value != value:
-            raise SettingsError(f"bad value for {key}: expected a number")
-        if isinstance(spec.default, timedelta):
-            value = timedelta(seconds=min(float(value), 1e9))
-        elif isinstance(spec.default, int):
-            if not isinstance(value, int):
-                raise SettingsError(f"bad value for {key}: expected a whole number")
-        else:
-            value = float(value)
-        low, high = spec.metadata["low"], spec.metadata["high"]
-        if not low <= value <= high:
-            raise SettingsError(f"bad value for {key}: must be from {_show(low)} to {_show(high)}")
-        values[spec.name] = value
-    return Operator(**values)
+        values[spec.name] = _read_value(key, row[1], spec)
+    return kind(**values)
+
+
+def _read_value(key: str, value: Any, spec: Field) -> Any:
+    if isinstance(spec.default, str):
+        if not isinstance(value, str) or len(value) > MAX_TEXT:
+            raise SettingsError(f"bad value for {key}: expected text in quotes")
+        return value
+    if isinstance(value, bool) or not isinstance(value, int | float) or value != value:
+        raise SettingsError(f"bad value for {key}: expected a number")
+    if isinstance(spec.default, timedelta):
+        value = timedelta(seconds=min(float(value), 1e9))
+    elif isinstance(spec.default, int):
+        if not isinstance(value, int):
+            raise SettingsError(f"bad value for {key}: expected a whole number")
+    else:
+        value = float(value)
+    low, high = spec.metadata["low"], spec.metadata["high"]
+    if not low <= value <= high:
+        raise SettingsError(f"bad value for {key}: must be from {_show(low)} to {_show(high)}")
+    return value
 
 
 def _show(value) -> str:
@@ -351,14 +374,16 @@
 
 
 def load(platform: Path, operator: Path | None) -> tuple[Settings, Operator]:
-    try:
-        settings = read_platform(platform.read_text())
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(f"can't read {platform.name}: {type(error).__name__}") from None
-    # A missing file means the defaults.
+    """Both files of a controller. A missing operators' file means the defaults."""
+    settings = read_platform(read_file(platform))
     if operator is None or not operator.exists():
         return settings, Operator()
+    return settings, read_operator(read_file(operator))
+
+
+def read_file(path: Path) -> str:
+    """A settings file's text."""
     try:
-        return settings, read_operator(operator.read_text())
+        return path.read_text()
     except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(f"can't read {operator.name}: {type(error).__name__}") from None
+        raise SettingsError(f"can't read {path.name}: {type(error).__name__}") from None
--- a/roadbend/store/keys.py
+++ b/roadbend/store/keys.py
@@ -10,6 +10,9 @@
 r/own/<part>          who owns the part, on the owner's lease
 r/node/<name>         a live controller, on its lease
 r/catalog             the machine types as last seen, for a controller that starts in a cloud outage
+r/recovery/<part>     how far the recovery of a part is, under one term; older versions ignore it
+r/unrecorded/<id>     a job that machines run and no record names: not accepted anew while this is
+                      there; older versions ignore it
 fin/<id>              the end of a job, kept for ever and outside the part that everyone follows
 """
 
@@ -64,6 +67,16 @@
     return f"r/node/{quoted(name)}"
 
 
+def recovery_key(part: str) -> str:
+    """How far the recovery of a part is."""
+    return f"r/recovery/{quoted(part)}"
+
+
+def unrecorded_key(job: str) -> str:
+    """Says that machines run a job that no record names."""
+    return f"r/unrecorded/{job}"
+
+
 def fin_key(job: str) -> str:
     """The end of a job."""
     return f"fin/{job}"
--- a/roadbend/store/records.py
+++ b/roadbend/store/records.py
@@ -316,5 +316,51 @@
     mod_revision: int = 0
 
 
+@dataclass(frozen=True)
+class RecoveryProgress:
+    """How far the recovery of a part is under one term, as its owner tells the other controllers
+    and operators."""
+
+    term: int
+    phase: str
+    # The state service is known to have lost writes that machines have acted on.
+    lost_writes: bool
+    # How many machines were expected and how many were heard, and what differed, by kind.
+    expected: int = 0
+    heard: int = 0
+    differences: dict[str, int] = field(default_factory=dict)
+    # Seconds since the term began.
+    took: float = 0.0
+    mod_revision: int = 0
+
+    VERSION = 1
+
+    def to_value(self) -> dict:
+        return {
+            "v": self.VERSION,
+            "t": self.term,
+            "p": self.phase,
+            "l": int(self.lost_writes),
+            "m": [self.expected, self.heard],
+            "d": self.differences,
+            "s": round(self.took, 1),
+        }
+
+    @staticmethod
+    def from_value(v: dict, mod_revision: int) -> "RecoveryProgress":
+        if v["v"] != RecoveryProgress.VERSION:
+            raise ValueError(f"version {v['v']}")
+        return RecoveryProgress(
+            int(v["t"]),
+            str(v["p"]),
+            bool(v["l"]),
+            int(v["m"][0]),
+            int(v["m"][1]),
+            {str(name): int(count) for name, count in v["d"].items()},
+            float(v["s"]),
+            mod_revision,
+        )
+
+
 def fin_value(status: str, done: int) -> dict[str, Any]:
     return {"s": status, "n": done}
--- a/roadbend/store/view.py
+++ b/roadbend/store/view.py
@@ -13,7 +13,17 @@
 from roadbend.log import Log
 from roadbend.store import keys, ranges
 from roadbend.store.ranges import Ranges
-from roadbend.store.records import Attempt, Job, Live, Need, Own, Slice, Term, Use
+from roadbend.store.records import (
+    Attempt,
+    Job,
+    Live,
+    Need,
+    Own,
+    RecoveryProgress,
+    Slice,
+    Term,
+    Use,
+)
 
 log = Log("store")
 
@@ -118,6 +128,10 @@
         self.nodes: dict[str, Live] = {}
         # Jobs that are gangs, whatever their own records say.
         self.gangs: set[str] = set()
+        # How far the recovery of each part is, as its owner wrote it, and by which part jobs that
+        # no record names are being stopped.
+        self.recoveries: dict[str, RecoveryProgress] = {}
+        self.unrecorded: dict[str, str] = {}
         self.catalog: Any = None
         self.catalog_mod_revision = 0
         self._mod_revisions: dict[str, int] = {}
@@ -174,6 +188,10 @@
                 self._swap(part, job, shard, None)
             elif kind in ("team", "term", "own", "node"):
                 getattr(self, f"{kind}s").pop(unquote(rest), None)
+            elif kind == "recovery":
+                self.recoveries.pop(unquote(rest), None)
+            elif kind == "unrecorded":
+                self.unrecorded.pop(rest, None)
             self.version += 1
         self._tell(key)
 
@@ -330,6 +348,10 @@
             )
         elif kind == "node":
             self.nodes[unquote(rest)] = Live(unquote(rest), value["boot"], mod_revision)
+        elif kind == "recovery":
+            self.recoveries[unquote(rest)] = RecoveryProgress.from_value(value, mod_revision)
+        elif kind == "unrecorded":
+            self.unrecorded[rest] = str(value["part"])
         elif kind == "catalog":
             self.catalog, self.catalog_mod_revision = value, mod_revision
 
