Search: with recovery switched on, and all controllers ending at once

Need: recovery decides what is started and stopped, so the search for broken rules must run with it.

--- a/roadbend/fakes/search.py
+++ b/roadbend/fakes/search.py
@@ -11,7 +11,7 @@
 import random
 import sys
 from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import UTC, datetime, timedelta
 from functools import partial
 from typing import Any
@@ -23,6 +23,9 @@
 from roadbend.fakes.scenario import AIMS, OP, SERVICE, SITES, TEAMS
 from roadbend.fakes.submission import gang, job
 from roadbend.fakes.world import World, world
+from roadbend.node import Node
+from roadbend.recovery.service import install
+from roadbend.recovery.settings import RecoverySettings
 
 # When the first and the last fault may begin, and how long a run goes on after that, in seconds.
 FIRST_FAULT, LAST_FAULT, QUIET = 25.0, 75.0, 30.0
@@ -57,6 +60,8 @@
     seed: int
     site: str
     faults: tuple[Fault, ...]
+    # Whether the controllers have recovery switched on.
+    recovery: bool = False
 
 
 def draw_with(seed: int, kinds: tuple[str, ...]) -> Run:
@@ -81,7 +86,7 @@
     ]
     faults = []
     for _ in range(rng.randint(FEWEST_FAULTS, MOST_FAULTS)):
-        kind = rng.choice(sorted(FAULTS))
+        kind = rng.choice(sorted(FAULTS.keys() - ONLY_ON_REQUEST))
         shortest, longest = FAULTS[kind].length
         length = shortest * (longest / shortest) ** rng.random()
         at = rng.choice(clusters) + rng.uniform(-CLUSTER, CLUSTER)
@@ -115,7 +120,22 @@
             return
         self.world.crash(at)
         await trio.sleep(length)
-        self.world.start(at)
+        self._return(at)
+
+    async def crash_all(self, length: float, rng: random.Random) -> None:
+        """All controllers end at once, and return one after the other."""
+        down = [at for at in range(self.world.count) if f"node-{at}" in self.world.nodes]
+        for at in down:
+            self.world.crash(at)
+        await trio.sleep(length)
+        for at in down:
+            self._return(at)
+            await trio.sleep(rng.uniform(0.0, 2.0))
+
+    def _return(self, at: int) -> None:
+        """Starts a controller, unless another fault has ended and started it meanwhile."""
+        if f"node-{at}" not in self.world.nodes:
+            self.world.start(at)
 
     async def stall(self, length: float, rng: random.Random) -> None:
         await self.world.stalls.stall(f"node-{self.node(rng)}", length)
@@ -291,6 +311,7 @@
 
 FAULTS = {
     "crash": Kind(Deployment.crash, (0.05, 12.0)),
+    "crash-all": Kind(Deployment.crash_all, (0.1, 12.0)),
     "stall": Kind(Deployment.stall, (0.2, 25.0)),
     "slow": Kind(Deployment.slow, (2.0, 40.0)),
     "hand-over": Kind(Deployment.hand_over, (0.1, 0.2)),
@@ -322,6 +343,10 @@
 }
 
 
+# Kinds that a seed draws only where `--kinds` names them, so that seeds keep their runs.
+ONLY_ON_REQUEST = {"crash-all"}
+
+
 def submission(number: int, rng: random.Random, zones: tuple[str, ...]) -> dict[str, Any]:
     """A job of any kind, of one to six tasks."""
     image, zone = rng.choice(IMAGES), rng.choice((None, *zones))
@@ -354,12 +379,17 @@
         await trio.sleep(2)
 
 
+def _switch_recovery_on(node: Node) -> None:
+    install(node, RecoverySettings())
+
+
 async def play(run: Run) -> list[str]:
     """The rules that a run breaks."""
     changes: dict[str, Any] = {"teams": TEAMS, "objectives": AIMS, **SITES[run.site]}
     rng = random.Random(f"work {run.seed}")
     broken: list[str] = []
     changes["caches_images"] = True
+    changes["equip"] = _switch_recovery_on if run.recovery else None
     async with world(capacity=CAPACITY, operator=OP, judge=broken.extend, **changes) as w:
         deployment = Deployment(w)
         w.nursery.start_soon(work, w, rng)
@@ -386,17 +416,19 @@
     while smaller:
         smaller = False
         for fault in run.faults:
-            less = Run(run.seed, run.site, tuple(f for f in run.faults if f is not fault))
+            less = replace(run, faults=tuple(f for f in run.faults if f is not fault))
             if any(row.startswith(rule) for row in play_alone(less)):
                 run, smaller = less, True
                 break
     return run
 
 
-def look(seed: int, kinds: tuple[str, ...] = ()) -> tuple[int, list[str], Run]:
+def look(
+    seed: int, kinds: tuple[str, ...] = (), recovery: bool = False
+) -> tuple[int, list[str], Run]:
     """Plays a seed's run, and makes it small if it breaks a rule."""
     use_simulated_time_of_day()
-    run = draw_with(seed, kinds) if kinds else draw(seed)
+    run = replace(draw_with(seed, kinds) if kinds else draw(seed), recovery=recovery)
     broken = play_alone(run)
     if broken:
         run = shrink(run, broken[0].partition(" ")[0])
@@ -423,6 +455,7 @@
     parser.add_argument("--seeds", default="0-99", help="first-last")
     parser.add_argument("--processes", type=int, default=2)
     parser.add_argument("--kinds", default="", help="kinds of faults to have more of, by commas")
+    parser.add_argument("--recovery", action="store_true", help="with recovery switched on")
     parser.add_argument("--log", default="CRITICAL")
     options = parser.parse_args()
     logging.basicConfig(level=options.log.upper(), stream=sys.stderr)
@@ -432,7 +465,7 @@
     count = bad = 0
     with multiprocessing.Pool(options.processes) as pool:
         for seed, broken, run in pool.imap_unordered(
-            partial(look, kinds=kinds), seeds(options.seeds)
+            partial(look, kinds=kinds, recovery=options.recovery), seeds(options.seeds)
         ):
             count += 1
             if broken:
