Tests of recovery; scripts and searches of rehearsals; tracing; kills of what has ended

Need: each hard case of a cold restart as a test that brings it about. Found meanwhile: a task that a lost move had given to another part was stopped (it is adopted with the move now), and direct kills went to tasks that their machines had shown as ended.

--- a/roadbend/bidding/exchange.py
+++ b/roadbend/bidding/exchange.py
@@ -421,6 +421,7 @@
                 await self._shared.reader.sync()
             return False
         view.applied(rows, revision)
+        self._shared.observer.job_assigned(fresh, sorted(chosen))
         log.debug(
             "assigned",
             job=job.id,
--- a/roadbend/cli.py
+++ b/roadbend/cli.py
@@ -91,6 +91,12 @@
         from roadbend.recovery import service, settings
 
         extensions.append(partial(service.install, settings=settings.load(recovery)))
+    if tracing is not None:
+        from roadbend.tracing import settings as tracing_settings
+        from roadbend.tracing import switch
+
+        # Tracing comes first: what is installed after it tells it what happens.
+        extensions.insert(0, partial(switch.install, settings=tracing_settings.load(tracing)))
     return extensions
 
 
--- a/roadbend/fleet/commands.py
+++ b/roadbend/fleet/commands.py
@@ -180,7 +180,8 @@
                         mark = (runtime.tenure.term, key, stop.attempt, stop.grace)
                         if now - sent.get(mark, clock.ORIGIN) < KILL_EVERY:
                             continue
-                        if stop.machine in self._stopping or runtime.recovery.spaces_out(stop, now):
+                        spaced_out = runtime.recovery.spaces_out(key, stop, now)
+                        if spaced_out or stop.machine in self._stopping:
                             continue
                         if stop.machine in runtime.machines:
                             sent[mark] = now
--- a/roadbend/http/server.py
+++ b/roadbend/http/server.py
@@ -23,6 +23,8 @@
 # Heads of requests and of answers that are remembered, and how long one may be.
 MAX_HEADS = 4096
 MAX_HEAD = 512
+# Requests with one of these are read by h11 every time.
+ODD_HEADERS = {b"transfer-encoding", b"expect", b"upgrade", b"traceparent"}
 
 
 @dataclass(frozen=True)
@@ -33,6 +35,8 @@
     path: str
     query: str
     body: bytes
+    # The W3C trace context that came with it, unchecked.
+    trace_parent: str | None = None
 
 
 @dataclass(frozen=True)
@@ -59,6 +63,13 @@
 Handle = Callable[[Request], Awaitable[Response]]
 
 
+def _trace_parent(head: h11.Request) -> str | None:
+    for name, value in head.headers:
+        if name == b"traceparent":
+            return value.decode("ascii", "replace")
+    return None
+
+
 # What a connection is known to be for by its last request.
 OTHER, FAVOURED, NEW = range(3)
 
@@ -236,7 +247,7 @@
             and head.http_version == b"1.1"
             and conn.their_state is h11.DONE
         )
-        odd = any(name in (b"transfer-encoding", b"expect", b"upgrade") for name, _ in head.headers)
+        odd = any(name in ODD_HEADERS for name, _ in head.headers)
         if (
             plain
             and not odd
@@ -277,7 +288,11 @@
             elif isinstance(event, h11.EndOfMessage):
                 path, _, query = head.target.decode("ascii", "replace").partition("?")
                 request = Request(
-                    head.method.decode("ascii", "replace"), path, query, b"".join(body)
+                    head.method.decode("ascii", "replace"),
+                    path,
+                    query,
+                    b"".join(body),
+                    _trace_parent(head),
                 )
                 if first is not None:
                     self._remember(first, head, request, conn)
--- a/roadbend/intake/users.py
+++ b/roadbend/intake/users.py
@@ -187,6 +187,7 @@
             due=None if spec.due is None else spec.due.total_seconds(),
             image=f"{spec.image}:{spec.image_gb:.1f}",
         )
+        shared.observer.job_accepted(job, request.trace_parent)
         self._submit(name)
         return Response(201, {"id": name, "status": STATUS_PENDING})
 
@@ -201,7 +202,7 @@
         with trio.move_on_after(2):
             await self._shared.reader.sync()
             answer = await self._state(name, 200)
-            return answer if answer.status == 200 else Response(status, {"error": why})
+            return answer if answer.status in (200, 503) else Response(status, {"error": why})
         return self._later("no state")
 
     async def _fetch_end(self, name: str) -> tuple[str, int] | None:
@@ -228,6 +229,9 @@
         end = self.ends.get(name) or await self._fetch_end(name)
         if end is not None:
             return self._ended(name, end, status)
+        if name in self._shared.view.unrecorded or not self._shared.recovery.knows_jobs():
+            # Machines may run it though no record names it.
+            return self._later("recovering")
         return Response(404, {"error": "no such job"})
 
     async def _query(self, name: str) -> Response:
@@ -295,6 +299,7 @@
                 # Recorded before it is told. Owners stop the tasks of a job that is no longer live.
                 shared.view.applied(rows, revision)
                 log.info("cancelled", job=name)
+                shared.observer.job_over(job, STATUS_ABORTED)
                 return await self._told_all(name, (STATUS_ABORTED, done))
         return self._later("no state")
 
--- a/roadbend/placement/batch.py
+++ b/roadbend/placement/batch.py
@@ -40,6 +40,8 @@
         self.change: dict[str, tuple[float, float]] = {}
         self._sizes: dict[str, int] = {}
         self.after: list[Callable[[], None]] = []
+        # Jobs that it ends, with their final status.
+        self.jobs_over: list[tuple[Job, str]] = []
 
     @property
     def free(self) -> int:
@@ -121,3 +123,4 @@
         if job.spec.gang:
             self.rows[keys.gang_key(job.id)] = delete(keys.gang_key(job.id))
         self.rows[fin] = put(fin, records.fin_value(status, done))
+        self.jobs_over.append((job, status))
--- a/roadbend/placement/ends.py
+++ b/roadbend/placement/ends.py
@@ -285,6 +285,7 @@
 def note_end(
     runtime: PartRuntime, job: str, task_index: int, end: AttemptEnd, now: datetime
 ) -> None:
+    runtime.shared.observer.attempt_ended(runtime.part, job, task_index, end)
     log.debug(
         "ended",
         part=runtime.part,
--- a/roadbend/placement/recovery_hooks.py
+++ b/roadbend/placement/recovery_hooks.py
@@ -12,6 +12,7 @@
 from roadbend.store.records import Job
 
 if TYPE_CHECKING:
+    from roadbend.fleet.ended_attempts import Key
     from roadbend.fleet.machines import Machine, Stop
     from roadbend.fleet.messages import Report, TaskReport
     from roadbend.placement.batch import Batch
@@ -33,8 +34,9 @@
         """Whether the part's machines are known well enough to rent more in advance."""
         return True
 
-    def spaces_out(self, stop: Stop, now: datetime) -> bool:
-        """Whether a direct kill may wait, since the answer to a report has just carried it."""
+    def spaces_out(self, key: Key, stop: Stop, now: datetime) -> bool:
+        """Whether a direct kill may wait: the answer to a report has just carried it, or the
+        task has ended."""
         return False
 
     def note_report(self, machine: Machine, report: Report, now: datetime) -> None:
@@ -59,3 +61,7 @@
     def holds_back(self, job: str) -> bool:
         """Whether a job that nobody holds is not offered for now."""
         return False
+
+    def knows_jobs(self) -> bool:
+        """Whether a job that no record names is known to be none."""
+        return True
--- a/roadbend/placement/runtime.py
+++ b/roadbend/placement/runtime.py
@@ -291,6 +291,8 @@
             self.ended.end_transaction()
             for call in batch.after:
                 call()
+            for job, status in batch.jobs_over:
+                self.shared.observer.job_over(job, status)
             self._order_urgent()
         finally:
             self.in_flight = set()
--- a/roadbend/placement/shared.py
+++ b/roadbend/placement/shared.py
@@ -6,6 +6,7 @@
 from datetime import datetime, timedelta
 
 from roadbend import clock
+from roadbend.observer import Observer
 from roadbend.parts.ownership import Ownership
 from roadbend.placement import policy
 from roadbend.placement.recovery_hooks import Recovery
@@ -54,6 +55,8 @@
     factors: dict[str, float] = field(default_factory=dict)
     # Asked before records that may not match the machines yet are acted on.
     recovery: Recovery = field(default_factory=Recovery)
+    # Told what happens to jobs and attempts.
+    observer: Observer = field(default_factory=Observer)
 
     def rest(self, took: timedelta) -> timedelta:
         """For how long what took so long to work out serves before it is worked out anew. Of a core
--- a/roadbend/placement/starts.py
+++ b/roadbend/placement/starts.py
@@ -132,6 +132,7 @@
     if job.spec.gang or runtime.shared.start_within(job.spec) is not None:
         indexes = {task_index for _, task_index, _ in share}
         batch.after.append(partial(order_directly, runtime, pieces, indexes))
+    batch.after.append(partial(tell_observer, runtime, job, pieces, [row[1] for row in share]))
     for _, task_index, room in share:
         log.debug(
             "start",
@@ -144,6 +145,15 @@
     return len(share) == len(rows)
 
 
+def tell_observer(runtime: PartRuntime, job: Job, pieces: list[Slice], indexes: list[int]) -> None:
+    """The starts were recorded."""
+    observer = runtime.shared.observer
+    for piece in pieces:
+        for index in indexes:
+            if index in piece.run:
+                observer.attempt_recorded(runtime.part, job, index, piece.run[index])
+
+
 def fill(runtime: PartRuntime, batch: Batch, job: Job, rows: list[Placed]) -> list[Slice]:
     """The slices with the new attempts; a gang's tasks have one attempt number."""
     work, pieces = runtime.works().get(job.id), {}
--- a/roadbend/recovery/part.py
+++ b/roadbend/recovery/part.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from roadbend import clock
+from roadbend.fleet.ended_attempts import Key
 from roadbend.fleet.listing import MachineList
 from roadbend.fleet.machines import Machine, Stop
 from roadbend.fleet.messages import Report, TaskReport
@@ -93,6 +94,9 @@
         self.in_use_since: datetime | None = None
         self._adopting: set[tuple[str, int]] = set()
         self._compared_at = clock.ORIGIN
+        self._observer = runtime.shared.observer
+        self._heard: set[str] = set()
+        self._phase_since = since
 
     def _gather_until(self) -> datetime:
         """While writes are known to be lost a machine that was not heard may hold what no record
@@ -170,13 +174,24 @@
         """Machines that have not reported yet look like room that is missing."""
         return not self.cold or self.phase.name is not PhaseName.GATHERING
 
-    def spaces_out(self, stop: Stop, now: datetime) -> bool:
-        """One kill by the report's answer, and a direct one only if that brought nothing."""
-        return stop.told_at is not None and now - stop.told_at < KILL_AGAIN
+    def spaces_out(self, key: Key, stop: Stop, now: datetime) -> bool:
+        """One kill by the report's answer, and a direct one only if that brought nothing; none
+        for a task that its machine shows as ended."""
+        if stop.told_at is not None and now - stop.told_at < KILL_AGAIN:
+            return True
+        machine = self.runtime.machines.get(stop.machine)
+        seen = machine.tasks.get(key) if machine is not None else None
+        return seen is not None and seen.attempt == stop.attempt and seen.state == "ended"
 
     def note_report(self, machine: Machine, report: Report, now: datetime) -> None:
         """Drops what a current report no longer shows."""
-        if not len(self.held) or not machine.ours:
+        if not machine.ours:
+            return
+        if machine.id not in self._heard:
+            self._heard.add(machine.id)
+            tenure = self.runtime.tenure
+            self._observer.recovery_machine(tenure.part, tenure.term, machine.id, tenure.since)
+        if not len(self.held):
             return
         shown = {(task.job, task.task_index, task.attempt) for task in report.tasks}
         for held in self.held.all():
@@ -221,6 +236,11 @@
         if self.phase.name is before.name:
             return False
         self._log_phase(now)
+        part, term = self.runtime.part, self.runtime.tenure.term
+        self._observer.recovery_phase(part, term, str(before.name), self._phase_since, self.found)
+        self._phase_since = now
+        if self.phase.name is PhaseName.SETTLED:
+            self._observer.recovery_over(part, term, before.since, self.found)
         return True
 
     def gather_again(self) -> None:
@@ -370,7 +390,6 @@
             job_lives=job is not None,
             job_over=True if held.job in runtime.shared.cancelled else held.job_over,
             gang=job is not None and job.spec.gang,
-            may_be_held_here=job is not None and self._may_hold(job, held.index),
             shows_done=held.shows_done,
             machine_current=stays,
             machine_allowed=job is not None and machine is not None and self._allows(job, machine),
@@ -381,10 +400,6 @@
             waited=now - held.since,
         )
 
-    def _may_hold(self, job: Job, index: int) -> bool:
-        here = job.alloc.get(self.runtime.part, ())
-        return ranges.has(here, index) or ranges.has(job.free, index)
-
     def _allows(self, job: Job, machine: Machine) -> bool:
         """The job may run there, given its other tasks."""
         if not placing.allowed(job, machine.machine_type, machine.zone, machine.spot):
@@ -396,6 +411,14 @@
 
     def _let_go(self, held: HeldAttempt, why: str) -> None:
         self.held.remove(held)
+        self._observer.recovery_settled(
+            self.runtime.part,
+            self.runtime.tenure.term,
+            f"{held.job}/{held.index}",
+            held.machine,
+            why,
+            held.since,
+        )
         log.info(
             "hold-over",
             part=self.runtime.part,
@@ -451,14 +474,14 @@
         else:
             run = {**piece.run, held.index: Attempt(held.attempt, held.machine)}
             piece = replace(piece, run=run)
-        free = ranges.has(job.free, held.index)
-        wanted = [piece.key, *([keys.job_key(job.id)] if free else [])]
+        here = ranges.has(job.alloc.get(runtime.part, ()), held.index)
+        wanted = [piece.key, *([] if here else [keys.job_key(job.id)])]
         if not batch.fits(piece) or not batch.room_for(*wanted):
             return False
         if not done and not self._set_aside(batch, job, wanted):
             return False
         batch.set_slice(piece)
-        self._need_held(batch, job, held.index, free)
+        self._need_held(batch, job, held.index)
         if not done:
             batch.charge(spec.team, spec.need, 1)
         self._adopting.add((held.job, held.index))
@@ -472,14 +495,19 @@
             return False
         return team_limits.set_aside(self.runtime, batch, job.spec.team, need, 1, record_keys)
 
-    def _need_held(self, batch: Batch, job: Job, index: int, free: bool) -> None:
-        """The part holds the task from here on, on the job's stamp."""
-        if not free:
+    def _need_held(self, batch: Batch, job: Job, index: int) -> None:
+        """The part holds the task from here on, on the job's stamp. Where another part held it,
+        that part's slice is a condition too: it may have recorded a start a moment ago."""
+        part, one = self.runtime.part, ((index, index + 1),)
+        if ranges.has(job.alloc.get(part, ()), index):
             batch.need_job(job)
             return
-        part = self.runtime.part
-        here = ranges.union(job.alloc.get(part, ()), ((index, index + 1),))
-        batch.set_job(job.with_part(part, here))
+        for other, held in job.alloc.items():
+            if ranges.has(held, index):
+                key = keys.slice_key(other, job.id, index // self.runtime.width)
+                batch.when[key] = self.runtime.shared.view.mod_revision(key)
+                job = job.with_part(other, ranges.minus(held, one))
+        batch.set_job(job.with_part(part, ranges.union(job.alloc.get(part, ()), one)))
 
     def _adopted(self, held: HeldAttempt) -> None:
         """The transaction was carried out."""
--- a/roadbend/recovery/service.py
+++ b/roadbend/recovery/service.py
@@ -93,6 +93,10 @@
             part.held.indexes(job) for part in self._parts.values()
         )
 
+    def knows_jobs(self) -> bool:
+        """Not before the machines are known: one may run a job that the records have lost."""
+        return self._open or self._since is not None and not self._inherited
+
     def gate_is_open(self, job: str) -> bool:
         """Whether a job may be given machines: work that came after the restart always may, work
         from before once the machines that may have it are known."""
--- /dev/null
+++ b/roadbend/recovery/test_differences.py
@@ -0,0 +1,218 @@
+"""The comparison, the settlements, the phases, and what becomes of unrecorded attempts."""
+
+import random
+from dataclasses import fields, replace
+from datetime import timedelta
+
+import pytest
+
+from roadbend import clock
+from roadbend.recovery.differences import (
+    DesiredState,
+    Difference,
+    Kind,
+    ObservedState,
+    Presence,
+    Recorded,
+    Reported,
+    TaskId,
+    compare,
+)
+from roadbend.recovery.pace import AdaptiveBound
+from roadbend.recovery.phases import Comparing, Evidence, Gathering, Settled, Settling
+from roadbend.recovery.settlement import SETTLEMENTS, Step, plan
+from roadbend.recovery.unrecorded import (
+    Bounds,
+    Decision,
+    Facts,
+    HeldAttempt,
+    HeldAttempts,
+    decide,
+)
+
+S = timedelta(seconds=1)
+TASK, OTHER = TaskId("run-000001", 0), TaskId("run-000002", 0)
+RECORDED = Recorded(TASK, 7, "m-1")
+RUNS, ENDED = Reported(TASK, 7, "m-1", False), Reported(TASK, 7, "m-1", True)
+HEARD = {"m-1": Presence.HEARD}
+
+
+def kinds(recorded, reported, machines, live=("run-000001",)) -> list[Kind]:
+    found = compare(
+        DesiredState(frozenset(recorded), frozenset(live)),
+        ObservedState(frozenset(reported), machines),
+    )
+    return [row.kind for row in found.differences]
+
+
+@pytest.mark.parametrize(
+    "recorded, reported, machines, live, expected",
+    [
+        ([RECORDED], [RUNS], HEARD, ["run-000001"], []),
+        ([RECORDED], [], HEARD, ["run-000001"], [Kind.MISSING]),
+        # Its job is over, and it is not there: only the record is left.
+        ([RECORDED], [], HEARD, [], [Kind.ENDED]),
+        ([RECORDED], [ENDED], HEARD, ["run-000001"], [Kind.ENDED]),
+        ([RECORDED], [RUNS], HEARD, [], [Kind.CANCELLED]),
+        ([], [RUNS], HEARD, ["run-000001"], [Kind.UNRECORDED]),
+        # What ended and is in no record is merely forgotten on its machine.
+        ([], [ENDED], HEARD, ["run-000001"], []),
+        (
+            [RECORDED],
+            [RUNS, Reported(TASK, 3, "m-2", False)],
+            {**HEARD, "m-2": Presence.HEARD},
+            ["run-000001"],
+            [Kind.SUPERSEDED],
+        ),
+        (
+            [],
+            [RUNS, Reported(TASK, 3, "m-2", False)],
+            {**HEARD, "m-2": Presence.HEARD},
+            ["run-000001"],
+            [Kind.ON_TWO_MACHINES, Kind.ON_TWO_MACHINES],
+        ),
+        ([RECORDED], [], {"m-1": Presence.SILENT}, ["run-000001"], [Kind.MACHINE_SILENT]),
+        # A machine that nobody has listed or heard is silent, not gone.
+        ([RECORDED], [], {}, ["run-000001"], [Kind.MACHINE_SILENT]),
+        ([RECORDED], [], {"m-1": Presence.GONE}, ["run-000001"], [Kind.MACHINE_GONE]),
+        ([], [], {"m-9": Presence.SILENT}, [], [Kind.MACHINE_UNKNOWN]),
+        ([], [], {"m-9": Presence.BOOTING}, [], []),
+    ],
+)
+def test_each_difference_has_its_kind(recorded, reported, machines, live, expected):
+    assert kinds(recorded, reported, machines, live) == expected
+
+
+def test_the_order_of_what_is_compared_does_not_matter():
+    rng = random.Random(4)
+    recorded = [Recorded(TaskId("run-000001", n), n, f"m-{n % 5}") for n in range(40)]
+    reported = [Reported(*row, False) for row in recorded if row.attempt % 3]
+    machines = {f"m-{n}": Presence.HEARD for n in range(5)}
+    desired = DesiredState(frozenset(recorded), frozenset({"run-000001"}))
+    found = compare(desired, ObservedState(frozenset(reported), machines))
+    for _ in range(5):
+        rng.shuffle(recorded)
+        rng.shuffle(reported)
+        again = DesiredState(frozenset(recorded), frozenset({"run-000001"}))
+        assert compare(again, ObservedState(frozenset(reported), machines)) == found
+    assert found.counts() == {"missing": 14} and found.matching == 26
+
+
+def test_every_kind_has_one_settlement_and_services_come_first():
+    assert set(SETTLEMENTS) == set(Kind) - {Kind.MATCHING}
+    recorded = [Recorded(TASK, 7, "m-1"), Recorded(OTHER, 8, "m-1")]
+    found = compare(
+        DesiredState(frozenset(recorded), frozenset({"run-000001", "run-000002"})),
+        ObservedState(frozenset(), HEARD),
+    )
+    steps = plan(found, frozenset({"run-000002"}))
+    assert [row.difference.task for row in steps] == [OTHER, TASK]
+    assert {row.settlement.step for row in steps} == {Step.ORDER_AGAIN}
+
+
+def test_gathering_ends_by_evidence_or_at_its_bound():
+    at = clock.ORIGIN
+    gathering = Gathering(at, at + 8 * S)
+    missing = Evidence(frozenset({"a", "b"}), frozenset({"a"}), frozenset(), True)
+    assert gathering.next(missing, at + S) is gathering
+    explained = replace(missing, explained=frozenset({"b"}))
+    assert gathering.next(explained, at + S) == Comparing(at, True)
+    # Without the cloud's list nobody knows whom to expect.
+    assert gathering.next(replace(explained, list_was_read=False), at + S) is gathering
+    assert gathering.next(missing, at + 8 * S) == Comparing(at, False)
+
+
+def test_what_waits_for_its_own_proof_does_not_keep_a_recovery_open():
+    at = clock.ORIGIN
+    assert Comparing(at, True).next({"missing": 1}, at) == Settling(at)
+    assert Settling(at).next({"machine-silent": 3}, at + S) == Settled(at, at + S)
+
+
+LIVE = Facts(
+    records_read=True,
+    peers_heard=True,
+    superseded=False,
+    job_lives=True,
+    job_over=None,
+    gang=False,
+    shows_done=False,
+    machine_current=True,
+    machine_allowed=True,
+    also_elsewhere=False,
+    higher_elsewhere=False,
+    machines_known=True,
+    within_limit=True,
+    waited=S,
+)
+UNKNOWN = replace(LIVE, job_lives=False, job_over=False)
+BOUNDS = Bounds(answer=3 * S, late_write=12 * S)
+
+
+@pytest.mark.parametrize(
+    "facts, change, expected",
+    [
+        (LIVE, {}, Decision.ADOPT),
+        (LIVE, {"records_read": False}, Decision.HOLD),
+        (LIVE, {"peers_heard": False}, Decision.HOLD),
+        (LIVE, {"peers_heard": False, "waited": 3 * S}, Decision.ADOPT),
+        (LIVE, {"superseded": True}, Decision.STOP),
+        (LIVE, {"gang": True}, Decision.STOP),
+        (LIVE, {"shows_done": True}, Decision.RECORD_DONE),
+        (LIVE, {"machine_allowed": False}, Decision.STOP),
+        (LIVE, {"machine_current": False}, Decision.HOLD),
+        # A machine that was not heard yet may have the same task.
+        (LIVE, {"machines_known": False}, Decision.HOLD),
+        (LIVE, {"also_elsewhere": True}, Decision.HOLD),
+        (LIVE, {"also_elsewhere": True, "higher_elsewhere": True}, Decision.STOP),
+        (LIVE, {"within_limit": False}, Decision.STOP),
+        (UNKNOWN, {}, Decision.HOLD),
+        (UNKNOWN, {"waited": 12 * S}, Decision.STOP),
+        # Its user may have been told that it is cancelled.
+        (UNKNOWN, {"job_over": True}, Decision.STOP),
+        (UNKNOWN, {"job_over": None}, Decision.HOLD),
+        (UNKNOWN, {"job_over": None, "waited": 3 * S}, Decision.STOP),
+    ],
+)
+def test_an_unrecorded_attempt_is_never_stopped_at_once_or_adopted_from_a_report_alone(
+    facts, change, expected
+):
+    assert {row.name for row in fields(Facts)} >= change.keys()
+    assert decide(replace(facts, **change), BOUNDS) is expected
+
+
+def test_held_attempts_are_bounded_and_know_their_tasks():
+    held = HeldAttempts(2)
+    rows = [HeldAttempt("run-000001", 0, 7, f"m-{n}", clock.ORIGIN, False) for n in range(3)]
+    assert [held.add(row) for row in rows] == [True, True, False]
+    assert held.others(rows[0]) == [rows[1]] and held.indexes("run-000001") == {0}
+    held.remove(rows[0])
+    held.remove(rows[0])
+    assert held.indexes("run-000001") == {0} and len(held) == 1
+    held.remove(rows[1])
+    assert held.jobs() == set()
+
+
+def test_the_pace_grows_while_it_succeeds_and_halves_when_it_fails():
+    pace = AdaptiveBound(8, 32)
+    pace.succeeded(100)
+    assert pace.value == 32
+    pace.failed()
+    assert pace.value == 16
+    for _ in range(5):
+        pace.failed()
+    assert pace.value == 8
+
+
+def test_a_watch_tells_new_settled_and_staying_and_merges_ages():
+    from roadbend.recovery.watch import Watch
+
+    at = clock.ORIGIN
+    first, second = Difference(Kind.MISSING, "m-1", TASK, 7), Difference(Kind.MACHINE_SILENT, "m-2")
+    watch = Watch()
+    assert watch.look([first, second], at).new == (first, second)
+    assert watch.look([second], at + 5 * S).settled == 1
+    assert watch.look([second], at + 10 * S).staying == (second,)
+    assert watch.age_quantile(0.5) == 5.0
+    other = Watch()
+    other.merge(watch.ages())
+    assert other.age_quantile(0.99) == 5.0
--- /dev/null
+++ b/roadbend/recovery/test_recovery.py
@@ -0,0 +1,267 @@
+"""Controllers that return after all have ended, with recovery switched on, in memory."""
+
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from roadbend.fakes.differences import recorded_attempts, true_differences
+from roadbend.fakes.submission import gang, job
+from roadbend.fakes.world import world
+from roadbend.recovery.service import install
+from roadbend.recovery.settings import RecoverySettings, load
+from roadbend.rehearsal.cold_restart import HARD_CASES, scenario
+from roadbend.rehearsal.runner import play_here
+from roadbend.settings import SettingsError, Team
+from roadbend.store.records import RecoveryProgress
+
+TEAMS = {"red": Team("red", 0, 0, 0, 0), "blue": Team("blue", 0, 0, 4, 4)}
+SERVICE = dict(shape="daemon", dueS=None, loaners=False)
+
+
+def equip(node):
+    install(node, RecoverySettings())
+
+
+@asynccontextmanager
+async def running(*bodies, **changes):
+    """A deployment with recovery in which these jobs run."""
+    async with world(equip=equip, teams=TEAMS, caches_images=True, **changes) as w:
+        for n, body in enumerate(bodies):
+            assert await w.submit(n % 3, body, None) == 201
+        names = {body["id"]: body["legs"] for body in bodies}
+        assert await w.until(
+            lambda: all(len(w.board.running(name)) == n for name, n in names.items()), 90
+        )
+        yield w
+
+
+def stop_all(w):
+    for at in range(3):
+        w.crash(at)
+
+
+def start_all(w):
+    for at in range(3):
+        w.start(at)
+
+
+def drop(w, *prefixes):
+    """The state service loses records."""
+    for key in [key for key in w.state.keys if key.startswith(prefixes)]:
+        del w.state.keys[key]
+
+
+@pytest.mark.parametrize("case", sorted(HARD_CASES))
+async def test_each_hard_case_passes_and_happens(case):
+    report = await play_here(scenario(5, 18, True, (case,)), equip)
+    assert report.verdict.passed, report.text()
+    happens = {
+        "cancelled": "cancelled",
+        "starts-on-their-way": "missing",
+        "lost-writes": "unrecorded",
+        "machines-begin-anew": "missing",
+        "machines-end": "silent",
+        "machines-hang": "silent",
+    }
+    if case in happens:
+        assert report.measured.differences[happens[case]], report.text()
+
+
+async def test_an_unrecorded_attempt_is_adopted_where_it_runs():
+    """Without holding it, it is stopped at the first report, and begins again elsewhere."""
+    async with running(job(1, legs=3, **SERVICE), job(2, legs=2, **SERVICE)) as w:
+        before = {task: set(homes) for task, homes in w.board.where.items()}
+        starts = len(w.board.starts)
+        stop_all(w)
+        drop(w, "r/slice/")
+        start_all(w)
+        assert await w.until(lambda: len(recorded_attempts(w.state)) == 5, 30)
+        await trio.sleep(10)
+        assert len(w.board.starts) == starts
+        assert {task: set(homes) for task, homes in w.board.where.items()} == before
+
+
+async def test_a_task_that_completed_unrecorded_is_recorded_as_done():
+    async with running(job(1, legs=1, dueS=None)) as w:
+        (worker,) = [x for x in w.workers() if x.tasks]
+        task = next(iter(worker.tasks.values()))
+        stop_all(w)
+        drop(w, "r/slice/")
+        worker._end(task, "done")
+        starts = len(w.board.starts)
+        start_all(w)
+
+        async def done():
+            return await w.status(0, "run-000001") == "done"
+
+        assert await w.until(done, 40) and len(w.board.starts) == starts
+
+
+async def test_a_gang_in_no_record_is_stopped_whole_and_begins_again():
+    async with running(gang(1, 4)) as w:
+        w.board.lengths["run-000001"] = None
+        stop_all(w)
+        drop(w, "r/slice/")
+        starts = len(w.board.starts)
+        start_all(w)
+        assert await w.until(lambda: len(w.board.starts) == starts + 4, 90)
+
+
+async def test_a_team_at_its_limit_is_not_taken_beyond_it_by_an_adoption():
+    """What others began meanwhile counts first; the rules' judge looks at the limit."""
+    async with running(job(1, legs=4, crew="blue", **SERVICE)) as w:
+        stop_all(w)
+        drop(w, "r/slice/", "r/team/")
+        start_all(w)
+        assert await w.until(lambda: len(recorded_attempts(w.state)) == 4, 60)
+
+
+async def test_a_job_in_no_record_is_not_accepted_anew_before_it_has_stopped():
+    """Else its tasks could begin on other machines beside the old ones."""
+    async with running(job(1, legs=2, **SERVICE)) as w:
+        stop_all(w)
+        drop(w, "r/slice/", "r/job/run-000001")
+        start_all(w)
+        assert await w.until(lambda: "r/unrecorded/run-000001" in w.state.keys, 30)
+        assert w.board.running("run-000001")
+        status, _ = await w.call(1, "POST", "/v1/jobs", job(1, legs=2, **SERVICE))
+        assert status == 503
+        assert (await w.call(2, "GET", "/v1/jobs/run-000001"))[0] == 503
+
+        async def accepted():
+            return await w.submit(0, job(1, legs=2, **SERVICE), None) == 201
+
+        assert await w.until(accepted, 60, 1.0)
+        assert "r/unrecorded/run-000001" not in w.state.keys
+        assert await w.until(lambda: len(w.board.running("run-000001")) == 2, 60)
+
+
+async def test_a_job_cancelled_while_nobody_listened_is_stopped_though_no_record_names_its_task():
+    async with running(job(1, legs=1, **SERVICE)) as w:
+        stop_all(w)
+        drop(w, "r/slice/", "r/job/run-000001")
+        w.state.multi({"apply": [{"write": "fin/run-000001", "value": {"s": "aborted", "n": 0}}]})
+        w.rules.cases["run-000001"].asked = trio.current_time()
+        start_all(w)
+        assert await w.until(lambda: not w.board.running("run-000001"), 10)
+
+
+async def test_a_term_that_the_records_lost_is_not_used_again():
+    """Machines refuse tokens below those that they have seen, and all of them would end their
+    tasks with their leases."""
+    async with running(job(1, legs=4, **SERVICE)) as w:
+        copy = w.state.copy_records()
+        for at in range(3):
+            w.crash(at)
+            await trio.sleep(0.5)
+            w.start(at)
+            await trio.sleep(8)
+        highest = {zone: w._term(zone) for zone in w.zones}
+        assert min(highest.values()) > 1
+        stop_all(w)
+        w.state.restore_records(copy)
+        starts = len(w.board.starts)
+        start_all(w)
+        # A zone without machines has nobody who saw its lost term.
+        zones = {x.zone for x in w.workers()}
+        assert await w.until(lambda: all(w._term(z) > highest[z] for z in zones), 20)
+        await trio.sleep(25)
+        assert len(w.board.starts) == starts
+
+
+async def test_nonsense_terms_change_nothing():
+    async with running(job(1, legs=1, **SERVICE)) as w:
+        term = w._term("east")
+        body = {
+            "hitch": "m-999999",
+            "address": "m-999999:1",
+            "rig": "g2",
+            "yard": "east",
+            "loaners": False,
+            "stint": 1,
+            "tick": 1,
+            "baton": (1 << 64) - 1,
+            "legs": [],
+        }
+        for at in range(3):
+            await w.call(at, "POST", "/hello", body)
+        await w.call(0, "POST", "/hello", {**body, "baton": (term + 5) << 16})
+        await trio.sleep(5)
+        # One machine that shows a higher term is believed; it costs a term, and no task.
+        assert w._term("east") in (term, term + 6)
+        assert len(w.board.running("run-000001")) == 1
+
+
+async def test_work_from_before_waits_for_machines_and_new_work_does_not():
+    """A machine that is heard late may have a task that the records have lost."""
+    async with running(job(1, legs=2, yard="east", **SERVICE)) as w:
+        stop_all(w)
+        drop(w, "r/slice/")
+        machines = {m for homes in w.board.where.values() for m in homes}
+        nodes = [f"node-{at}" for at in range(3)]
+        pairs = [(machine, node) for machine in machines for node in nodes]
+        w.nursery.start_soon(w.cut_pairs, pairs, 5.0)
+        start_all(w)
+        starts = len(w.board.starts)
+        assert await w.settled()
+        assert await w.submit(0, job(2, legs=1, **SERVICE), None) == 201
+        assert await w.until(lambda: w.board.running("run-000002"), 30)
+        await trio.sleep(15)
+        assert len(w.board.starts) == starts + 1
+        assert len(w.board.running("run-000001")) == 2
+
+
+async def test_without_differences_nobody_is_told_anything():
+    async with running(job(1, legs=6, **SERVICE)) as w:
+        stop_all(w)
+        await trio.sleep(3)
+        received = len(w.board.received)
+        start_all(w)
+        await trio.sleep(20)
+        assert w.board.received[received:] == []
+        assert true_differences(w.state, w.workers()).total == 0
+
+
+async def test_progress_is_recorded_once_a_phase_and_ignored_by_the_version_in_production():
+    async with running(job(1, legs=2, **SERVICE)) as w:
+        stop_all(w)
+        w.start(0, previous_version=True)
+        w.start(1)
+        w.start(2)
+        key = "r/recovery/north"
+        assert await w.until(lambda: key in w.state.keys, 30)
+        await trio.sleep(15)
+        value = w.state.value(key)
+        assert RecoveryProgress.from_value(value, 1).phase == "settled"
+        writes = [row for name, row in w.state.log if name == key]
+        assert len(writes) <= 2
+        assert await w.submit(0, job(2, legs=1, **SERVICE), None) == 201
+
+
+async def test_a_record_of_an_unknown_version_is_left_as_it_is():
+    async with running(job(1, legs=1, **SERVICE)) as w:
+        stop_all(w)
+        value = {"v": 99, "x": 1}
+        w.state.multi({"apply": [{"write": "r/recovery/east", "value": value}]})
+        start_all(w)
+        await trio.sleep(15)
+        assert w.state.value("r/recovery/east") == value
+        assert len(w.board.running("run-000001")) == 1
+
+
+@pytest.mark.parametrize(
+    "text, word",
+    [
+        ("(recovery (gather 8))", "gather"),
+        ("(recovery (gather-most 0))", "gather-most"),
+        ("(recovery (gather-most 8) (gather-most 9))", "twice"),
+        ("(tracing)", "recovery"),
+        ("(recovery", "S-expression"),
+    ],
+)
+def test_bad_settings_are_refused_by_name(tmp_path, text, word):
+    path = tmp_path / "recovery.sexp"
+    path.write_text(text)
+    with pytest.raises(SettingsError, match=word):
+        load(path)
--- a/roadbend/recovery/unrecorded.py
+++ b/roadbend/recovery/unrecorded.py
@@ -31,8 +31,6 @@
     # Of a job that does not live: whether it has a recorded end; None: not read yet.
     job_over: bool | None
     gang: bool
-    # The job's record gives the task to this part or to none.
-    may_be_held_here: bool
     shows_done: bool
     # The machine's latest report carries the owner's token, and the machine stays.
     machine_current: bool
@@ -68,8 +66,8 @@
 
 
 def _decide_of_live_job(facts: Facts) -> Decision:
-    if facts.gang or not facts.may_be_held_here:
-        # A gang is started whole or not at all; and what another part holds may start there.
+    if facts.gang:
+        # A gang is started whole or not at all.
         return Decision.STOP
     if facts.shows_done:
         # Done stays true, however old the report is.
--- /dev/null
+++ b/roadbend/rehearsal/search.py
@@ -0,0 +1,87 @@
+"""Many rehearsals of one scenario, by seeds: which fail, and how long settling takes."""
+
+from __future__ import annotations
+
+import multiprocessing
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from datasketches import kll_floats_sketch
+
+from roadbend.rehearsal.report import Report
+
+# The accuracy of the sketch of settlement times: a rank error of about 1.3%.
+SKETCH_SIZE = 200
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What is kept of one rehearsal."""
+
+    seed: int
+    passed: bool
+    failures: tuple[str, ...]
+    summary: str
+    orders: int
+    needed: int
+    differences: int
+    settled_after: float | None
+
+
+def outcome_of(report: Report) -> Outcome:
+    """The outcome of a report."""
+    return Outcome(
+        report.seed,
+        report.verdict.passed,
+        tuple(f"{row.check}: {row.detail}" for row in report.verdict.findings if not row.passed),
+        report.summary,
+        report.measured.orders,
+        report.measured.needed,
+        sum(report.measured.differences.values()),
+        report.measured.settled_after,
+    )
+
+
+def play_all(play_one: Callable[[int], Outcome], seeds: range, processes: int) -> Iterator[Outcome]:
+    """Plays all seeds in several processes; outcomes come as they end."""
+    with multiprocessing.Pool(processes) as pool:
+        yield from pool.imap_unordered(play_one, seeds)
+
+
+class Totals:
+    """All outcomes together. Settlement times are a sketch, so totals of several runs merge."""
+
+    def __init__(self) -> None:
+        self.runs = self.failed = self.orders = self.needed = self.differences = 0
+        self.times = kll_floats_sketch(SKETCH_SIZE)
+
+    def add(self, outcome: Outcome) -> None:
+        """Takes in one outcome."""
+        self.runs += 1
+        self.failed += not outcome.passed
+        self.orders += outcome.orders
+        self.needed += outcome.needed
+        self.differences += outcome.differences
+        if outcome.settled_after is not None:
+            self.times.update(outcome.settled_after)
+
+    def merge(self, other: Totals) -> None:
+        """Takes in the totals of other runs."""
+        self.runs += other.runs
+        self.failed += other.failed
+        self.orders += other.orders
+        self.needed += other.needed
+        self.differences += other.differences
+        self.times.merge(other.times)
+
+    def text(self) -> str:
+        """A line for the reader."""
+        if self.times.is_empty():
+            times = "none settled"
+        else:
+            middle, worst = self.times.get_quantile(0.5), self.times.get_quantile(0.99)
+            times = f"settled after {middle:.1f} s (99%: {worst:.1f} s)"
+        return (
+            f"{self.runs} rehearsals, {self.failed} failed; {self.differences} differences, "
+            f"{self.orders} orders received, {self.needed} needed; {times}"
+        )
--- /dev/null
+++ b/roadbend/tracing/settings.py
@@ -0,0 +1,38 @@
+"""Operators' settings of tracing: `deploy/tracing.sexp`."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from pathlib import Path
+
+from roadbend.settings import SettingsError, number, read_file, read_form, seconds
+
+
+def _text(default: str, text: str):
+    return field(default=default, metadata={"text": text})
+
+
+@dataclass(frozen=True)
+class TracingSettings:
+    """Where spans go, and how many. Durations are written in seconds."""
+
+    collector: str = _text("", "URL of a collector that takes OTLP over HTTP; empty: none")
+    file: str = _text("", "file to which spans are written as OTLP JSON lines; empty: none")
+    share: float = number(1.0, 0.0, 1.0, "share of jobs that are traced, by their ids")
+    queue_most: int = number(4096, 16, 100_000, "spans that wait for export; more are dropped")
+    batch_most: int = number(512, 1, 10_000, "spans in one export")
+    export_every: timedelta = seconds(5, 0.1, 300, "longest wait before what is there is exported")
+    export_within: timedelta = seconds(10, 0.5, 120, "how long one export may take")
+    file_most: int = number(64, 1, 10_000, "megabytes after which the file takes no more spans")
+    attempts_most: int = number(
+        20_000, 100, 1_000_000, "attempts of which the start is remembered for their span"
+    )
+
+
+def load(path: Path) -> TracingSettings:
+    """The settings in a file; raises `SettingsError` that names the key."""
+    settings = read_form(read_file(path), "tracing", TracingSettings)
+    if not settings.collector and not settings.file:
+        raise SettingsError("missing key: collector or file")
+    if settings.collector and not settings.collector.startswith(("http://", "https://")):
+        raise SettingsError("bad value for collector: expected an http or https URL")
+    return settings
--- /dev/null
+++ b/roadbend/tracing/switch.py
@@ -0,0 +1,102 @@
+"""Switches tracing on in a controller."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import SpanLimits, TracerProvider
+from opentelemetry.sdk.trace.export import SpanExporter
+from opentelemetry.sdk.trace.sampling import TraceIdRatioBased
+
+from roadbend import __version__, clock
+from roadbend.log import Log
+from roadbend.tracing.export import BoundedProcessor, FileExporter
+from roadbend.tracing.ids import DerivedIds
+from roadbend.tracing.recorder import COUNTERS_EVERY, Recorder
+from roadbend.tracing.settings import TracingSettings
+
+if TYPE_CHECKING:
+    from roadbend.node import Node
+
+log = Log("tracing")
+MEGABYTE = 1024 * 1024
+
+
+class Tracing:
+    """The tracing of one controller: its provider, its recorder and its exporters."""
+
+    def __init__(
+        self, service_zone: str, name: str, settings: TracingSettings, exporters: list[SpanExporter]
+    ) -> None:
+        ids = DerivedIds()
+        self.provider = TracerProvider(
+            # By the trace's id, so that all controllers choose the same jobs.
+            sampler=TraceIdRatioBased(settings.share),
+            resource=Resource.create(
+                {
+                    "service.name": "roadbend",
+                    "service.version": __version__,
+                    "service.instance.id": name,
+                    "cloud.availability_zone": service_zone,
+                }
+            ),
+            shutdown_on_exit=False,
+            id_generator=ids,
+            span_limits=SpanLimits(max_span_attributes=64, max_attribute_length=200),
+        )
+        self.processors = [
+            BoundedProcessor(
+                exporter,
+                settings.queue_most,
+                settings.batch_most,
+                settings.export_every.total_seconds() * 1000,
+                settings.export_within.total_seconds() * 1000,
+            )
+            for exporter in exporters
+        ]
+        for processor in self.processors:
+            self.provider.add_span_processor(processor)
+        self.recorder = Recorder(self.provider, ids, settings.attempts_most)
+
+    async def run(self) -> None:
+        """Logs the counters while the controller runs."""
+        while True:
+            await clock.pause(COUNTERS_EVERY)
+            self.log_counters()
+
+    def log_counters(self) -> None:
+        """One line for each place that spans go to."""
+        for processor in self.processors:
+            log.info(
+                "spans",
+                exported=processor.exported,
+                failed=processor.failed,
+                dropped=processor.dropped,
+                waiting=processor.waiting,
+                nonsense_headers=self.recorder.nonsense_headers,
+            )
+
+
+def exporters_of(settings: TracingSettings) -> list[SpanExporter]:
+    """The exporters that the settings name."""
+    out: list[SpanExporter] = []
+    if settings.collector:
+        within = settings.export_within.total_seconds()
+        out.append(OTLPSpanExporter(endpoint=settings.collector, timeout=within))
+    if settings.file:
+        out.append(FileExporter(Path(settings.file), settings.file_most * MEGABYTE))
+    return out
+
+
+def install(
+    node: Node, settings: TracingSettings, exporters: list[SpanExporter] | None = None
+) -> Tracing:
+    """Switches tracing on in a controller that has not started yet."""
+    made = exporters_of(settings) if exporters is None else exporters
+    tracing = Tracing(node.settings.zone, node.settings.name, settings, made)
+    node.shared.observer = tracing.recorder
+    node.background.append(tracing.run)
+    return tracing
