--- /dev/null
+++ b/roadbend/fakes/collector.py
@@ -0,0 +1,68 @@
+"""A collector's stand-in: takes OTLP over HTTP on loopback, and checks what arrives."""
+
+from __future__ import annotations
+
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from opentelemetry.proto.collector.trace.v1.trace_service_pb2 import ExportTraceServiceRequest
+
+
+class FakeCollector:
+    """Keeps the spans that came; `status` and `hang` make it refuse or never answer."""
+
+    def __init__(self) -> None:
+        self.spans: list = []
+        self.resources: list[dict[str, str]] = []
+        self.problems: list[str] = []
+        self.status = 200
+        self.hang = threading.Event()
+        self.hang.set()
+        collector = self
+
+        class Handler(BaseHTTPRequestHandler):
+            def do_POST(self) -> None:  # noqa: N802
+                collector._take(self)
+
+            def log_message(self, *_: object) -> None:
+                """Nothing is printed."""
+
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self._server.daemon_threads = True
+        self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
+        self._thread.start()
+
+    @property
+    def url(self) -> str:
+        """Where spans are to be sent."""
+        return f"http://127.0.0.1:{self._server.server_address[1]}/v1/traces"
+
+    def _take(self, handler: BaseHTTPRequestHandler) -> None:
+        body = handler.rfile.read(int(handler.headers["content-length"]))
+        self.hang.wait()
+        if self.status == 200:
+            self._read(handler, body)
+        handler.send_response(self.status)
+        handler.send_header("content-length", "0")
+        handler.end_headers()
+
+    def _read(self, handler: BaseHTTPRequestHandler, body: bytes) -> None:
+        if handler.headers["content-type"] != "application/x-protobuf":
+            self.problems.append(f"content-type {handler.headers['content-type']}")
+        request = ExportTraceServiceRequest.FromString(body)
+        for resource in request.resource_spans:
+            attributes = resource.resource.attributes
+            self.resources.append({row.key: row.value.string_value for row in attributes})
+            for scope in resource.scope_spans:
+                self.spans.extend(scope.spans)
+        for span in self.spans:
+            if len(span.trace_id) != 16 or len(span.span_id) != 8:
+                self.problems.append(f"ids of {span.name}")
+            if not 0 < span.start_time_unix_nano <= span.end_time_unix_nano:
+                self.problems.append(f"times of {span.name}")
+
+    def close(self) -> None:
+        """Vanishes."""
+        self.hang.set()
+        self._server.shutdown()
+        self._server.server_close()
