--- /dev/null
+++ b/roadbend/fakes/loopback.py
@@ -0,0 +1,186 @@
+"""The fakes on loopback, for controllers that run as processes of their own."""
+
+import socket
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from roadbend.fakes.cloud import FakeCloud
+from roadbend.fakes.rules import Rules
+from roadbend.fakes.state import FakeStateService
+from roadbend.fakes.worker import Board, FakeWorker
+from roadbend.http.client import Client, NoAnswerError
+from roadbend.http.net import Net
+from roadbend.http.server import Request, Response, Server, decode
+from roadbend.settings import Team
+
+ZONES = ("east", "north", "west")
+HOST = "127.0.0.1"
+CONTROLLERS = 3
+MACHINE_TYPE = {
+    "name": "g2",
+    "vcpus": 24.0,
+    "gpus": 2.0,
+    "memoryGb": 144.0,
+    "cacheGb": 100.0,
+    "pullGbPerS": 1.0,
+    "price": 6.0,
+    "lowPrice": 2.0,
+    "startupS": 3.0,
+    "yards": list(ZONES),
+}
+CANCEL_S = 38.0
+
+
+@dataclass(frozen=True)
+class Addresses:
+    """Where everything listens."""
+
+    listen: Sequence[str]
+    back: Sequence[str]
+    state: str
+    cloud: str
+    lengths: str
+
+
+@dataclass(frozen=True)
+class Limits:
+    """What the fakes allow."""
+
+    gpus: float = 8.0
+    machines: int = 8
+    state_rps: float = 250.0
+    state_write_rps: float = 60.0
+    cloud_rps: float = 4.0
+
+
+def free_addresses(count: int) -> list[str]:
+    """Addresses on loopback that nobody uses now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind((HOST, 0))
+        return [f"{HOST}:{one.getsockname()[1]}" for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+def settings_text(at: int, addresses: Addresses, limits: Limits) -> str:
+    """A controller's settings, as the platform would hand them over."""
+    others = "".join(
+        f'[[others]]\nhost_name = "node-{n}"\ndomain = "{ZONES[n]}"\n'
+        f'address = "{addresses.back[n]}"\n'
+        for n in range(CONTROLLERS)
+        if n != at
+    )
+    return f"""host_name = "node-{at}"
+domain = "{ZONES[at]}"
+client_listen = "{addresses.listen[at]}"
+back = "{addresses.back[at]}"
+{others}
+[outside]
+cloud = "{addresses.cloud}"
+state = "{addresses.state}"
+[deployment]
+count = {CONTROLLERS}
+zones = {list(ZONES)}
+clock_off_ms = 25.0
+[[deployment.teams]]
+name = "red"
+gpus = 4.0
+gpus_max = {limits.gpus}
+[deployment.workers]
+report_s = 2.5
+lease_s = 18.0
+cancel_s = {CANCEL_S}
+[deployment.state]
+rps = {limits.state_rps}
+write_rps = {limits.state_write_rps}
+value_kb = 32.0
+txn_ops = 16
+[deployment.cloud]
+rps = {limits.cloud_rps}
+list_lag_s = 5.0
+[deployment.machine_limits]
+sockets = 1000
+""".replace("'", '"')
+
+
+class Loopback:
+    """State service, cloud, workers and users on loopback, with the rules' judge."""
+
+    def __init__(self, nursery: trio.Nursery, addresses: Addresses, limits: Limits) -> None:
+        self._nursery, self._addresses, self._limits = nursery, addresses, limits
+        self._net = Net()
+        team = Team("red", 0, 0, 4.0, limits.gpus)
+        self.rules = Rules([MACHINE_TYPE], [team], CANCEL_S, trio.current_time)
+        self.board = Board(self.rules)
+        self.state = FakeStateService()
+        self.cloud = FakeCloud(nursery, [MACHINE_TYPE], limits.machines, self._worker)
+        self.nodes = {f"node-{n}": addresses.listen[n] for n in range(CONTROLLERS)}
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        for address, handle in (
+            (self._addresses.state, self.state.handle),
+            (self._addresses.cloud, self.cloud.handle),
+            (self._addresses.lengths, self._take_length),
+        ):
+            await self._nursery.start(self._net.listen, address, Server(handle, most=512).serve)
+
+    async def _take_length(self, request: Request) -> Response:
+        """Users upload what the workers need to know of a job: here, how long a task runs."""
+        body = decode(request.body)
+        self.board.lengths[body["id"]] = body["seconds"]
+        return Response(200, {})
+
+    def _worker(self, machine: str, machine_type: str, zone: str, spot: bool) -> FakeWorker:
+        (address,) = free_addresses(1)
+        return FakeWorker(
+            self._net,
+            self.board,
+            self.nodes,
+            machine=machine,
+            address=address,
+            machine_type=machine_type,
+            zone=zone,
+            spot=spot,
+            caches_images=True,
+        )
+
+    def workers(self) -> list[FakeWorker]:
+        """The workers of the machines that work."""
+        return [
+            machine.worker
+            for machine in self.cloud.machines.values()
+            if machine.worker is not None and machine.status == "running"
+        ]
+
+    async def call(self, at: int, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        """A user's request, seen by the judge."""
+        began = trio.current_time()
+        if path == "/v1/jobs":
+            self.rules.submitted(body)
+        client = Client(self._net, self._addresses.listen[at])
+        try:
+            status, answer = await client.request(method, path, body, within=timedelta(seconds=5))
+        except NoAnswerError:
+            return 0, None
+        finally:
+            await client.close()
+        self.rules.answered(method, path, body, status, answer, began)
+        return status, answer
+
+
+def write_settings(directory: Path, addresses: Addresses, limits: Limits) -> list[Path]:
+    """One settings file for each controller."""
+    directory.mkdir(parents=True, exist_ok=True)
+    paths = [directory / f"node-{at}.toml" for at in range(CONTROLLERS)]
+    for at, path in enumerate(paths):
+        path.write_text(settings_text(at, addresses, limits))
+    return paths
--- a/roadbend/fakes/user.py
+++ b/roadbend/fakes/user.py
@@ -1,4 +1,4 @@
-"""A user's commands for trying roadbend out: `python3 -m roadbend.standins.user ADDRESS submit
+"""A user's commands for trying roadbend out: `python3 -m roadbend.fakes.user ADDRESS submit
 ID`."""
 
 import argparse
@@ -7,7 +7,7 @@
 
 import trio
 
-from roadbend.fakes.__main__ import LENGTHS
+from roadbend.fakes.__main__ import ADDRESSES
 from roadbend.http.client import Client, NoAnswerError
 from roadbend.http.net import Net
 
@@ -39,7 +39,7 @@
     try:
         if arguments.verb == "submit":
             length = None if arguments.service else arguments.seconds
-            await Client(net, LENGTHS).request(
+            await Client(net, ADDRESSES.lengths).request(
                 "POST", "/", {"id": arguments.id, "seconds": length}, within=within
             )
             status, answer = await client.request(
--- a/roadbend/rehearsal/__main__.py
+++ b/roadbend/rehearsal/__main__.py
@@ -3,10 +3,12 @@
     python -m roadbend.rehearsal cold-restart --seed N
     python -m roadbend.rehearsal search cold-restart --seeds 0-99 --processes 4
     python -m roadbend.rehearsal script FILE
+    python -m roadbend.rehearsal real-cold-restart --workers 200
 
 Exit status: 0 passed, 1 failed, 2 bad arguments or script."""
 
 import argparse
+import os
 import sys
 from functools import partial
 from pathlib import Path
@@ -64,6 +66,12 @@
     command.add_argument("scenario", choices=sorted(SCENARIOS))
     command.add_argument("--seeds", type=_seeds, default=range(20), help="first-last")
     command.add_argument("--processes", type=int, default=2)
+    command = commands.add_parser("real-cold-restart", help="real processes on loopback")
+    command.add_argument("--workers", type=_workers, default=200)
+    command.add_argument("--seed", type=int, default=0)
+    command.add_argument("--without-recovery", action="store_true", help="to compare")
+    command.add_argument("--log", type=Path, default=Path(os.devnull), help="of the controllers")
+    command.add_argument("--json", action="store_true")
     command = commands.add_parser("script", help="a scenario of your own")
     command.add_argument("file", type=Path)
     command.add_argument("--json", action="store_true")
@@ -75,6 +83,8 @@
     arguments = parser().parse_args(argv)
     if arguments.command == "search":
         return _search(arguments)
+    if arguments.command == "real-cold-restart":
+        return _play_real_processes(arguments)
     try:
         scenario = _scenario(arguments)
     except ScriptError as error:
@@ -90,6 +100,14 @@
     return make(arguments.seed, arguments.workers, not arguments.without_recovery, arguments.cases)
 
 
+def _play_real_processes(arguments: argparse.Namespace) -> int:
+    from roadbend.rehearsal import real_processes
+
+    recovery = not arguments.without_recovery
+    report = real_processes.play(arguments.workers, arguments.seed, recovery, arguments.log)
+    return _show(report, arguments.json)
+
+
 def _show(report: Report, as_json: bool) -> int:
     print(report.as_json() if as_json else report.text())
     return 0 if report.verdict.passed else 1
--- a/roadbend/rehearsal/measurement.py
+++ b/roadbend/rehearsal/measurement.py
@@ -4,13 +4,15 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import trio
 
+from roadbend.fakes.cloud import FakeCloud
 from roadbend.fakes.differences import ATTEMPT_BITS, Placed, TrueDifferences, true_differences
 from roadbend.fakes.rules import Rules
-from roadbend.fakes.worker import ReceivedOrder
-from roadbend.fakes.world import World
+from roadbend.fakes.state import FakeStateService
+from roadbend.fakes.worker import Board, FakeWorker, ReceivedOrder
 
 # How often the records and the workers are compared, in seconds.
 COMPARE_EVERY = 0.5
@@ -48,11 +50,23 @@
         return extra / self.needed if self.needed else float(extra)
 
 
+class Deployment(Protocol):
+    """What is watched: a deployment in memory or on loopback."""
+
+    state: FakeStateService
+    cloud: FakeCloud
+    board: Board
+    rules: Rules
+
+    def workers(self) -> list[FakeWorker]:
+        """The workers of the machines that work."""
+
+
 @dataclass
 class Restart:
     """Watches a deployment from the moment at which the first controller returns."""
 
-    world: World
+    world: Deployment
     faulted: set[str]
     began: float = field(default_factory=trio.current_time)
     settled_after: float | None = None
--- a/roadbend/rehearsal/report.py
+++ b/roadbend/rehearsal/report.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True)
 class Report:
-    """The outcome of one rehearsal. All times are simulated."""
+    """The outcome of one rehearsal."""
 
     scenario: str
     summary: str
@@ -19,13 +19,16 @@
     events: tuple[tuple[float, str], ...]
     measured: Measured
     verdict: Verdict
+    # Whether its times are those of a simulated clock.
+    simulated: bool = True
 
     def text(self) -> str:
         """A page that can be read without knowing the code."""
         measured = self.measured
         lines = [
             f"Rehearsal {self.scenario}, seed {self.seed}, {self.workers} workers, "
-            f"recovery {'on' if self.recovery else 'off'} (all times simulated)",
+            f"recovery {'on' if self.recovery else 'off'} "
+            f"(all times {'simulated' if self.simulated else 'real'})",
             self.summary,
             "",
             "What happened",
