Recovery: while machines are not known, no job is said to be unknown

Change: such questions get 503 until the gate opens, at once where nothing was there before; the gate no longer depends on this controller's own parts.

--- a/roadbend/recovery/service.py
+++ b/roadbend/recovery/service.py
@@ -95,7 +95,7 @@
 
     def knows_jobs(self) -> bool:
         """Not before the machines are known: one may run a job that the records have lost."""
-        return self._open or self._since is not None and not self._inherited
+        return self._open
 
     def gate_is_open(self, job: str) -> bool:
         """Whether a job may be given machines: work that came after the restart always may, work
@@ -160,18 +160,26 @@
 
     def _may_open(self, now: datetime) -> bool:
         """Whether work from before the restart may be given machines."""
-        if self._since is None:
+        if not self._shared.view.loaded:
             return False
-        if not self.is_cold() and not self._lost_anywhere():
-            return True
+        parts = self._all_parts()
+        since = self._since or self._node.began
         if self._lost_anywhere():
-            return now >= self._lost_until() or all(
-                self._phase_of(part) == PhaseName.SETTLED for part in self._all_parts()
+            return now >= self._lost_until(since) or all(
+                self._phase_of(part) == PhaseName.SETTLED for part in parts
             )
-        return now >= self._since + self.settings.gather_most or all(
-            self._phase_of(part) in GATHERED for part in self._all_parts()
+        if not self.is_cold() or self._nothing_before():
+            return True
+        return now >= since + self.settings.gather_most or all(
+            self._phase_of(part) in GATHERED for part in parts
         )
 
+    def _nothing_before(self) -> bool:
+        """A first start: no job was there, and the cloud lists no machine that works."""
+        listing = self._node.fleet.listing
+        running = any(row.status == "running" for row in listing.rows.values())
+        return self._since is not None and not self._inherited and listing.reads > 0 and not running
+
     def _all_parts(self) -> list[str]:
         return self._shared.ownership.parts()
 
@@ -196,12 +204,12 @@
             for part, progress in view.recoveries.items()
         )
 
-    def _lost_until(self) -> datetime:
+    def _lost_until(self, since: datetime) -> datetime:
         """From when on no machine has anything that was ordered before: what it did not hear from
         today's owners ended with its lease, and what they stopped has ended likewise."""
         settings, margin = self._shared.settings, self._shared.operator.state_margin
         longest = settings.cancel_within + settings.lease
-        return self._since + longest * (1 + 2 * clock.DRIFT) + 2 * margin
+        return since + longest * (1 + 2 * clock.DRIFT) + 2 * margin
 
     # Lost writes.
 
--- a/roadbend/recovery/test_recovery.py
+++ b/roadbend/recovery/test_recovery.py
@@ -155,6 +155,18 @@
         assert await w.until(lambda: len(w.board.running("run-000001")) == 2, 60)
 
 
+async def test_a_machine_that_began_anew_does_not_keep_a_job_in_no_record_from_being_accepted():
+    async with running(job(1, legs=1, **SERVICE)) as w:
+        stop_all(w)
+        drop(w, "r/slice/", "r/job/run-000001")
+        start_all(w)
+        assert await w.until(lambda: "r/unrecorded/run-000001" in w.state.keys, 30)
+        (machine,) = w.board.where["run-000001/0"]
+        w.cloud.reboot(machine)
+        assert await w.until(lambda: "r/unrecorded/run-000001" not in w.state.keys, 10)
+        assert await w.submit(0, job(1, legs=1, **SERVICE), None) == 201
+
+
 async def test_a_job_cancelled_while_nobody_listened_is_stopped_though_no_record_names_its_task():
     async with running(job(1, legs=1, **SERVICE)) as w:
         stop_all(w)
@@ -206,9 +218,11 @@
         }
         for at in range(3):
             await w.call(at, "POST", "/hello", body)
-        await w.call(0, "POST", "/hello", {**body, "baton": (term + 5) << 16})
         await trio.sleep(5)
+        assert w._term("east") == term
         # One machine that shows a higher term is believed; it costs a term, and no task.
+        await w.call(0, "POST", "/hello", {**body, "baton": (term + 5) << 16})
+        await trio.sleep(5)
         assert w._term("east") in (term, term + 6)
         assert len(w.board.running("run-000001")) == 1
 
