--- a/roadbend/cli.py
+++ b/roadbend/cli.py
@@ -67,6 +67,7 @@
     arguments = parser().parse_args(argv)
     if arguments.compile:
         _import_controller()
+        load_extensions(arguments.recovery, arguments.tracing)
         return 0
     if arguments.config is None:
         parser().error("the following arguments are required: --config")
--- a/roadbend/recovery/service.py
+++ b/roadbend/recovery/service.py
@@ -12,9 +12,10 @@
 from roadbend.log import Log
 from roadbend.placement import recovery_hooks
 from roadbend.placement.runtime import PartRuntime
-from roadbend.recovery.part import PartRecovery, Surroundings
+from roadbend.recovery.part import PartRecovery
 from roadbend.recovery.phases import PhaseName
 from roadbend.recovery.settings import RecoverySettings
+from roadbend.recovery.surroundings import Surroundings
 from roadbend.recovery.unrecorded import HeldAttempt
 from roadbend.store import keys
 from roadbend.store.client import (
@@ -135,7 +136,8 @@
             with part.runtime.lock:
                 part.advance(now)
                 part.judge_held(now)
-        self._open = self._open or self._may_open(now)
+        # Where a part learns later that writes are lost, the gate is shut again.
+        self._open = self._open and not self._lost_anywhere() or self._may_open(now)
         for part in list(self._parts.values()):
             await self._look_for_lost_terms(part)
             await self._read_ends(part)
