Recovery: the gate is shut before the first part is taken; more hard cases rehearsed; old words out

Cause: a test found that a controller that had taken no part yet let jobs from before be offered. Change: it does not; new hard cases (gangs that gather, a team at its limit, boots on their way, one controller alone), tests of the bound on gathering and of the gate; 'story' and 'stand-in' are scenarios and fakes now.

--- a/roadbend/conftest.py
+++ b/roadbend/conftest.py
@@ -1,4 +1,4 @@
-"""Stories run on trio's mock clock: no wall-clock luck, and waiting costs nothing."""
+"""Scenarios run on trio's mock clock: no wall-clock luck, and waiting costs nothing."""
 
 import inspect
 import os
@@ -23,8 +23,8 @@
         with trio.fail_after(3600):
             await pyfuncitem.obj(**arguments)
 
-    # The order in which trio lets tasks go on is drawn; a story's is drawn from its name, so that
-    # it goes the same way every time. ROADBEND_DRAW gives other orders.
+    # The order in which trio lets tasks go on is drawn; a scenario's is drawn from its name, so
+    # that it goes the same way every time. ROADBEND_DRAW gives other orders.
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(f"{os.environ.get('ROADBEND_DRAW', '')} {pyfuncitem.nodeid}")
 
--- a/roadbend/fakes/cloud.py
+++ b/roadbend/fakes/cloud.py
@@ -1,4 +1,4 @@
-"""The cloud's stand-in: a catalog, capacity, machines that boot and whose workers then report."""
+"""The cloud's fake: a catalog, capacity, machines that boot and whose workers then report."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
--- a/roadbend/fakes/collector.py
+++ b/roadbend/fakes/collector.py
@@ -1,4 +1,4 @@
-"""A collector's stand-in: takes OTLP over HTTP on loopback, and checks what arrives."""
+"""A collector's fake: takes OTLP over HTTP on loopback, and checks what arrives."""
 
 from __future__ import annotations
 
--- a/roadbend/fakes/previous_version.py
+++ b/roadbend/fakes/previous_version.py
@@ -1,4 +1,4 @@
-"""A controller as the version in production is, for stories of an upgrade. It speaks and writes
+"""A controller as the version in production is, for scenarios of an upgrade. It speaks and writes
 just what that version does (test_upgrade.py has its bytes): frames and records of the settings'
 present limits only, no word of gangs, and starts ordered by reports alone."""
 
@@ -12,7 +12,7 @@
 from roadbend.settings import Operator, Settings
 from roadbend.store import records
 
-# The values and transactions that production's settings allow, where the stories' settings are
+# The values and transactions that production's settings allow, where the scenarios' settings are
 # those to come.
 VALUE_BYTES, TXN_OPS = 4096, 8
 
--- a/roadbend/fakes/rules.py
+++ b/roadbend/fakes/rules.py
@@ -1,6 +1,6 @@
 """The protocol's rules, judged from outside: by what users were told and what was on machines,
-never by the product's own records. One judge watches a whole deployment and every story asks it at
-the end."""
+never by the product's own records. One judge watches a whole deployment and every scenario asks it
+at the end."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -85,7 +85,7 @@
 
 
 class Rules:
-    """`rigs` and `teams` as the platform gives them; `now` is the world's clock."""
+    """`machine_types` and `teams` as the platform gives them; `now` is the world's clock."""
 
     def __init__(
         self,
@@ -94,7 +94,7 @@
         cancel_s: float,
         now: Callable[[], float],
     ):
-        self._rigs = {row["name"]: row for row in machine_types}
+        self._machine_types = {row["name"]: row for row in machine_types}
         self._teams = {
             team.name: (team.cpus_max or EPS + 1e18, team.gpus_max or EPS + 1e18) for team in teams
         }
@@ -138,7 +138,7 @@
             return False
         return any(
             self._allows(body, machine_type, zone)
-            for machine_type in self._rigs.values()
+            for machine_type in self._machine_types.values()
             for zone in machine_type["yards"]
         )
 
@@ -271,7 +271,7 @@
             case.completed.add(task)
 
     def _check_place(self, case: Case, task: str, place: Place) -> None:
-        body, machine_type = case.body, self._rigs[place.machine_type]
+        body, machine_type = case.body, self._machine_types[place.machine_type]
         if not self._allows(body, machine_type, place.zone) or place.spot and not body["loaners"]:
             self._break("wrong_place", task, "on", place)
         others = self._zones(case, task)
@@ -356,7 +356,7 @@
         zones = self._zones(case, waiting[0])
         for place, free in rooms:
             if (
-                not self._allows(body, self._rigs[place.machine_type], place.zone)
+                not self._allows(body, self._machine_types[place.machine_type], place.zone)
                 or place.spot
                 and not body["loaners"]
             ):
--- a/roadbend/fakes/state.py
+++ b/roadbend/fakes/state.py
@@ -1,4 +1,4 @@
-"""The state service's stand-in: keys, transactions, leases, the log."""
+"""The state service's fake: keys, transactions, leases, the log."""
 
 import json
 import random
--- a/roadbend/fakes/test_fakes.py
+++ b/roadbend/fakes/test_fakes.py
@@ -1,4 +1,4 @@
-"""The stand-ins' troubles do what they say, and the judge sees each breach."""
+"""The fakes' troubles do what they say, and the judge sees each breach."""
 
 import random
 from datetime import timedelta
--- a/roadbend/fakes/user.py
+++ b/roadbend/fakes/user.py
@@ -57,7 +57,7 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(prog="roadbend.standins.user", description=__doc__)
+    parser = argparse.ArgumentParser(prog="roadbend.fakes.user", description=__doc__)
     parser.add_argument("address", help="a controller, host:port")
     parser.add_argument("verb", choices=["submit", "query", "withdraw"])
     parser.add_argument("id", help="run- and digits")
--- a/roadbend/fakes/worker.py
+++ b/roadbend/fakes/worker.py
@@ -1,4 +1,4 @@
-"""A worker's stand-in: reports, leases, tokens, tasks. It also keeps a board of what runs where,
+"""A worker's fake: reports, leases, tokens, tasks. It also keeps a board of what runs where,
 and says so when a task is on two machines at once."""
 
 from collections.abc import Callable
--- a/roadbend/fakes/world.py
+++ b/roadbend/fakes/world.py
@@ -1,4 +1,4 @@
-"""A whole deployment in memory: controllers, stand-ins and a user, for stories on a mock clock."""
+"""A whole deployment in memory: controllers, fakes and a user, for scenarios on a mock clock."""
 
 import random
 from collections.abc import AsyncIterator, Callable
--- a/roadbend/fleet/test_standing_still.py
+++ b/roadbend/fleet/test_standing_still.py
@@ -46,7 +46,7 @@
         machine, runtime = next(iter(w.board.where["run-000001/0"])), node.runtimes["east"]
         still = node.rental._still(runtime)
         assert still()
-        node.ownership._forget("east", "for the story")
+        node.ownership._forget("east", "for the test")
         assert not still()
         for call in (
             node.cloud.delete([machine], still=still),
--- a/roadbend/recovery/service.py
+++ b/roadbend/recovery/service.py
@@ -101,7 +101,10 @@
     def gate_is_open(self, job: str) -> bool:
         """Whether a job may be given machines: work that came after the restart always may, work
         from before once the machines that may have it are known."""
-        return self._open or job not in self._inherited
+        if self._open:
+            return True
+        # Before the first part was taken nobody here knows which jobs are from before.
+        return self._since is not None and job not in self._inherited
 
     def is_cold(self) -> bool:
         """Whether no controller goes on from before: nobody knows what was on its way."""
--- a/roadbend/recovery/test_recovery.py
+++ b/roadbend/recovery/test_recovery.py
@@ -70,6 +70,7 @@
     happens = {
         "cancelled": "cancelled",
         "starts-on-their-way": "missing",
+        "gangs-gathering": "missing",
         "lost-writes": "unrecorded",
         "machines-begin-anew": "missing",
         "machines-end": "silent",
@@ -258,6 +259,35 @@
         assert len(recorded_attempts(w.state)) == 2
 
 
+async def test_the_bound_on_gathering_does_not_make_machines_known():
+    """After it an attempt was adopted though a machine that was not heard might have it too."""
+    async with running(job(1, legs=2, yard="east", **SERVICE)) as w:
+        stop_all(w)
+        cut(w, {m for homes in w.board.where.values() for m in homes}, 30.0)
+        start_all(w)
+        await trio.sleep(11)
+        part = w.nodes["node-0"].runtimes["east"].recovery
+        assert part.phase.name != "gathering"
+        assert not part._machines_known(clock.now())
+        assert part._machines_known(part._leases_over())
+
+
+async def test_the_gate_is_shut_again_where_another_part_learns_of_lost_writes():
+    async with running(job(1, legs=1, yard="east", **SERVICE)) as w:
+        stop_all(w)
+        start_all(w)
+        recovery = w.nodes["node-0"].shared.recovery
+        assert not recovery.gate_is_open("run-000001")
+        assert await w.until(lambda: recovery.gate_is_open("run-000001"), 20)
+        term = w._term("north")
+        lost = RecoveryProgress(term, "gathering", True).to_value()
+        w.state.multi({"apply": [{"write": "r/recovery/north", "value": lost}]})
+        assert await w.until(lambda: not recovery.gate_is_open("run-000001"), 2)
+        settled = RecoveryProgress(term, "settled", True).to_value()
+        w.state.multi({"apply": [{"write": "r/recovery/north", "value": settled}]})
+        assert await w.until(lambda: recovery.gate_is_open("run-000001"), 2)
+
+
 async def test_a_task_that_a_machine_shows_is_placed_nowhere_else():
     async with running(job(1, legs=1, yard="east", **SERVICE)) as w:
         node = w.nodes["node-0"]
--- a/roadbend/rehearsal/actions.py
+++ b/roadbend/rehearsal/actions.py
@@ -21,6 +21,7 @@
 WAVE_SHARE = 12
 # Its deadline in seconds: so short that machines are rented at once.
 WAVE_DUE = 40.0
+LIMITED_TEAM = "blue"
 # How long tasks of arrays run; the first ones end while no controller is up.
 SHORTEST, LONGEST = 45.0, 110.0
 
@@ -76,17 +77,34 @@
     count: int
     tasks: int = 3
     wave: bool = False
+    # Of the team that has a limit, and more than that allows.
+    limited: bool = False
 
     async def play(self, stage: Stage) -> None:
         count = max(self.count, stage.workers // WAVE_SHARE) if self.wave else self.count
         for _ in range(count):
             due = WAVE_DUE if self.wave else None
-            body = job(stage.next_number(), legs=self.tasks, dueS=due, loaners=False)
+            crew = LIMITED_TEAM if self.limited else "red"
+            body = job(stage.next_number(), legs=self.tasks, dueS=due, loaners=False, crew=crew)
             if await stage.submit(body, stage.rng.uniform(30, 60)):
                 stage.arrays.append(body["id"])
         stage.note(f"{count} more arrays accepted")
 
 
+@dataclass(frozen=True)
+class SubmitGangs:
+    """More gangs come, which fit beside what runs; returns as soon as they are accepted."""
+
+    count: int
+
+    async def play(self, stage: Stage) -> None:
+        for _ in range(self.count):
+            body = gang(stage.next_number(), GANG_WIDTH)
+            if await stage.submit(body, stage.rng.uniform(30, 60)):
+                stage.gangs.append(body["id"])
+        stage.note(f"{self.count} more gangs accepted")
+
+
 @dataclass(frozen=True)
 class Cancel:
     """Users cancel services and arrays that run, and are told so."""
@@ -146,6 +164,8 @@
 
     pause: timedelta = timedelta()
     previous_version_first: bool = False
+    # How long the first one is alone.
+    first_alone: timedelta = timedelta()
 
     async def play(self, stage: Stage) -> None:
         if stage.restart is None:
@@ -156,7 +176,8 @@
             if f"node-{at}" not in stage.world.nodes:
                 stage.world.start(at, self.previous_version_first and at == 0)
                 stage.note(f"controller {at} started")
-                await trio.sleep(self.pause.total_seconds())
+                pause = self.pause if len(stage.world.nodes) > 1 else self.first_alone
+                await trio.sleep(max(pause, self.pause).total_seconds())
 
 
 @dataclass(frozen=True)
--- a/roadbend/rehearsal/cold_restart.py
+++ b/roadbend/rehearsal/cold_restart.py
@@ -22,6 +22,7 @@
     StopController,
     StopControllers,
     SubmitArrays,
+    SubmitGangs,
     Wait,
 )
 from roadbend.rehearsal.scenario import Action, Limits, Scenario
@@ -53,6 +54,7 @@
         self.away: list[Action] = []
         self.after: list[Action] = []
         self.pause = timedelta()
+        self.first_alone = timedelta()
         self.previous_version_first = False
 
     def cancelled(self) -> None:
@@ -64,6 +66,25 @@
         self.before += [Cancel(1), Wait(_seconds(3.0))]
         self.cut_first += [SubmitArrays(4), Wait(_seconds(self.rng.uniform(0.8, 1.6)))]
 
+    def gangs_gathering(self) -> None:
+        """Gangs are recorded; the controllers end before all of their tasks are ordered."""
+        self.cut_first += [SubmitGangs(2), Wait(_seconds(self.rng.uniform(0.8, 1.6)))]
+
+    def team_at_limit(self) -> None:
+        """A team has more to do than its limit allows."""
+        self.before += [SubmitArrays(5, 4, limited=True), Wait(_seconds(8.0))]
+
+    def boots_on_their_way(self) -> None:
+        """The controllers end while machines that they rented boot."""
+        self.before += [
+            SubmitArrays(4, wave=True),
+            Wait(_seconds(self.rng.uniform(2.0, 5.0))),
+        ]
+
+    def one_alone(self) -> None:
+        """One controller returns alone, and leads all parts until the others follow."""
+        self.first_alone = _seconds(self.rng.uniform(10.0, 16.0))
+
     def lost_writes(self) -> None:
         """Work begins, and the state service loses the records of that."""
         self.before += [
@@ -145,6 +166,10 @@
 HARD_CASES: dict[str, Callable[[_Plan], None]] = {
     "cancelled": _Plan.cancelled,
     "starts-on-their-way": _Plan.starts_on_their_way,
+    "gangs-gathering": _Plan.gangs_gathering,
+    "team-at-limit": _Plan.team_at_limit,
+    "boots-on-their-way": _Plan.boots_on_their_way,
+    "one-alone": _Plan.one_alone,
     "lost-writes": _Plan.lost_writes,
     "lost-term": _Plan.lost_term,
     "machines-end": _Plan.machines_end,
@@ -167,6 +192,8 @@
     {"lost-term", "cancelled"},
     {"lost-term", "starts-on-their-way"},
     {"lost-writes", "starts-on-their-way"},
+    {"lost-writes", "gangs-gathering"},
+    {"lost-term", "gangs-gathering"},
     # The version in production knows no way out of lost writes.
     {"lost-writes", "older-version-first"},
     {"lost-term", "older-version-first"},
@@ -206,7 +233,7 @@
         Wait(away / 2),
         *plan.away,
         Wait(away / 2),
-        ReturnControllers(plan.pause, plan.previous_version_first),
+        ReturnControllers(plan.pause, plan.previous_version_first, plan.first_alone),
         *plan.after,
         Wait(_seconds(WATCHED)),
     )
--- a/roadbend/test_scenarios.py
+++ b/roadbend/test_scenarios.py
@@ -1,4 +1,4 @@
-"""Whole days in small: three controllers against the stand-ins. The board watches the rules."""
+"""Whole days in small: three controllers against the fakes. The board watches the rules."""
 
 from datetime import timedelta
 
