--- a/roadbend/recovery/part.py
+++ b/roadbend/recovery/part.py
@@ -22,7 +22,7 @@
 from roadbend.recovery.unrecorded import Decision, HeldAttempt, HeldAttempts
 from roadbend.store import ranges
 from roadbend.store.ranges import Ranges
-from roadbend.store.records import Job, RecoveryProgress
+from roadbend.store.records import Attempt, Job, RecoveryProgress
 
 if TYPE_CHECKING:
     from roadbend.placement.runtime import PartRuntime
@@ -140,7 +140,9 @@
 
     def spaces_out(self, key: Key, stop: Stop, now: datetime) -> bool:
         """One kill by the report's answer, and a direct one only if that brought nothing; none
-        for a task that its machine shows as ended."""
+        for a task that its machine shows as ended, or whose end is recorded."""
+        if self.runtime.recorded_attempt(key) != Attempt(stop.attempt, stop.machine):
+            return True
         if stop.told_at is not None and now - stop.told_at < KILL_AGAIN:
             return True
         machine = self.runtime.machines.get(stop.machine)
--- a/roadbend/recovery/test_recovery.py
+++ b/roadbend/recovery/test_recovery.py
@@ -1,6 +1,7 @@
 """Controllers that return after all have ended, with recovery switched on, in memory."""
 
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 import trio
@@ -323,7 +324,9 @@
         assert not runtime.recovery.spaces_out(key, stop, now)
         stop.told_at = now
         assert runtime.recovery.spaces_out(key, stop, now)
-        stop.told_at, seen.state = None, "ended"
+        stop.told_at = None
+        assert runtime.recovery.spaces_out(key, replace(stop, attempt=1), now)
+        seen.state = "ended"
         assert runtime.recovery.spaces_out(key, stop, now)
         seen.state = "running"
 
