--- a/roadbend/recovery/test_recovery.py
+++ b/roadbend/recovery/test_recovery.py
@@ -11,6 +11,7 @@
 from roadbend.fakes.submission import gang, job
 from roadbend.fakes.world import world
 from roadbend.fleet.machines import Stop
+from roadbend.fleet.messages import Report
 from roadbend.recovery.part import KILL_AGAIN
 from roadbend.recovery.service import install
 from roadbend.recovery.settings import RecoverySettings, load
@@ -303,6 +304,22 @@
         assert node.shared.recovery.holds_back("run-000002")
 
 
+async def test_what_a_current_report_no_longer_shows_is_not_held_any_more():
+    async with running(job(1, legs=1, yard="east", **SERVICE)) as w:
+        runtime = w.nodes["node-0"].runtimes["east"]
+        (machine,) = [m for m in runtime.machines.values() if m.tasks]
+        part, now = runtime.recovery, clock.now()
+        part.held.add(HeldAttempt("run-000009", 0, 7, machine.id, now, False))
+        report = Report(machine.id, "", "g2", "east", False, 1, 1, 0, None, (), [])
+        # An older token proves presence only.
+        machine.ours = False
+        part.note_report(machine, report, now)
+        assert len(part.held) == 1
+        machine.ours = True
+        part.note_report(machine, report, now)
+        assert len(part.held) == 0
+
+
 async def test_a_submission_is_conditional_on_the_mark_of_an_unrecorded_job():
     """The mark may be written while a submission is on its way."""
     async with running(job(1, legs=1, **SERVICE)) as w:
