Log a direct start as it is sent, a confirmed token and a confirmed cancellation

The log could not tell whether a start that was carried out after a cancellation had been sent before or after it, nor when its user was told. No behaviour changes.

--- a/roadbend/fleet/direct_commands.py
+++ b/roadbend/fleet/direct_commands.py
@@ -121,6 +121,15 @@
             epoch = _note_starts(machine, starts, now)
             orders = [StartTask(*key, attempt.number) for key, attempt in starts]
             body = messages.direct_command(leader.heartbeats.token(machine), epoch, orders)
+            for key, attempt in starts:
+                log.debug(
+                    "direct-start-sent",
+                    partition=leader.partition,
+                    machine=name,
+                    task=f"{key.job}/{key.task_index}",
+                    attempt=attempt.number,
+                    token=leader.heartbeats.token(machine),
+                )
             answer = await self._send_starts(machine, body)
             if answer.refused:
                 _forget_starts(machine, starts)
--- a/roadbend/intake/cancellation.py
+++ b/roadbend/intake/cancellation.py
@@ -112,5 +112,6 @@
         if state.status is JobStatus.CANCELLED:
             self._told(job_id)
             await self._propagate()
+            log.info("cancellation-confirmed", job=job_id)
         self._states.final_states.put(job_id, state)
         return self._states.answer_final(job_id, state)
--- a/roadbend/placement/heartbeats.py
+++ b/roadbend/placement/heartbeats.py
@@ -139,6 +139,12 @@
         orders = self._orders(machine, heartbeat, now)
         news = self._terminations.changes != before or machine.token.confirmed != was_confirmed
         if machine.token.confirmed and not was_confirmed:
+            log.debug(
+                "machine-token-confirmed",
+                partition=self._partition,
+                machine=machine.id,
+                token=heartbeat.token,
+            )
             machine.contact.acknowledged_at = now
         if machine.lifecycle.reclaim_at is not None and not had_notice:
             log.info(
