Users are told of a cancellation once no start of the job can be carried out any more

Cause (traced): a cancellation was confirmed once no leader could send a start any more. A start that had been sent directly to a machine that hangs, or with a heartbeat's answer on a slow link, was carried out afterwards; the raised token and the stop came behind it. A query or a repetition at another controller was answered without any wait at all. Change: each leader keeps the starts that it has sent and that may still be carried out (placement/starts_in_doubt.py), with the proofs that a DirectStart, a heartbeat's position, the token, the lease and the records give. A controller that is to say 'aborted' reads which partitions' records name attempts of the job, and asks just their leaders (frame 9, only to peers that know it). While a start is in doubt, or its leader can't be asked, the answer is 503 with Retry-After. Withdrawals, their repetitions, queries and repeated submissions go the same way.

--- a/roadbend/controller/controller.py
+++ b/roadbend/controller/controller.py
@@ -11,7 +11,11 @@
 from roadbend.bidding.service import Bidding
 from roadbend.cloud.client import Cloud
 from roadbend.controller.availability import Availability
-from roadbend.controller.cancellations import CancellationPropagation, ConfirmedCancellations
+from roadbend.controller.cancellation_confirmation import (
+    CancellationConfirmation,
+    StartsInDoubtService,
+)
+from roadbend.controller.cancellations import ConfirmedCancellations
 from roadbend.controller.heartbeats import PeerExchange
 from roadbend.controller.leaders import PartitionLeaders
 from roadbend.controller.rate_sharing import share_rates
@@ -21,6 +25,7 @@
 from roadbend.http.client import Client
 from roadbend.http.net import BACKLOG, Net
 from roadbend.http.server import Request, Response, Server
+from roadbend.intake.job_states import ConfirmCancellation
 from roadbend.intake.limit import AdaptiveLimit
 from roadbend.intake.users import JobApi
 from roadbend.listen_address import listen_address
@@ -54,7 +59,7 @@
     """A controller: its parts, wired together."""
 
     # What the controller understands beyond version 2 of the frames; its incarnation ends with it.
-    EXTENSIONS = frames.GANGS_EXTENSION
+    EXTENSIONS = frames.STARTS_EXTENSION
 
     def __init__(
         self,
@@ -89,9 +94,11 @@
         cancellations = ConfirmedCancellations(settings.cancel_within)
         self._exchange = self._make_exchange(cancellations)
         self._availability = Availability(self.context, self.peers)
+        self._starts_in_doubt = StartsInDoubtService(self.context, leaders)
         self._router = self._make_router(cancellations)
         self._server = self._make_server(settings)
         self.peers.handlers[frames.FrameKind.HEARTBEAT] = self._exchange.on_call
+        self.peers.handlers[frames.FrameKind.STARTS_IN_DOUBT] = self._starts_in_doubt.on_call
         self.view.watchers.append(self.partition_leaders.on_record)
         self.election.changed.append(self.partition_leaders.on_leadership)
         # What else runs as long as the controller does, such as recovery where it is switched on.
@@ -134,19 +141,21 @@
         )
 
     def _make_router(self, cancellations: ConfirmedCancellations) -> Router:
-        propagation = CancellationPropagation(
-            self.settings.name, self.peers, self._exchange, self.view, self.reader
-        )
         users = JobApi(
             context=self.context,
             submit=self.bidding.requester.submit,
-            told=cancellations.add,
-            propagate_cancellations=propagation.propagate,
+            confirm_cancellation=self._make_confirmation(cancellations),
             state_refuses_only_us=self._availability.state_refuses_only_us,
             limit=AdaptiveLimit(ceiling=self.operator.users_at_once),
         )
         return Router(self.fleet, users, self._availability.up)
 
+    def _make_confirmation(self, cancellations: ConfirmedCancellations) -> ConfirmCancellation:
+        confirmation = CancellationConfirmation(
+            self.context, self.peers, self._exchange, self._starts_in_doubt, cancellations
+        )
+        return confirmation.confirm
+
     def _make_server(self, settings: PlatformSettings) -> Server:
         stale = STALE_INTERVALS * settings.heartbeat_interval + STALE_MARGIN
         served = max(MIN_SERVED_SOCKETS, settings.sockets - OWN_SOCKETS - BACKLOG)
--- a/roadbend/fakes/previous_version.py
+++ b/roadbend/fakes/previous_version.py
@@ -7,8 +7,11 @@
 from dataclasses import replace
 
 from roadbend.controller import Controller
+from roadbend.controller.cancellations import ConfirmedCancellations
+from roadbend.fakes.previous_cancellations import CancellationPropagation, confirm_once_told
 from roadbend.http.net import Net
 from roadbend.http.server import MalformedError, Request, Response, decode
+from roadbend.intake.job_states import ConfirmCancellation
 from roadbend.peers import frames
 from roadbend.settings import OperatorSettings, PlatformSettings
 from roadbend.store import records
@@ -18,7 +21,30 @@
 VALUE_BYTES, TXN_OPS = 4096, 8
 
 
-class PreviousVersionController(Controller):
+class Version090Controller(Controller):
+    """A controller that confirms cancellations as 0.9.0 does and does not answer for its starts."""
+
+    EXTENSIONS = frames.GANGS_EXTENSION
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        operator: OperatorSettings,
+        net: Net,
+        rng: random.Random,
+        incarnation: str | None = None,
+    ):
+        super().__init__(settings, operator, net, rng, incarnation)
+        del self.peers.handlers[frames.FrameKind.STARTS_IN_DOUBT]
+
+    def _make_confirmation(self, cancellations: ConfirmedCancellations) -> ConfirmCancellation:
+        propagation = CancellationPropagation(
+            self.settings.name, self.peers, self._exchange, self.view, self.reader
+        )
+        return confirm_once_told(cancellations, propagation)
+
+
+class PreviousVersionController(Version090Controller):
     """A controller that reads, writes and says only what the version in production does."""
 
     EXTENSIONS = ""
--- a/roadbend/fakes/world.py
+++ b/roadbend/fakes/world.py
@@ -152,12 +152,16 @@
         worker.command_delay = self.command_delay
         return worker
 
-    def start(self, at: int, previous_version: bool = False) -> Controller:
+    def start(self, at: int, previous_version: bool | type[Controller] = False) -> Controller:
+        """`previous_version`: whether, or in which version, it runs an older program."""
         name = f"node-{at}"
         settings = settings_for(at, self.count, **self._changes)
         self._boots += 1
         boot = f"boot-{self._boots}"
-        make = PreviousVersionController if previous_version else Controller
+        if isinstance(previous_version, bool):
+            make = PreviousVersionController if previous_version else Controller
+        else:
+            make = previous_version
         controller = make(
             settings, self.operator, self.network.port(name), random.Random(self._boots), boot
         )
@@ -243,7 +247,7 @@
     count: int = 3,
     capacity: int = 8,
     operator: OperatorSettings | None = None,
-    previous_version: bool = False,
+    previous_version: bool | type[Controller] = False,
     judge: Callable[[list[str]], None] | None = None,
     caches_images: bool = False,
     equip: Callable[[Controller], None] | None = None,
--- a/roadbend/fleet/direct_commands.py
+++ b/roadbend/fleet/direct_commands.py
@@ -118,7 +118,7 @@
             starts = _still_wanted(leader, name, starts)
             if not starts or not self._may_start_on(leader, machine, now):
                 return
-            epoch = _note_starts(machine, starts, now)
+            epoch = _note_starts(leader, machine, starts, now)
             orders = [StartTask(*key, attempt.number) for key, attempt in starts]
             body = messages.direct_command(leader.heartbeats.token(machine), epoch, orders)
             for key, attempt in starts:
@@ -246,11 +246,12 @@
     ]
 
 
-def _note_starts(machine: Machine, starts: Starts, now: datetime) -> int:
+def _note_starts(leader: Leader, machine: Machine, starts: Starts, now: datetime) -> int:
     """Note starts before they go out; return the epoch for which they hold."""
     epoch = machine.contact.position.epoch
     for key, attempt in starts:
-        machine.token.direct_starts[key] = DirectStart(attempt.number, epoch)
+        start = machine.token.direct_starts[key] = DirectStart(attempt.number, epoch)
+        leader.starts_in_doubt.note_direct(machine, key, start)
     machine.last_evaluation.invalidate()
     machine.contact.lease_started_at = now
     return epoch
@@ -261,6 +262,7 @@
     noted = machine.token.direct_starts
     for key, attempt in starts:
         if key in noted and noted[key].attempt == attempt.number:
+            noted[key].refused = True
             del noted[key]
 
 
--- a/roadbend/fleet/fencing.py
+++ b/roadbend/fleet/fencing.py
@@ -48,12 +48,7 @@
     def expire(self, leader: Leader, name: str) -> None:
         """Give the attempts of a machine up if its worker's lease has expired."""
         settings, operator = self._controller.settings, self._controller.operator
-        terms = LeaseTerms(
-            leader.leadership.acquired_at,
-            settings.lease,
-            settings.cancel_within,
-            operator.state_margin,
-        )
+        terms = LeaseTerms.of(leader.leadership, settings, operator)
         expired = is_lease_expired(leader.machines.get(name), terms, clock.now())
         if expired and leader.records.attempts_by_machine().get(name):
             log.info("worker-lease-expired", partition=leader.partition, machine=name)
--- a/roadbend/fleet/leader.py
+++ b/roadbend/fleet/leader.py
@@ -8,7 +8,7 @@
 from datetime import datetime, timedelta
 from typing import Any, Protocol
 
-from roadbend.fleet.machines import Machine, StopOrder
+from roadbend.fleet.machines import DirectStart, Machine, StopOrder
 from roadbend.fleet.messages import HeartbeatPosition, WorkerHeartbeat, WorkerOrder
 from roadbend.fleet.terminations import TaskKey, TerminationEvidence, Terminations
 from roadbend.partitions.election import LeaderElection
@@ -79,6 +79,13 @@
         """Whether a machine that has not been silent for so long may be given work."""
 
 
+class LeaderStartsInDoubt(Protocol):
+    """The starts that a leader has sent and that may still be carried out."""
+
+    def note_direct(self, machine: Machine, key: TaskKey, start: DirectStart) -> None:
+        """Note a direct start before it is sent."""
+
+
 class Leader(Protocol):
     """The leader of one partition for one term."""
 
@@ -110,6 +117,10 @@
     def terminations(self) -> Terminations:
         """The terminated attempts that are not recorded yet."""
 
+    @property
+    def starts_in_doubt(self) -> LeaderStartsInDoubt:
+        """The starts that were sent and may still be carried out."""
+
     @property
     def usable_machines(self) -> LeaderMachines:
         """Which machines may be given work."""
--- a/roadbend/fleet/liveness_policy.py
+++ b/roadbend/fleet/liveness_policy.py
@@ -5,6 +5,8 @@
 
 from roadbend import clock
 from roadbend.fleet.machines import Machine
+from roadbend.partitions.leadership import Leadership
+from roadbend.settings import OperatorSettings, PlatformSettings
 
 # A reclaimed machine counts as silent after this many heartbeat intervals.
 RECLAIMED_SILENCE = 2
@@ -75,6 +77,15 @@
     cancel_within: timedelta
     margin: timedelta
 
+    @classmethod
+    def of(
+        cls, leadership: Leadership, settings: PlatformSettings, operator: OperatorSettings
+    ) -> "LeaseTerms":
+        """Return the times that hold for the machines of a partition."""
+        return cls(
+            leadership.acquired_at, settings.lease, settings.cancel_within, operator.state_margin
+        )
+
     def end(self, started_at: datetime, length: timedelta) -> datetime:
         """Return when a span has certainly passed on the machine's clock as well."""
         return started_at + length * (1 + 2 * clock.DRIFT) + self.margin
--- a/roadbend/fleet/machines.py
+++ b/roadbend/fleet/machines.py
@@ -45,6 +45,8 @@
     epoch: int
     acknowledged_position: HeartbeatPosition | None = None
     fenced: bool = False
+    # The machine refused the command: it was not carried out, nor will be.
+    refused: bool = False
 
     def is_settled(self, heartbeat: WorkerHeartbeat, current: bool) -> bool:
         """Whether what a heartbeat shows of the attempt is final; `current`: it has our token."""
@@ -55,6 +57,18 @@
         acknowledged = self.acknowledged_position
         return acknowledged is not None and heartbeat.position > acknowledged
 
+    def may_be_carried_out(self, machine: "Machine", _now: datetime) -> bool:
+        """Whether the machine may still carry the command out.
+
+        Unlike `is_settled`, which tells what a heartbeat proves of the attempt: a command that was
+        answered has been carried out.
+        """
+        if self.refused or self.acknowledged_position is not None:
+            return False
+        if machine.contact.position.epoch > self.epoch:
+            return False
+        return not (self.fenced and machine.token.confirmed)
+
 
 @dataclass(slots=True)
 class HeartbeatContact:
--- a/roadbend/intake/cancellation.py
+++ b/roadbend/intake/cancellation.py
@@ -1,6 +1,5 @@
 """Answering `POST /v1/jobs/{id}/withdraw`."""
 
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import trio
@@ -19,31 +18,25 @@
 # Users wait for 5 s.
 ANSWER_WITHIN_S = 4
 WRITE_WITHIN = timedelta(seconds=2.5)
+# For how long an answer waits for starts that may still be carried out.
+CONFIRM_PATIENCE = timedelta(seconds=2)
 # A write conflicts with every other change of the job's record.
 MAX_WRITES = 8
 
 
 class CancellationHandler:
-    """Cancels jobs.
+    """Cancels jobs."""
 
-    `told` is called with the id of a job that is cancelled in the records; `propagate` returns when
-    no controller can start a task of it any more.
-    """
-
-    def __init__(
-        self,
-        context: ControllerContext,
-        states: JobStates,
-        told: Callable[[str], None],
-        propagate: Callable[[], Awaitable[None]],
-    ) -> None:
+    def __init__(self, context: ControllerContext, states: JobStates) -> None:
         self._context = context
         self._states = states
-        self._told = told
-        self._propagate = propagate
 
     async def handle(self, job_id: str) -> Response:
-        """Cancel a job, and answer once no task of it may be started any more."""
+        """Cancel a job, and answer once no start of it can be carried out any more.
+
+        The cancellation is recorded first; while a start may still be carried out the user is to
+        repeat the request.
+        """
         if not is_job_id(job_id):
             return no_such_job()
         known = self._states.answer_known_final(job_id)
@@ -57,7 +50,7 @@
                     return await self._answer_not_live(job_id)
                 state = await self._record(job)
                 if state is not None:
-                    return await self._answer_everywhere(job_id, state)
+                    return await self._states.answer_final(job_id, state, CONFIRM_PATIENCE)
         raise NotNowError(NotNowReason.NO_STATE_STORE)
 
     async def _find_live(self, job_id: str) -> Job | None:
@@ -73,7 +66,7 @@
         state = await self._states.fetch_final(job_id)
         if state is None:
             return no_such_job()
-        return await self._answer_everywhere(job_id, state)
+        return await self._states.answer_final(job_id, state, CONFIRM_PATIENCE)
 
     async def _record(self, job: Job) -> JobState | None:
         """Write a job's cancellation; None where its record has changed meanwhile."""
@@ -101,17 +94,3 @@
         log.info("job-cancelled", job=job.id)
         context.observer.job_over(job, state.status.value)
         return state
-
-    async def _answer_everywhere(self, job_id: str, state: JobState) -> Response:
-        """Tell the leaders of a final state, then its user.
-
-        Once its user is told, no task of a cancelled job may be started. So leaders are told first,
-        and one that can't be told is waited for until it can start nothing on records as old as
-        that.
-        """
-        if state.status is JobStatus.CANCELLED:
-            self._told(job_id)
-            await self._propagate()
-            log.info("cancellation-confirmed", job=job_id)
-        self._states.final_states.put(job_id, state)
-        return self._states.answer_final(job_id, state)
--- a/roadbend/intake/job_states.py
+++ b/roadbend/intake/job_states.py
@@ -1,7 +1,9 @@
 """The state of a job as users are told it, and the answer that tells it."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
 
+from roadbend import clock
 from roadbend.http.messages import Response
 from roadbend.intake import messages
 from roadbend.intake.final_states import FinalStateCache, fetch_final_state
@@ -12,17 +14,21 @@
 from roadbend.store import ranges
 from roadbend.store.records import Job
 
+# Whether users may be told that a job is cancelled: its id, and how long that may be waited for.
+ConfirmCancellation = Callable[[str, timedelta], Awaitable[bool]]
+
 
 class JobStates:
     """Finds out the states of jobs, and answers with them.
 
-    `told` is called with a job's id before a user is told that it is cancelled.
+    `confirm` is asked before a user is told that a job is cancelled.
     """
 
-    def __init__(self, context: ControllerContext, told: Callable[[str], None]) -> None:
+    def __init__(self, context: ControllerContext, confirm: ConfirmCancellation) -> None:
         self._context = context
-        self._told = told
-        self.final_states = FinalStateCache()
+        self._confirm = confirm
+        # Final states that users may be told.
+        self._final_states = FinalStateCache()
         self.freshness = Freshness(context.view, context.reader)
 
     def live_state(self, job: Job) -> JobState:
@@ -40,11 +46,10 @@
         return JobState(status, done, running)
 
     async def fetch_final(self, job_id: str) -> JobState | None:
-        """Read a job's final state from the state store, and remember it."""
-        state = await fetch_final_state(self._context.state, job_id)
-        if state is not None:
-            self.final_states.put(job_id, state)
-        return state
+        """Return a job's final state, if it has one; it may not be one to tell users yet."""
+        return self._final_states.get(job_id) or await fetch_final_state(
+            self._context.state, job_id
+        )
 
     async def answer_after_barrier(self, job_id: str) -> Response | None:
         """Answer with a job's state after a read barrier that the caller has passed.
@@ -55,9 +60,9 @@
         job = context.view.jobs.get(job_id)
         if job is not None:
             return _state_response(job_id, self.live_state(job))
-        state = self.final_states.get(job_id) or await self.fetch_final(job_id)
+        state = await self.fetch_final(job_id)
         if state is not None:
-            return self.answer_final(job_id, state)
+            return await self.answer_final(job_id, state)
         if job_id in context.view.unrecorded or not context.recovery.knows_jobs():
             raise NotNowError(NotNowReason.JOB_MAY_BE_UNRECORDED)
         return None
@@ -66,16 +71,23 @@
         """As `answer_after_barrier`, with the answer 404 for a job that was never accepted."""
         return await self.answer_after_barrier(job_id) or no_such_job()
 
-    def answer_final(self, job_id: str, state: JobState) -> Response:
-        """Answer with a job's final state."""
-        if state.status is JobStatus.CANCELLED:
-            self._told(job_id)
+    async def answer_final(
+        self, job_id: str, state: JobState, patience: timedelta = clock.ZERO
+    ) -> Response:
+        """Answer with a job's final state, which its record has.
+
+        Raises `NotNowError` while a start of a cancelled job may still be carried out; `patience`:
+        for how long that is waited for.
+        """
+        if state.status is JobStatus.CANCELLED and not await self._confirm(job_id, patience):
+            raise NotNowError(NotNowReason.CANCELLATION_IN_PROGRESS)
+        self._final_states.put(job_id, state)
         return _state_response(job_id, state)
 
     def answer_known_final(self, job_id: str) -> Response | None:
-        """Answer with a job's final state, if it is in the cache."""
-        state = self.final_states.get(job_id)
-        return None if state is None else self.answer_final(job_id, state)
+        """Answer with a job's final state, if users have been told it here."""
+        state = self._final_states.get(job_id)
+        return None if state is None else _state_response(job_id, state)
 
 
 def _state_response(job_id: str, state: JobState) -> Response:
--- a/roadbend/intake/refusals.py
+++ b/roadbend/intake/refusals.py
@@ -15,6 +15,8 @@
 
     NO_STATE_STORE = "no state"
     MACHINE_TYPES_UNKNOWN = "starting"
+    # A start of the cancelled job may still be carried out.
+    CANCELLATION_IN_PROGRESS = "being cancelled"
     # Machines run the job though no record names it; it is accepted once they have stopped.
     JOB_UNRECORDED = "being recovered"
     # Machines may run the job though no record names it.
--- a/roadbend/intake/users.py
+++ b/roadbend/intake/users.py
@@ -3,7 +3,7 @@
 The source is the protocol's section "Users -> controller nodes".
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from datetime import datetime
 
 from roadbend import clock
@@ -12,7 +12,7 @@
 from roadbend.intake import admission
 from roadbend.intake.admission import Admission
 from roadbend.intake.cancellation import CancellationHandler
-from roadbend.intake.job_states import JobStates
+from roadbend.intake.job_states import ConfirmCancellation, JobStates
 from roadbend.intake.limit import AdaptiveLimit
 from roadbend.intake.query import QueryHandler
 from roadbend.intake.refusals import (
@@ -32,9 +32,8 @@
 class JobApi:
     """The users' interface: submit, query, cancel.
 
-    `submit` is called with the id of each job that is accepted; `told` with that of a job before
-    its user is told that it is cancelled. `propagate_cancellations` returns when no controller can
-    start a task of a job that was told of. `state_refuses_only_us` returns whether the state store
+    `submit` is called with the id of each job that is accepted; `confirm_cancellation` before a
+    user is told that its job is cancelled. `state_refuses_only_us` returns whether the state store
     serves other controllers and not this one.
     """
 
@@ -42,17 +41,16 @@
         self,
         context: ControllerContext,
         submit: Callable[[str], None],
-        told: Callable[[str], None],
-        propagate_cancellations: Callable[[], Awaitable[None]],
+        confirm_cancellation: ConfirmCancellation,
         state_refuses_only_us: Callable[[datetime], bool],
         limit: AdaptiveLimit,
     ) -> None:
-        states = JobStates(context, told)
+        states = JobStates(context, confirm_cancellation)
         self._admission = Admission(limit)
         self._state_refuses_only_us = state_refuses_only_us
         self._submissions = SubmissionHandler(context, states, submit)
         self._queries = QueryHandler(context, states)
-        self._cancellations = CancellationHandler(context, states, told, propagate_cancellations)
+        self._cancellations = CancellationHandler(context, states)
 
     async def handle(self, request: Request) -> Response:
         """Answer one request."""
--- a/roadbend/peers/frames.py
+++ b/roadbend/peers/frames.py
@@ -24,6 +24,8 @@
 # The end of the incarnation, which every heartbeat brings, of controllers that understand frames
 # about gangs.
 GANGS_EXTENSION = "+gangs"
+# The same of controllers that answer which cancelled jobs have starts in doubt, too.
+STARTS_EXTENSION = "+starts" + GANGS_EXTENSION
 
 
 class FrameKind(enum.IntEnum):
@@ -39,6 +41,9 @@
     # drop a connection on which a kind comes that they don't know.
     GANG_REQUEST = 7
     GANG_INFORM = 8
+    # Asks which cancelled jobs have starts in doubt. It goes only to peers with the extension for
+    # starts.
+    STARTS_IN_DOUBT = 9
 
 
 class FrameError(PermanentError):
@@ -119,6 +124,13 @@
         self.put("?", value is not None)
         return self if value is None else self.text(value)
 
+    def texts(self, values: tuple[str, ...]) -> "PayloadWriter":
+        """Append texts: their count in two bytes, and each."""
+        self.put("H", len(values))
+        for value in values:
+            self.text(value)
+        return self
+
     def payload(self) -> bytes:
         """Return all that was appended."""
         return b"".join(self._parts)
@@ -162,6 +174,10 @@
         """Read what `PayloadWriter.optional_text` wrote."""
         return self.text() if self.read_one("?") else None
 
+    def texts(self) -> tuple[str, ...]:
+        """Read texts."""
+        return tuple(self.text() for _ in range(self.read_one("H")))
+
     def expect_end(self) -> None:
         """Raise `FrameError` unless all has been read."""
         if self._position != len(self._payload):
--- a/roadbend/peers/heartbeat.py
+++ b/roadbend/peers/heartbeat.py
@@ -52,10 +52,8 @@
             writer.text(partition).put("Q", term)
         writer.put("H", len(self.heard_machines))
         for partition, machines in self.heard_machines.items():
-            writer.text(partition)
-            _put_texts(writer, machines)
-        _put_texts(writer, self.cancellations)
-        return writer.payload()
+            writer.text(partition).texts(machines)
+        return writer.texts(self.cancellations).payload()
 
     @staticmethod
     def unpack(payload: bytes) -> "PeerHeartbeat":
@@ -71,8 +69,8 @@
         heard_machines = {}
         for _ in range(reader.read_one("H")):
             partition = reader.text()
-            heard_machines[partition] = _read_texts(reader)
-        cancellations = _read_texts(reader)
+            heard_machines[partition] = reader.texts()
+        cancellations = reader.texts()
         reader.expect_end()
         return PeerHeartbeat(
             incarnation=incarnation,
@@ -94,16 +92,6 @@
     return _NO_CONTACT if age is None else min(_milliseconds(age), _NO_CONTACT - 1)
 
 
-def _put_texts(writer: PayloadWriter, texts: tuple[str, ...]) -> None:
-    writer.put("H", len(texts))
-    for text in texts:
-        writer.text(text)
-
-
-def _read_texts(reader: PayloadReader) -> tuple[str, ...]:
-    return tuple(reader.text() for _ in range(reader.read_one("H")))
-
-
 @dataclass
 class PeerState:
     """What is known of a peer by its last answer to a heartbeat."""
--- a/roadbend/placement/heartbeats.py
+++ b/roadbend/placement/heartbeats.py
@@ -33,6 +33,7 @@
         self._partition, self._leadership = state.records.partition, state.records.leadership
         self._registry, self._machines = state.registry, state.registry.by_id
         self._terminations, self._stops = state.terminations, state.stops
+        self._starts_in_doubt = state.starts_in_doubt
         self._gangs, self._steps, self._lock = gangs, steps, lock
         # Asked about tasks that no record names.
         self.recovery = PartitionRecovery()
@@ -101,8 +102,7 @@
                 return None
             orders, news = self._take_in(machine, heartbeat, now)
             if not (is_new or news):
-                self._note_unchanged(machine, heartbeat, orders)
-                return self.token(machine), orders
+                return self._answer(machine, heartbeat, orders, now)
             self._steps.request()
             step = self._steps.next
         incarnation = machine.token.incarnation
@@ -112,8 +112,19 @@
             if not self._still_counts(machine, heartbeat, incarnation):
                 return None
             orders = self._orders(machine, heartbeat, clock.now())
-            self._note_unchanged(machine, heartbeat, orders)
-            return self.token(machine), orders
+            return self._answer(machine, heartbeat, orders, now)
+
+    def _answer(
+        self,
+        machine: Machine,
+        heartbeat: WorkerHeartbeat,
+        orders: list[WorkerOrder],
+        received_at: datetime,
+    ) -> tuple[int, list[WorkerOrder]]:
+        """Return token and orders for the answer, and note what goes out with it."""
+        self._note_unchanged(machine, heartbeat, orders)
+        self._starts_in_doubt.note_answer(machine, heartbeat.position, received_at, orders)
+        return self.token(machine), orders
 
     def _follows_other_leader(self, heartbeat: WorkerHeartbeat) -> bool:
         """Whether a heartbeat carries a term that this leader has not given its machine."""
@@ -146,6 +157,7 @@
                 token=heartbeat.token,
             )
             machine.contact.acknowledged_at = now
+            self._starts_in_doubt.note_confirmed(machine.id)
         if machine.lifecycle.reclaim_at is not None and not had_notice:
             log.info(
                 "machine-reclaim-announced",
@@ -230,6 +242,7 @@
                 incarnation=machine.token.incarnation + 1,
             )
             machine.restart(position)
+            self._starts_in_doubt.note_restarted(machine.id)
         self._steps.request()
 
     def _evacuate(self, machine: Machine, recorded: MachineAttempts, now: datetime) -> None:
--- a/roadbend/placement/leader.py
+++ b/roadbend/placement/leader.py
@@ -36,6 +36,7 @@
 from roadbend.placement.reservations import Reservations
 from roadbend.placement.start_recorder import StartRecorder
 from roadbend.placement.starts import StartScheduler
+from roadbend.placement.starts_in_doubt import StartsInDoubt
 from roadbend.placement.step_signal import StepSignal
 from roadbend.placement.stop_orders import StopOrders
 from roadbend.placement.termination_recorder import TerminationRecorder
@@ -134,6 +135,11 @@
         """The terminated attempts that are not recorded yet."""
         return self.state.terminations
 
+    @property
+    def starts_in_doubt(self) -> StartsInDoubt:
+        """The starts that were sent and may still be carried out."""
+        return self.state.starts_in_doubt
+
     @property
     def stops(self) -> StopOrders:
         """The tasks that are to be stopped."""
@@ -223,6 +229,7 @@
             lambda key, end: recorded(key) == Attempt(end.attempt, end.machine)
         )
         self.stops.drop_unrecorded()
+        self.starts_in_doubt.tidy(now)
         self.gang_attempts.drop_over(
             lambda job: self.records.live_job(job) is not None,
             self.gangs.filled,
--- a/roadbend/placement/partition_state.py
+++ b/roadbend/placement/partition_state.py
@@ -14,6 +14,7 @@
 from roadbend.placement.machine_registry import MachineRegistry
 from roadbend.placement.partition_records import PartitionRecords
 from roadbend.placement.reservations import Reservations
+from roadbend.placement.starts_in_doubt import StartsInDoubt
 from roadbend.placement.stop_orders import StopOrders
 
 
@@ -29,6 +30,7 @@
     stops: StopOrders
     attempt_numbers: AttemptNumbers
     direct_starts: DirectStarts
+    starts_in_doubt: StartsInDoubt
     terminations: Terminations = field(default_factory=Terminations)
     aging: JobAging = field(default_factory=JobAging)
     backoff: FailureBackoff = field(default_factory=FailureBackoff)
@@ -52,4 +54,5 @@
             StopOrders(records, registry),
             AttemptNumbers(leadership.term),
             DirectStarts(send_starts),
+            StartsInDoubt(records, registry.by_id),
         )
--- a/tests/scenarios/test_confirmed_cancellations.py
+++ b/tests/scenarios/test_confirmed_cancellations.py
@@ -176,9 +176,7 @@
         await next_heartbeat(w, machine)
         sent_at = trio.current_time() - 0.05
         await trio.sleep(0.5)
-        for _ in range(8):
-            await w.call(1, "POST", f"/v1/jobs/{CANCELLED}/withdraw", {})
-            await trio.sleep(0.1)
+        w.nursery.start_soon(w.withdrawn, CANCELLED, 60)
         await trio.sleep(sent_at + ANSWER_DROPPED_S - 0.3 - trio.current_time())
         w.network.let_go("node-0", machine)
         await over(w)
