--- /dev/null
+++ b/roadbend/controller/test_cancellation_confirmation.py
@@ -0,0 +1,115 @@
+"""Which words a confirmation of a cancellation relies on.
+
+A user that was told too early saw its cancelled job begin: the scenarios are in
+tests/scenarios/test_confirmed_cancellations.py. Here is what they can't bring about at will.
+"""
+
+from datetime import timedelta
+from types import SimpleNamespace
+
+import pytest
+import trio
+
+from roadbend import clock
+from roadbend.controller.cancellation_confirmation import CancellationConfirmation, max_wait
+from roadbend.controller.cancellations import ConfirmedCancellations
+from roadbend.fakes.platform import settings_for
+from roadbend.peers.starts_in_doubt import PartitionStartsInDoubt
+from roadbend.settings import OperatorSettings
+from roadbend.store import keys
+from roadbend.store.record_view import RecordView
+from roadbend.store.records import Attempt, Resources, SliceShard
+
+S = timedelta(seconds=1)
+JOB = "run-000001"
+TERM = 7
+SETTINGS = settings_for(0, 1)
+
+
+class Desk:
+    """A controller that leads the east, where a start of a job is recorded.
+
+    Its view shows the record once it has read: it was written just before the cancellation.
+    """
+
+    def __init__(self, *answers: PartitionStartsInDoubt):
+        self.answers, self.asked = list(answers), 0
+        self.view = RecordView()
+        self.view.put(keys.term_key("east"), {"n": TERM, "node": "node-0"}, 3)
+        context = SimpleNamespace(
+            view=self.view,
+            settings=SETTINGS,
+            operator=OperatorSettings(),
+            reader=SimpleNamespace(read_barrier=self.read),
+            election=SimpleNamespace(leader_of=lambda _partition: SETTINGS.name),
+        )
+        self.confirmation = CancellationConfirmation(
+            context,
+            SimpleNamespace(links={}),
+            None,
+            SimpleNamespace(answer=self.answer),
+            ConfirmedCancellations(SETTINGS.cancel_within),
+        )
+
+    async def read(self) -> None:
+        await trio.sleep(0.1)
+        row = SliceShard(
+            JOB, "east", "red", Resources(1, 0, 1), attempts={0: Attempt(70, "m-1")}, shard=0
+        )
+        self.view.put(row.key, row.to_value(), 5)
+
+    def answer(self, _jobs: tuple[str, ...]) -> list[PartitionStartsInDoubt]:
+        self.asked += 1
+        return self.answers
+
+    async def confirmed(self, patience: timedelta = clock.ZERO) -> bool:
+        return await self.confirmation.confirm(JOB, patience)
+
+
+async def test_a_start_that_was_recorded_just_before_the_cancellation_is_asked_about():
+    desk = Desk(PartitionStartsInDoubt("east", TERM, (JOB,)))
+    assert not await desk.confirmed()
+    assert desk.asked == 1
+
+
+@pytest.mark.parametrize("term, counts", [(TERM - 1, False), (TERM, True), (TERM + 1, True)])
+async def test_an_answer_of_a_leader_that_was_deposed_does_not_count(term, counts):
+    """The next leader has recorded a start that this one does not know."""
+    desk = Desk(PartitionStartsInDoubt("east", term, ()))
+    assert await desk.confirmed() == counts
+
+
+async def test_an_answer_for_another_partition_does_not_count():
+    assert not await Desk(PartitionStartsInDoubt("north", TERM, ())).confirmed()
+
+
+async def test_a_partition_without_an_answer_is_waited_for_until_the_bound():
+    desk = Desk()
+    assert not await desk.confirmed()
+    await trio.sleep(max_wait(SETTINGS, OperatorSettings()).total_seconds() - 1)
+    assert not await desk.confirmed()
+    await trio.sleep(1)
+    assert await desk.confirmed()
+
+
+async def test_it_is_looked_at_again_for_as_long_as_its_user_is_patient():
+    desk = Desk()
+    began = trio.current_time()
+    assert not await desk.confirmed(2 * S)
+    assert 2.0 <= trio.current_time() - began < 2.2
+    assert desk.asked > 10
+
+
+async def test_without_a_read_nothing_is_confirmed():
+    desk = Desk()
+    desk.confirmation._context.reader.read_barrier = trio.sleep_forever
+    assert not await desk.confirmed()
+    assert desk.asked == 0
+
+
+def test_the_bound_follows_from_the_settings():
+    """The time for a cancellation, or what fences a start and a lease, whichever is longer."""
+    operator = OperatorSettings()
+    assert max_wait(SETTINGS, operator) == 38 * S * 1.002 + operator.state_margin
+    short = settings_for(0, 1, cancel_within=20 * S)
+    assert max_wait(short, operator) == (18 + 2 + 1.5) * S * 1.002 + operator.state_margin
--- a/roadbend/peers/test_peers.py
+++ b/roadbend/peers/test_peers.py
@@ -11,6 +11,11 @@
 from roadbend.peers.frames import FrameDecoder, FrameError
 from roadbend.peers.heartbeat import PeerHeartbeat, PeerState, RequestRates
 from roadbend.peers.links import Peers
+from roadbend.peers.starts_in_doubt import (
+    PartitionStartsInDoubt,
+    StartsInDoubtReply,
+    StartsInDoubtRequest,
+)
 from roadbend.settings import Peer
 
 S = timedelta(seconds=1)
@@ -92,3 +97,35 @@
     assert known(edge, t, t - 20 * S).cancellations_known_until(t - 20 * S) == t - 20 * S
     # Without any contact of our own there is nothing to build on.
     assert known(alive, t, None).cancellations_known_until(None) is None
+
+
+REQUEST = StartsInDoubtRequest(("run-1", "run-2"))
+REPLY = StartsInDoubtReply(
+    (PartitionStartsInDoubt("east", 1 << 40, ("run-2",)), PartitionStartsInDoubt("north", 7, ()))
+)
+
+
+def test_a_question_for_starts_in_doubt_has_these_bytes():
+    """Controllers of different versions ask each other."""
+    assert REQUEST.pack().hex() == "0002000572756e2d31000572756e2d32"
+    assert REPLY.pack().hex() == (
+        "0002000465617374000001000000000000010005" + b"run-2".hex() + "00056e6f727468"
+        "00000000000000070000"
+    )
+
+
+@pytest.mark.parametrize("message", [REQUEST, REPLY], ids=["request", "reply"])
+def test_a_question_for_starts_in_doubt_comes_back_as_it_went(message):
+    payload = message.pack()
+    assert type(message).unpack(payload) == message
+    for spoilt in (payload[:-1], payload + b"x", b""):
+        with pytest.raises(FrameError):
+            type(message).unpack(spoilt)
+
+
+@pytest.mark.parametrize(
+    "incarnation, knows", [("b1+starts+gangs", True), ("b1+gangs", False), ("b1", False)]
+)
+def test_only_controllers_that_know_the_question_are_asked(incarnation, knows):
+    state = PeerState(PeerHeartbeat(incarnation, S, None, RequestRates(0, 0, 0)))
+    assert state.supports(frames.STARTS_EXTENSION) == knows
--- a/tests/scenarios/test_confirmed_cancellations.py
+++ b/tests/scenarios/test_confirmed_cancellations.py
@@ -18,9 +18,13 @@
 import pytest
 import trio
 
+from roadbend.controller.cancellation_confirmation import max_wait
+from roadbend.fakes.previous_version import Version090Controller
 from roadbend.fakes.scenario import AIMS, SITES, TEAMS, name
 from roadbend.fakes.submission import gang, job
 from roadbend.fakes.world import World, world
+from roadbend.recovery.service import install
+from roadbend.recovery.settings import RecoverySettings
 
 # A service whose start goes out directly, and an array whose start goes with a heartbeat's answer.
 SERVICE = dict(shape="daemon", dueS=None, loaners=False, yard="east", vcpus=2.0, gpus=0.0)
@@ -34,6 +38,8 @@
 ANSWER_DROPPED_S = 4.0
 # A cancellation that meets no start in doubt is confirmed within this; in seconds.
 AT_ONCE_S = 0.5
+# For how long users repeat a request; in seconds.
+USERS_PATIENCE_S = 60.0
 
 
 def deployment(site: str = "visa", **changes):
@@ -281,3 +287,84 @@
         assert (status, answer["status"]) == (200, "aborted")
         assert trio.current_time() - began < AT_ONCE_S
         await w.over()
+
+
+@pytest.mark.parametrize("site", ["visa", "pet"])
+async def test_a_cancellation_is_confirmed_within_its_bound_whatever_fails(site):
+    """The leader and the machine are cut off together, the cloud refuses deletions, and the next
+    leader can't reach the machine: only time proves that the start is not carried out any more."""
+    async with deployment(site) as w:
+        machine = await machine_of_kept_service(w)
+        await hold_up_start(w, machine)
+        await start_recorded(w, job(1, **SERVICE), None)
+        w.cloud.refuse_deletion = True
+        others = ("state", "cloud", "node-1", "node-2")
+        pairs = [("node-0", other) for other in others] + [(machine, f"node-{n}") for n in range(3)]
+        w.nursery.start_soon(w.cut_pairs, pairs, 90.0)
+        await cancellation_recorded(w, 1)
+        settings = w.controllers["node-1"].settings
+        bound = max_wait(settings, w.operator).total_seconds()
+        assert bound < USERS_PATIENCE_S
+        began = trio.current_time()
+        status = 0
+        while status != 200:
+            assert trio.current_time() - began < bound + 3.0
+            status, _ = await w.call(1, "POST", f"/v1/jobs/{CANCELLED}/withdraw", {})
+            assert status in (200, 503)
+            await trio.sleep(1.0)
+        # No proof came sooner: the next leader counts the leases that the former one may have
+        # renewed.
+        assert trio.current_time() - began > settings.lease.total_seconds()
+        await trio.sleep(90.0)
+        w.cloud.refuse_deletion = False
+        await over(w)
+
+
+async def test_a_cancellation_whose_leader_is_of_an_older_version_waits_for_the_end_of_its_tasks():
+    """It can't be asked about its starts; that the records name no attempt any more is proof."""
+    async with deployment(previous_version=Version090Controller) as w:
+        machine = await machine_of_kept_service(w)
+        w.crash(1)
+        w.start(1)
+        assert await w.settled()
+        await hold_up_start(w, machine)
+        await start_recorded(w, job(1, **SERVICE), None)
+        began = trio.current_time()
+        for _ in range(30):
+            await w.call(1, "POST", f"/v1/jobs/{CANCELLED}/withdraw", {})
+            await trio.sleep(0.2)
+        await over(w)
+        assert w.rules.cases[CANCELLED].aborted - began > START_DELAY_S
+        # What runs and meets no trouble takes as long as its tasks take to end.
+        began = trio.current_time()
+        assert (await w.call(1, "POST", f"/v1/jobs/{KEPT}/withdraw", {}))[0] == 200
+        assert trio.current_time() - began < 2.0
+
+
+async def test_an_older_version_may_ask_and_confirm_beside_todays():
+    """A roll: the one that is replaced last still confirms as it did, and nothing else breaks."""
+    async with deployment(previous_version=Version090Controller) as w:
+        await machine_of_kept_service(w)
+        for at in (0, 2):
+            w.crash(at)
+            await trio.sleep(0.5)
+            w.start(at)
+            assert await w.settled()
+        # Its machine has shown the token of the leader that is new.
+        await trio.sleep(8)
+        assert (await w.call(1, "POST", f"/v1/jobs/{KEPT}/withdraw", {}))[0] == 200
+        for at in range(3):
+            assert await w.status(at, KEPT) == "aborted"
+        await w.over()
+
+
+async def test_with_recovery_switched_on_a_held_start_is_waited_for_too():
+    async with deployment(equip=lambda node: install(node, RecoverySettings())) as w:
+        machine = await machine_of_kept_service(w)
+        await hold_up_start(w, machine)
+        await start_recorded(w, job(1, **SERVICE), None)
+        w.nursery.start_soon(the_leader_restarts_at_once, w)
+        for _ in range(30):
+            await w.call(1, "POST", f"/v1/jobs/{CANCELLED}/withdraw", {})
+            await trio.sleep(0.2)
+        await over(w)
