--- a/roadbend/checkers/search_faults.py
+++ b/roadbend/checkers/search_faults.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Any
 
 import trio
 
@@ -270,9 +271,13 @@
         case = self.world.rules.cases[called]
         path = f"{JOBS_PATH}/{called}"
         end = trio.current_time() + PATIENCE_S
-        requests = (("POST", f"{path}{WITHDRAW}", {}), ("GET", path, None))
+        requests: list[tuple[str, str, Any]] = [
+            ("POST", f"{path}{WITHDRAW}", {}),
+            ("GET", path, None),
+            ("POST", JOBS_PATH, case.body),
+        ]
         while not case.over and trio.current_time() < end:
-            for method, target, body in (*requests, ("POST", JOBS_PATH, case.body)):
+            for method, target, body in requests:
                 await self.world.call(self.node(rng), method, target, body)
             await trio.sleep(rng.uniform(0.01, 0.3))
 
