--- a/roadbend/recovery/test_recovery.py
+++ b/roadbend/recovery/test_recovery.py
@@ -10,7 +10,7 @@
 from roadbend.checkers.differences import recorded_attempts, true_differences
 from roadbend.fakes.submission import gang, job
 from roadbend.fakes.world import world
-from roadbend.fleet.machines import StopOrder
+from roadbend.fleet.machines import DirectStart, StopOrder
 from roadbend.fleet.messages import HeartbeatPosition, WorkerHeartbeat
 from roadbend.recovery.partition import KILL_AGAIN
 from roadbend.recovery.service import install
@@ -370,6 +370,27 @@
         seen.state = "running"
 
 
+async def test_a_direct_kill_waits_for_a_machine_that_lacks_the_task_to_show_our_token():
+    """A start was recorded and never ordered before its job was cancelled and all controllers
+    ended. The machine's first heartbeat lacks it, and the answer to that brings our token; the
+    next one proves that it is terminated, so a direct kill is one order too many.
+    """
+    async with running(job(1, legs=1, yard="east", **SERVICE)) as w:
+        leader = w.controllers["node-0"].leaders["east"]
+        (machine,) = [m for m in leader.machines.values() if m.tasks]
+        ((key, seen),) = machine.tasks.items()
+        now = clock.now()
+        stop = StopOrder(seen.attempt, clock.ZERO, "cancelled", now, machine.id)
+        machine.tasks, machine.token.confirmed = {}, False
+        assert leader.recovery.spaces_out(key, stop, now)
+        assert not leader.recovery.spaces_out(key, stop, now + KILL_AGAIN)
+        # A start of ours that may be on its way is followed by the kill.
+        machine.token.direct_starts[key] = DirectStart(seen.attempt, 1)
+        assert not leader.recovery.spaces_out(key, stop, now)
+        del machine.token.direct_starts[key]
+        machine.tasks, machine.token.confirmed = {key: seen}, True
+
+
 async def test_without_differences_nobody_is_told_anything():
     async with running(job(1, legs=6, **SERVICE)) as w:
         stop_all(w)
--- a/roadbend/rehearsal/test_rehearsal.py
+++ b/roadbend/rehearsal/test_rehearsal.py
@@ -68,6 +68,16 @@
     assert "FAIL  no running task" in capsys.readouterr().out
 
 
+@pytest.mark.parametrize("seed", [7, 44])
+def test_a_seed_on_which_the_search_once_failed_passes(seed, capsys):
+    """Seed 7: direct stops to tasks whose starts were never ordered. Seed 44: a controller that
+    returns alone to a state store that was down acquires its peers' partitions too late, and their
+    tasks begin again.
+    """
+    argv = ["cold-restart", "--seed", str(seed), "--workers", "60"]
+    assert main(argv) == 0, capsys.readouterr().out
+
+
 def test_seeds_draw_every_hard_case_and_none_that_exclude_each_other():
     drawn = [draw_cases(random.Random(seed)) for seed in range(300)]
     assert {name for names in drawn for name in names} == set(HARD_CASES)
