Cancellations are confirmed without a read where all answer, and by machines without a leader

Change: if all controllers answer, the leaders under the highest terms that anybody knows speak for all starts, without a read. Where a leader can't be asked, the machines are, once it can send no start any more: a worker ignores the start of an attempt that it holds.

--- a/roadbend/controller/controller.py
+++ b/roadbend/controller/controller.py
@@ -10,17 +10,16 @@
 from roadbend.autoscaler.service import Autoscaler
 from roadbend.bidding.service import Bidding
 from roadbend.cloud.client import Cloud
+from roadbend.controller.attempts_on_machines import AttemptsOnMachines
 from roadbend.controller.availability import Availability
-from roadbend.controller.cancellation_confirmation import (
-    CancellationConfirmation,
-    StartsInDoubtService,
-)
+from roadbend.controller.cancellation_confirmation import CancellationConfirmation
 from roadbend.controller.cancellations import ConfirmedCancellations
 from roadbend.controller.heartbeats import PeerExchange
 from roadbend.controller.leaders import PartitionLeaders
 from roadbend.controller.rate_sharing import share_rates
 from roadbend.controller.reachability import WorkerReachability
 from roadbend.controller.routes import Router, is_from_worker
+from roadbend.controller.starts_in_doubt_service import StartsInDoubtService
 from roadbend.fleet.service import Fleet
 from roadbend.http.client import Client
 from roadbend.http.net import BACKLOG, Net
@@ -44,7 +43,7 @@
 log = Log("controller")
 
 # Sockets kept for what we open ourselves (the state store 16, the cloud 6, machines asked and told
-# 144, peers), for peers' connections to us, and for connections that are just being closed.
+# 160, peers), for peers' connections to us, and for connections that are just being closed.
 OWN_SOCKETS = 240
 MIN_SERVED_SOCKETS = 64
 # The share of all other sockets that is kept free for clients to come, see `Server`.
@@ -152,7 +151,12 @@
 
     def _make_confirmation(self, cancellations: ConfirmedCancellations) -> ConfirmCancellation:
         confirmation = CancellationConfirmation(
-            self.context, self.peers, self._exchange, self._starts_in_doubt, cancellations
+            self.context,
+            self.peers,
+            self._exchange,
+            self._starts_in_doubt,
+            AttemptsOnMachines(self._net, self.fleet.inventory),
+            cancellations,
         )
         return confirmation.confirm
 
--- a/roadbend/fleet/machine_probe.py
+++ b/roadbend/fleet/machine_probe.py
@@ -79,14 +79,9 @@
         or shows a lower token than it has carried, it has restarted.
         """
         known = _known_before(leader.machines.get(name))
-        client = Client(self._net, address, most=1, keep=0)
         for _ in range(PROBE_TRIES):
-            try:
-                status, body = await client.request("GET", "/inspect", within=PROBE_TIMEOUT)
-                heartbeat = messages.parse_heartbeat(body) if status == OK else None
-            except (NoAnswerError, MalformedError):
-                continue
-            if heartbeat is None or heartbeat.machine != name:
+            heartbeat = await inspect_machine(self._net, address, name)
+            if heartbeat is None:
                 continue
             if known is not None and leader.machines.get(name) is known.machine:
                 _take_answer(leader, known, heartbeat)
@@ -94,6 +89,17 @@
         return False
 
 
+async def inspect_machine(net: Net, address: str, name: str) -> WorkerHeartbeat | None:
+    """Ask the machine at an address once; None unless the machine of this name answers."""
+    client = Client(net, address, most=1, keep=0)
+    try:
+        status, body = await client.request("GET", "/inspect", within=PROBE_TIMEOUT)
+        heartbeat = messages.parse_heartbeat(body) if status == OK else None
+    except (NoAnswerError, MalformedError):
+        return None
+    return heartbeat if heartbeat is not None and heartbeat.machine == name else None
+
+
 def _known_before(machine: Machine | None) -> _KnownBefore | None:
     if machine is None:
         return None
--- a/roadbend/intake/cancellation.py
+++ b/roadbend/intake/cancellation.py
@@ -18,8 +18,9 @@
 # Users wait for 5 s.
 ANSWER_WITHIN_S = 4
 WRITE_WITHIN = timedelta(seconds=2.5)
-# For how long an answer waits for starts that may still be carried out.
-CONFIRM_PATIENCE = timedelta(seconds=2)
+# For how long an answer waits for starts that may still be carried out: where a leader can't be
+# asked, its machines are once it has sent its last start, two seconds after the cancellation.
+CONFIRM_PATIENCE = timedelta(seconds=2.3)
 # A write conflicts with every other change of the job's record.
 MAX_WRITES = 8
 
--- a/roadbend/peers/starts_in_doubt.py
+++ b/roadbend/peers/starts_in_doubt.py
@@ -1,5 +1,6 @@
 """Frames by which a controller asks leaders whether starts of cancelled jobs may be carried out."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from roadbend.peers.frames import PayloadReader, PayloadWriter
@@ -37,12 +38,17 @@
     """The answer of a controller, for each partition that it leads."""
 
     partitions: tuple[PartitionStartsInDoubt, ...]
+    # The latest terms of all partitions by the sender's records; empty until it has read them.
+    terms: Mapping[str, int]
 
     def pack(self) -> bytes:
         """Encode the payload of a frame; raise `FrameError` if it is too long."""
         writer = PayloadWriter().put("H", len(self.partitions))
         for partition in self.partitions:
             writer.text(partition.partition).put("Q", partition.term).texts(partition.jobs)
+        writer.put("H", len(self.terms))
+        for name, term in self.terms.items():
+            writer.text(name).put("Q", term)
         return writer.payload()
 
     @staticmethod
@@ -53,5 +59,6 @@
             PartitionStartsInDoubt(reader.text(), reader.read_one("Q"), reader.texts())
             for _ in range(reader.read_one("H"))
         )
+        terms = {reader.text(): reader.read_one("Q") for _ in range(reader.read_one("H"))}
         reader.expect_end()
-        return StartsInDoubtReply(partitions)
+        return StartsInDoubtReply(partitions, terms)
