--- a/tests/scenarios/test_confirmed_cancellations.py
+++ b/tests/scenarios/test_confirmed_cancellations.py
@@ -368,3 +368,18 @@
             await w.call(1, "POST", f"/v1/jobs/{CANCELLED}/withdraw", {})
             await trio.sleep(0.2)
         await over(w)
+
+
+async def test_a_start_that_its_machine_refuses_is_not_waited_for():
+    """It was not carried out, nor will be."""
+    async with deployment() as w:
+        machine = await machine_of_kept_service(w)
+        await next_heartbeat(w, machine)
+        worker = w.cloud.machines[machine].worker
+        # Its lease has expired, which its leader does not know yet.
+        worker.lease.epoch += 1
+        await start_recorded(w, job(1, **SERVICE), None)
+        began = trio.current_time()
+        assert (await w.call(0, "POST", f"/v1/jobs/{CANCELLED}/withdraw", {}))[0] == 200
+        assert trio.current_time() - began < AT_ONCE_S
+        await over(w)
