Tests of the guards that could be taken out unseen; three pieces of logic that stood twice

Both handlers of questions by job begin in one place (JobStates.answer_without_read), and adding and removing attempts in the index share what differs.

--- a/roadbend/controller/test_cancellation_confirmation.py
+++ b/roadbend/controller/test_cancellation_confirmation.py
@@ -4,7 +4,7 @@
 tests/scenarios/test_confirmed_cancellations.py. Here is what they can't bring about at will.
 """
 
-from datetime import timedelta
+from datetime import datetime, timedelta
 from types import SimpleNamespace
 
 import pytest
@@ -13,8 +13,12 @@
 from roadbend import clock
 from roadbend.controller.cancellation_confirmation import CancellationConfirmation, max_wait
 from roadbend.controller.cancellations import ConfirmedCancellations
+from roadbend.controller.starts_in_doubt_service import StartsInDoubtService
 from roadbend.fakes.platform import settings_for
+from roadbend.peers.heartbeat import PeerHeartbeat, PeerState, RequestRates
+from roadbend.peers.links import NoReplyError
 from roadbend.peers.starts_in_doubt import PartitionStartsInDoubt, StartsInDoubtReply
+from roadbend.placement.cancellations import Cancellations
 from roadbend.settings import OperatorSettings
 from roadbend.store import keys
 from roadbend.store.record_view import RecordView
@@ -172,3 +176,40 @@
     assert max_wait(SETTINGS, operator) == 38 * S * 1.002 + operator.state_margin
     short = settings_for(0, 1, cancel_within=20 * S)
     assert max_wait(short, operator) == (18 + 2 + 1.5) * S * 1.002 + operator.state_margin
+
+
+class SilentLink:
+    """A peer that was heard lately, and does not answer the question."""
+
+    def __init__(self):
+        heartbeat = PeerHeartbeat("b1+starts+gangs", S, None, RequestRates(0, 0, 0))
+        self.known, self.peer = PeerState(heartbeat), SimpleNamespace(name="node-1")
+        self.asked = 0
+
+    def alive(self, _now: datetime) -> bool:
+        return True
+
+    async def call(self, *_arguments) -> bytes:
+        self.asked += 1
+        raise NoReplyError("node-1")
+
+
+async def test_without_a_read_a_peer_that_does_not_answer_may_know_of_a_higher_term():
+    desk = Desk(*ALL)
+    desk.terms = {"east": TERM, "north": TERM}
+    link = SilentLink()
+    desk.confirmation._peers.links["node-1"] = link
+    desk.confirmation._context.reader.read_barrier = trio.sleep_forever
+    assert not await desk.confirmed()
+    assert link.asked == 1
+
+
+@pytest.mark.parametrize("loaded", [True, False])
+async def test_a_controller_that_has_not_read_the_records_knows_no_terms(loaded):
+    """What it got by other ways may lack the latest."""
+    desk = Desk()
+    desk.view.loaded = loaded
+    context = SimpleNamespace(view=desk.view, cancellations=Cancellations(desk.view))
+    service = StartsInDoubtService(context, {})
+    assert service.answer((JOB,)).terms == ({"east": TERM} if loaded else {})
+    assert JOB in context.cancellations.jobs
--- a/roadbend/fakes/previous_version.py
+++ b/roadbend/fakes/previous_version.py
@@ -5,6 +5,7 @@
 
 import random
 from dataclasses import replace
+from typing import Any
 
 from roadbend.controller import Controller
 from roadbend.controller.cancellations import ConfirmedCancellations
@@ -26,15 +27,8 @@
 
     EXTENSIONS = frames.GANGS_EXTENSION
 
-    def __init__(
-        self,
-        settings: PlatformSettings,
-        operator: OperatorSettings,
-        net: Net,
-        rng: random.Random,
-        incarnation: str | None = None,
-    ):
-        super().__init__(settings, operator, net, rng, incarnation)
+    def __init__(self, *arguments: Any):
+        super().__init__(*arguments)
         del self.peers.handlers[frames.FrameKind.STARTS_IN_DOUBT]
 
     def _make_confirmation(self, cancellations: ConfirmedCancellations) -> ConfirmCancellation:
--- a/roadbend/intake/cancellation.py
+++ b/roadbend/intake/cancellation.py
@@ -6,7 +6,7 @@
 
 from roadbend.http.messages import Response
 from roadbend.intake.job_states import JobStates
-from roadbend.intake.messages import JobState, JobStatus, is_job_id
+from roadbend.intake.messages import JobState, JobStatus
 from roadbend.intake.refusals import NotNowError, NotNowReason, no_such_job
 from roadbend.log import Log
 from roadbend.placement.context import ControllerContext
@@ -38,12 +38,9 @@
         The cancellation is recorded first; while a start may still be carried out the user is to
         repeat the request.
         """
-        if not is_job_id(job_id):
-            return no_such_job()
-        known = self._states.answer_known_final(job_id)
+        known = self._states.answer_without_read(job_id)
         if known is not None:
             return known
-        self._states.freshness.require()
         with trio.move_on_after(ANSWER_WITHIN_S):
             for _ in range(MAX_WRITES):
                 job = await self._find_live(job_id)
--- a/roadbend/intake/job_states.py
+++ b/roadbend/intake/job_states.py
@@ -84,6 +84,18 @@
         self._final_states.put(job_id, state)
         return _state_response(job_id, state)
 
+    def answer_without_read(self, job_id: str) -> Response | None:
+        """Answer with what needs no read, if there is such an answer.
+
+        Raises `NotNowError` where a read is needed and can't come.
+        """
+        if not messages.is_job_id(job_id):
+            return no_such_job()
+        known = self.answer_known_final(job_id)
+        if known is None:
+            self.freshness.require()
+        return known
+
     def answer_known_final(self, job_id: str) -> Response | None:
         """Answer with a job's final state, if users have been told it here."""
         state = self._final_states.get(job_id)
--- a/roadbend/intake/query.py
+++ b/roadbend/intake/query.py
@@ -4,8 +4,7 @@
 
 from roadbend.http.messages import Response
 from roadbend.intake.job_states import JobStates
-from roadbend.intake.messages import is_job_id
-from roadbend.intake.refusals import NotNowError, NotNowReason, no_such_job
+from roadbend.intake.refusals import NotNowError, NotNowReason
 from roadbend.placement.context import ControllerContext
 
 # Users wait for 2 s; the answer needs a little of that.
@@ -21,12 +20,9 @@
 
     async def handle(self, job_id: str) -> Response:
         """Answer with a job's state: no older than any that a user has been told before."""
-        if not is_job_id(job_id):
-            return no_such_job()
-        known = self._states.answer_known_final(job_id)
+        known = self._states.answer_without_read(job_id)
         if known is not None:
             return known
-        self._states.freshness.require()
         with trio.move_on_after(ANSWER_WITHIN_S):
             await self._context.reader.read_barrier()
             return await self._states.answer_or_not_found(job_id)
--- a/roadbend/recovery/test_recovery.py
+++ b/roadbend/recovery/test_recovery.py
@@ -9,9 +9,11 @@
 from roadbend import clock
 from roadbend.checkers.differences import recorded_attempts, true_differences
 from roadbend.fakes.submission import gang, job
-from roadbend.fakes.world import world
-from roadbend.fleet.machines import DirectStart, StopOrder
+from roadbend.fakes.world import World, world
+from roadbend.fleet.machines import DirectStart, Machine, StopOrder
 from roadbend.fleet.messages import HeartbeatPosition, WorkerHeartbeat
+from roadbend.fleet.terminations import TaskKey
+from roadbend.placement.leader import PartitionLeader
 from roadbend.recovery.partition import KILL_AGAIN
 from roadbend.recovery.service import install
 from roadbend.recovery.settings import RecoverySettings, load
@@ -350,14 +352,20 @@
         assert await w.submit(0, job(2), 5.0) not in (200, 201)
 
 
+def stop_of_the_only_task(w: World) -> tuple[PartitionLeader, Machine, TaskKey, StopOrder]:
+    """Decide now to stop the one task that runs in the east; return its leader and machine, too."""
+    leader = w.controllers["node-0"].leaders["east"]
+    (machine,) = [m for m in leader.machines.values() if m.tasks]
+    ((key, seen),) = machine.tasks.items()
+    stop = StopOrder(seen.attempt, clock.ZERO, "cancelled", clock.now(), machine.id)
+    return leader, machine, key, stop
+
+
 async def test_no_direct_kill_goes_to_what_was_just_told_or_has_ended():
     """Every cancelled task got two kills after a restart."""
     async with running(job(1, legs=1, yard="east", **SERVICE)) as w:
-        leader = w.controllers["node-0"].leaders["east"]
-        (machine,) = [m for m in leader.machines.values() if m.tasks]
-        ((key, seen),) = machine.tasks.items()
-        now = clock.now()
-        stop = StopOrder(seen.attempt, clock.ZERO, "cancelled", now, machine.id)
+        leader, machine, key, stop = stop_of_the_only_task(w)
+        seen, now = machine.tasks[key], stop.decided_at
         assert not leader.recovery.spaces_out(key, stop, now)
         stop.sent_at = now - KILL_AGAIN
         assert not leader.recovery.spaces_out(key, stop, now)
@@ -378,11 +386,8 @@
     many.
     """
     async with running(job(1, legs=1, yard="east", **SERVICE)) as w:
-        leader = w.controllers["node-0"].leaders["east"]
-        (machine,) = [m for m in leader.machines.values() if m.tasks]
-        ((key, seen),) = machine.tasks.items()
-        now = clock.now()
-        stop = StopOrder(seen.attempt, clock.ZERO, "cancelled", now, machine.id)
+        leader, machine, key, stop = stop_of_the_only_task(w)
+        seen, now = machine.tasks[key], stop.decided_at
         machine.tasks, machine.token.confirmed = {}, False
         assert leader.recovery.spaces_out(key, stop, now)
         assert not leader.recovery.spaces_out(key, stop, now + KILL_AGAIN)
--- a/roadbend/store/attempt_index.py
+++ b/roadbend/store/attempt_index.py
@@ -1,5 +1,6 @@
 """The index of recorded attempts: by job, by machine, and what they use of teams' quotas."""
 
+from collections.abc import Iterator
 from typing import Any
 
 from roadbend.store import keys
@@ -86,9 +87,7 @@
         partition, job = job_slice.partition, job_slice.job
         machines = self.attempts_by_machine.setdefault(partition, {})
         removed = 0
-        for task_index, attempt in before.items():
-            if after.get(task_index) == attempt:
-                continue
+        for task_index, attempt in _only_in_first(before, after):
             if not job_slice.remove_attempt(number, task_index):
                 continue
             removed += 1
@@ -111,9 +110,7 @@
         partition, job = job_slice.partition, job_slice.job
         machines = self.attempts_by_machine.setdefault(partition, {})
         added = 0
-        for task_index, attempt in after.items():
-            if before.get(task_index) == attempt:
-                continue
+        for task_index, attempt in _only_in_first(after, before):
             if not job_slice.add_attempt(number, task_index, attempt):
                 continue
             added += 1
@@ -142,3 +139,12 @@
             self.machine_versions[partition] = {
                 name: version for name, version in versions.items() if name in machines
             }
+
+
+def _only_in_first(
+    first: dict[int, Attempt], second: dict[int, Attempt]
+) -> Iterator[tuple[int, Attempt]]:
+    """Yield the tasks with their attempts that the second does not name alike."""
+    for task_index, attempt in first.items():
+        if second.get(task_index) != attempt:
+            yield task_index, attempt
--- a/tests/scenarios/test_confirmed_cancellations.py
+++ b/tests/scenarios/test_confirmed_cancellations.py
@@ -18,6 +18,7 @@
 import pytest
 import trio
 
+from roadbend import clock
 from roadbend.controller.cancellation_confirmation import max_wait
 from roadbend.fakes.previous_version import Version090Controller
 from roadbend.fakes.scenario import AIMS, SITES, TEAMS, name
@@ -383,3 +384,37 @@
         assert (await w.call(0, "POST", f"/v1/jobs/{CANCELLED}/withdraw", {}))[0] == 200
         assert trio.current_time() - began < AT_ONCE_S
         await over(w)
+
+
+async def test_after_a_failover_a_cancellation_waits_for_machines_to_show_the_new_token_only():
+    async with deployment() as w:
+        machine = await machine_of_kept_service(w)
+        w.crash(0)
+        assert await w.until(lambda: w.owner("east"), 30)
+        node = w.controllers[w.owner("east")]
+        assert await w.until(lambda: machine in node.leaders["east"].machines, 20, 0.05)
+        await trio.sleep(2)
+        assert not node.leaders["east"].starts_in_doubt.has_any(KEPT, clock.now())
+        began = trio.current_time()
+        assert (await w.call(1, "POST", f"/v1/jobs/{KEPT}/withdraw", {}))[0] == 200
+        assert trio.current_time() - began < AT_ONCE_S
+        w.start(0)
+        assert await w.settled()
+        await w.over()
+
+
+async def test_what_was_sent_before_a_machine_restarted_is_in_doubt_until_it_shows_the_new_token():
+    """Its worker knows no token when it begins anew, and counts its epochs from one."""
+    async with deployment() as w:
+        machine = await machine_of_kept_service(w)
+        leader = w.controllers["node-0"].leaders["east"]
+        assert not leader.starts_in_doubt.has_any(KEPT, clock.now())
+        w.cloud.reboot(machine)
+        known = leader.machines[machine].token
+        before = known.incarnation
+        assert await w.until(lambda: known.incarnation > before, 30, 0.01)
+        assert leader.starts_in_doubt.has_any(KEPT, clock.now())
+        assert await w.until(lambda: known.confirmed, 10, 0.01)
+        starts = leader.starts_in_doubt
+        assert await w.until(lambda: not starts.has_any(KEPT, clock.now()), 10, 0.05)
+        await w.over()
