No limit to the machines that are asked about a cancelled job

Symptom: test_large_fleet with ROADBEND_MACHINES=4000, a trial: a cancellation right after a controller ended got 503 (its 450 machines pass).

--- a/roadbend/controller/attempts_on_machines.py
+++ b/roadbend/controller/attempts_on_machines.py
@@ -14,8 +14,6 @@
 from roadbend.http.net import Net
 from roadbend.store.records import Attempt
 
-# Machines that are asked about one job at the most; for more its leader is waited for.
-MAX_MACHINES = 64
 # Machines asked at once, for all jobs together.
 MAX_CONNECTIONS = 16
 
@@ -31,28 +29,30 @@
         """Whether the machines hold all these attempts of a job now."""
         by_machine: dict[str, set[tuple[TaskKey, int]]] = {}
         for task_index, attempt in attempts.items():
-            wanted = (TaskKey(job, task_index), attempt.number)
-            by_machine.setdefault(attempt.machine, set()).add(wanted)
-        if len(by_machine) > MAX_MACHINES:
-            return False
-        missing: list[str] = []
+            task = (TaskKey(job, task_index), attempt.number)
+            by_machine.setdefault(attempt.machine, set()).add(task)
+        all_held = True
+
+        async def ask(machine: str, wanted: set[tuple[TaskKey, int]]) -> None:
+            nonlocal all_held
+            if not await self._holds(machine, wanted):
+                # The rest need not be asked.
+                all_held = False
+                nursery.cancel_scope.cancel()
+
         async with trio.open_nursery() as nursery:
-            for machine, wanted_here in by_machine.items():
-                nursery.start_soon(self._note_missing, machine, wanted_here, missing)
-        return not missing
-
-    async def _note_missing(
-        self, machine: str, wanted: set[tuple[TaskKey, int]], missing: list[str]
-    ) -> None:
-        """Add a machine to `missing` unless it holds all that is wanted."""
+            for machine, wanted in by_machine.items():
+                nursery.start_soon(ask, machine, wanted)
+        return all_held
+
+    async def _holds(self, machine: str, wanted: set[tuple[TaskKey, int]]) -> bool:
+        """Whether a machine answers that it holds all these attempts."""
         listed = self._inventory.rows.get(machine)
-        heartbeat = None
-        if listed is not None:
-            async with self._connections:
-                heartbeat = await inspect_machine(self._net, listed.address, machine)
-        held = {
-            (TaskKey(task.job, task.task_index), task.attempt)
-            for task in (heartbeat.tasks if heartbeat is not None else ())
-        }
-        if not wanted <= held:
-            missing.append(machine)
+        if listed is None:
+            return False
+        async with self._connections:
+            heartbeat = await inspect_machine(self._net, listed.address, machine)
+        if heartbeat is None:
+            return False
+        held = {(TaskKey(task.job, task.task_index), task.attempt) for task in heartbeat.tasks}
+        return wanted <= held
--- a/tests/scenarios/test_confirmed_cancellations.py
+++ b/tests/scenarios/test_confirmed_cancellations.py
@@ -19,6 +19,7 @@
 import trio
 
 from roadbend import clock
+from roadbend.controller.attempts_on_machines import AttemptsOnMachines
 from roadbend.controller.cancellation_confirmation import max_wait
 from roadbend.fakes.previous_version import Version090Controller
 from roadbend.fakes.scenario import AIMS, SITES, TEAMS, name
@@ -26,11 +27,14 @@
 from roadbend.fakes.world import World, world
 from roadbend.recovery.service import install
 from roadbend.recovery.settings import RecoverySettings
+from roadbend.settings import Team
+from roadbend.store.records import Attempt
 
 # A service whose start goes out directly, and an array whose start goes with a heartbeat's answer.
 SERVICE = dict(shape="daemon", dueS=None, loaners=False, yard="east", vcpus=2.0, gpus=0.0)
 ARRAY = dict(loaners=False, yard="east", vcpus=2.0, gpus=0.0)
 KEPT, CANCELLED = name(50), name(1)
+WIDE = {"red": Team("red", 0, 0, 0, 0)}
 # Shorter than a lease, and shorter than it takes to find a machine dead; in seconds.
 HANG_S = 4.5
 # How late a start arrives, and how late the direct commands that follow it; in seconds.
@@ -418,3 +422,38 @@
         starts = leader.starts_in_doubt
         assert await w.until(lambda: not starts.has_any(KEPT, clock.now()), 10, 0.05)
         await w.over()
+
+
+async def test_a_wide_job_is_confirmed_by_its_machines_while_its_leader_is_gone():
+    """There was a limit of 64 machines: of a wider job nobody could confirm the cancellation before
+    the next leader. A fleet of 4,000 machines showed it."""
+    async with world(teams=WIDE, capacity=90, cloud_rps=30.0, state_rps=900.0) as w:
+        w.cloud.boot_seconds = 3.0
+        wide = job(1, legs=70, vcpus=24.0, gpus=0.0, yard="east", shape="daemon", dueS=None)
+        assert await w.submit(1, wide, None) == 201
+        assert await w.until(lambda: len(w.board.running(CANCELLED)) == 70, 120)
+        assert len({m for t in w.board.running(CANCELLED) for m in w.board.where[t]}) == 70
+        await trio.sleep(15)
+        w.crash(0)
+        assert (await w.call(1, "POST", f"/v1/jobs/{CANCELLED}/withdraw", {}))[0] == 200
+        w.start(0)
+        assert await w.until(lambda: not w.board.running(CANCELLED), 30)
+
+
+async def test_a_machine_that_lacks_a_task_keeps_the_others_from_being_asked():
+    """A cancellation is not confirmed by those that answer."""
+    async with deployment() as w:
+        machine = await machine_of_kept_service(w)
+        node = w.controllers["node-1"]
+        machines = AttemptsOnMachines(w.network.port("node-1"), node.fleet.inventory)
+        (attempts,) = (s.attempts for s in node.view.job_slices["east"].values() if s.job == KEPT)
+        assert await machines.hold_all(KEPT, attempts)
+        for lacking in (
+            {**attempts, 1: Attempt(9, machine)},
+            {0: Attempt(attempts[0].number + 1, machine)},
+            {0: Attempt(attempts[0].number, "m-999999")},
+        ):
+            assert not await machines.hold_all(KEPT, lacking)
+        w.network.cut("node-1", machine)
+        assert not await machines.hold_all(KEPT, attempts)
+        w.network.heal("node-1", machine)
