--- a/tests/scenarios/test_confirmed_cancellations.py
+++ b/tests/scenarios/test_confirmed_cancellations.py
@@ -19,6 +19,7 @@
 import trio
 
 from roadbend import clock
+from roadbend.controller import Controller
 from roadbend.controller.attempts_on_machines import AttemptsOnMachines
 from roadbend.controller.cancellation_confirmation import max_wait
 from roadbend.fakes.previous_version import Version090Controller
@@ -457,3 +458,54 @@
         w.network.cut("node-1", machine)
         assert not await machines.hold_all(KEPT, attempts)
         w.network.heal("node-1", machine)
+
+
+async def test_a_task_cut_off_with_its_leader_is_gone_in_time_and_confirmed_later():
+    """Nobody outside can say whether a start of it is on its way. `test_deployment` asks for 200 by
+    one call in this case (KNOWN-RED.txt); what is kept meanwhile is held here.
+    """
+    async with world() as w:
+        assert await w.submit(1, job(1, shape="daemon", yard="east", dueS=None), None) == 201
+        assert await w.until(lambda: w.board.running(CANCELLED), 60)
+        machine = next(iter(w.board.where[f"{CANCELLED}/0"]))
+        for other in ("state", "cloud", "node-1", "node-2"):
+            w.network.cut("node-0", other)
+        for other in ("node-1", "node-2"):
+            w.network.cut(machine, other)
+        await trio.sleep(1)
+        w.cloud.refuse_deletion = True
+        assert (await w.call(1, "POST", f"/v1/jobs/{CANCELLED}/withdraw", {}))[0] == 503
+        began = trio.current_time()
+        assert await w.until(lambda: not w.board.running(CANCELLED), 38)
+        await w.withdrawn(CANCELLED, began + 45 - trio.current_time())
+
+
+@pytest.mark.parametrize("version", [Version090Controller, Controller])
+async def test_a_leader_that_is_refused_and_cut_off_starts_nothing_that_was_told_to_be_cancelled(
+    version,
+):
+    """As `test_meetings` has it (owners hear of a cancellation before its user does), where today's
+    version can't confirm in one call while the leader can't be asked (KNOWN-RED.txt); with 0.9.0's
+    controllers to the letter.
+    """
+    async with world(teams=TEAMS, previous_version=version) as w:
+        keep = job(50, shape="daemon", yard="east", dueS=None, loaners=False)
+        assert await w.submit(1, keep, None) == 201
+        assert await w.until(lambda: w.board.running(KEPT), 60)
+        await trio.sleep(5)
+        for n in range(30, 42):
+            body = job(n, legs=1, yard="east", dueS=5.0, loaners=False, vcpus=2.0)
+            assert await w.submit(1, body, 60.0) == 201
+            slice_key = f"r/slice/east/{name(n)}/0"
+            assert await w.until(lambda key=slice_key: w.state.starting(key), 3, 0.01)
+            cut_off = bool(n % 2)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(w.refuse, 0, 3.0)
+                if cut_off:
+                    links = [("node-0", "node-1"), ("node-0", "node-2")]
+                    nursery.start_soon(w.cut_pairs, links, 3.0)
+                status = (await w.call(1, "POST", f"/v1/jobs/{name(n)}/withdraw", {}))[0]
+                assert status == 200 or (status == 503 and cut_off and version is Controller)
+            await w.withdrawn(name(n), 10)
+            await trio.sleep(2 + n * 0.37 % 2.5)
+        await w.over()
--- a/tests/scenarios/test_deployment.py
+++ b/tests/scenarios/test_deployment.py
@@ -194,11 +194,8 @@
             w.network.cut(other, machine)
         await trio.sleep(1)
         w.cloud.refuse_deletion = True
-        # Nobody can say whether a start of it is still on its way.
-        assert (await w.call(1, "POST", "/v1/jobs/run-000011/withdraw", {}))[0] == 503
-        began = trio.current_time()
+        assert (await w.call(1, "POST", "/v1/jobs/run-000011/withdraw", {}))[0] == 200
         assert await w.until(lambda: not w.board.running("run-000011"), 38)
-        await w.withdrawn("run-000011", began + 45 - trio.current_time())
 
 
 async def test_a_withdrawal_whose_answer_got_lost_is_answered_when_repeated():
--- a/tests/scenarios/test_meetings.py
+++ b/tests/scenarios/test_meetings.py
@@ -8,8 +8,7 @@
 import pytest
 import trio
 
-from roadbend.controller import Controller, cancellations
-from roadbend.fakes.previous_version import Version090Controller
+from roadbend.controller import cancellations
 from roadbend.fakes.scenario import AIMS, OP, SITES, TEAMS, Scenario, name, play
 from roadbend.fakes.submission import job
 from roadbend.fakes.world import world
@@ -337,12 +336,11 @@
         await w.over()
 
 
-@pytest.mark.parametrize("version", [Version090Controller, Controller])
-async def test_owners_hear_of_a_cancellation_before_its_user_does(version):
+async def test_owners_hear_of_a_cancellation_before_its_user_does():
     """A start is recorded, and its order waits for the machine's next report; the owner is refused
     by the state service at that moment, and another controller confirms that the job is
-    cancelled; today's version only if it can ask the owner."""
-    async with world(teams=TEAMS, previous_version=version) as w:
+    cancelled."""
+    async with world(teams=TEAMS) as w:
         assert (
             await w.submit(1, job(1, shape="daemon", yard="east", dueS=None, loaners=False), None)
             == 201
@@ -361,10 +359,6 @@
                     nursery.start_soon(
                         w.cut_pairs, [("node-0", "node-1"), ("node-0", "node-2")], 3.0
                     )
-                status = (await w.call(1, "POST", f"/v1/jobs/{name(n)}/withdraw", {}))[0]
-                # While it is cut off, only a machine that has the task shows that it began before.
-                cut_off = version is Controller and n % 2
-                assert status == 200 or (cut_off and status == 503)
-            await w.withdrawn(name(n), 10)
+                assert (await w.call(1, "POST", f"/v1/jobs/{name(n)}/withdraw", {}))[0] == 200
             await trio.sleep(2 + n * 0.37 % 2.5)
         await w.over()
