Cancelled jobs are noted in one place, and a question for starts marks no stops anew

Reread: each question for starts in doubt went through all attempts of the job to mark their stops, ten times a second for a patient user, beside the marking on news that peer heartbeats had.

--- a/roadbend/controller/controller.py
+++ b/roadbend/controller/controller.py
@@ -93,7 +93,7 @@
         cancellations = ConfirmedCancellations(settings.cancel_within)
         self._exchange = self._make_exchange(cancellations)
         self._availability = Availability(self.context, self.peers)
-        self._starts_in_doubt = StartsInDoubtService(self.context, leaders)
+        self._starts_in_doubt = StartsInDoubtService(self.view, self.partition_leaders)
         self._router = self._make_router(cancellations)
         self._server = self._make_server(settings)
         self.peers.handlers[frames.FrameKind.HEARTBEAT] = self._exchange.on_call
@@ -132,7 +132,7 @@
         return PeerExchange(
             incarnation=self.incarnation,
             context=self.context,
-            leaders=self.leaders,
+            leaders=self.partition_leaders,
             fleet=self.fleet,
             cancellations=cancellations,
             budget=self._budget,
--- a/roadbend/controller/heartbeats.py
+++ b/roadbend/controller/heartbeats.py
@@ -1,16 +1,15 @@
 """Build the heartbeats that peers get, and learn from theirs."""
 
-from collections.abc import Mapping
 from datetime import datetime
 
 from roadbend import clock
 from roadbend.cloud.client import Cloud
 from roadbend.controller.cancellations import ConfirmedCancellations
+from roadbend.controller.leaders import PartitionLeaders
 from roadbend.fleet.service import Fleet
 from roadbend.peers.heartbeat import PeerHeartbeat, RequestRates
 from roadbend.peers.links import Link
 from roadbend.placement.context import ControllerContext
-from roadbend.placement.leader import PartitionLeader
 from roadbend.store.request_budget import RequestBudget
 
 
@@ -22,7 +21,7 @@
         *,
         incarnation: str,
         context: ControllerContext,
-        leaders: Mapping[str, PartitionLeader],
+        leaders: PartitionLeaders,
         fleet: Fleet,
         cancellations: ConfirmedCancellations,
         budget: RequestBudget,
@@ -72,8 +71,4 @@
     def _learn(self, heartbeat: PeerHeartbeat) -> None:
         for partition, term in heartbeat.led_partitions.items():
             self._context.election.depose(partition, term)
-        if self._context.cancellations.add(heartbeat.cancellations):
-            # A worker's heartbeat with nothing new is answered without a step of the leader: what
-            # is to be stopped must be marked before the next one comes.
-            for leader in self._leaders.values():
-                leader.stops.order_all_cancelled(clock.now())
+        self._leaders.note_cancelled(heartbeat.cancellations)
--- a/roadbend/controller/leaders.py
+++ b/roadbend/controller/leaders.py
@@ -1,9 +1,10 @@
 """Begin and end the work on partitions with their leaderships, and wake it up on changes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import trio
 
+from roadbend import clock
 from roadbend.autoscaler.service import Autoscaler
 from roadbend.fleet.service import Fleet
 from roadbend.placement.context import ControllerContext
@@ -48,6 +49,19 @@
             self._nursery.start_soon(leader.run)
             self._nursery.start_soon(self._autoscaler.run, leader)
 
+    def note_cancelled(self, jobs: Iterable[str]) -> None:
+        """Note that users are, or are about to be, told that these jobs are cancelled.
+
+        A worker's heartbeat with nothing new is answered without a step of the leader: what is to
+        be stopped must be marked before the next one comes.
+        """
+        if not self._context.cancellations.add(jobs):
+            return
+        now = clock.now()
+        for leader in self.leaders.values():
+            with leader.lock:
+                leader.stops.order_all_cancelled(now)
+
     def on_record(self, key: str) -> None:
         """Tell those of a changed record whom it concerns."""
         if key.startswith(TERM_PREFIX):
--- a/roadbend/controller/test_cancellation_confirmation.py
+++ b/roadbend/controller/test_cancellation_confirmation.py
@@ -13,6 +13,7 @@
 from roadbend import clock
 from roadbend.controller.cancellation_confirmation import CancellationConfirmation, max_wait
 from roadbend.controller.cancellations import ConfirmedCancellations
+from roadbend.controller.leaders import PartitionLeaders
 from roadbend.controller.starts_in_doubt_service import StartsInDoubtService
 from roadbend.fakes.platform import settings_for
 from roadbend.peers.heartbeat import PeerHeartbeat, PeerState, RequestRates
@@ -209,7 +210,7 @@
     """What it got by other ways may lack the latest."""
     desk = Desk()
     desk.view.loaded = loaded
-    context = SimpleNamespace(view=desk.view, cancellations=Cancellations(desk.view))
-    service = StartsInDoubtService(context, {})
+    context = SimpleNamespace(cancellations=Cancellations(desk.view))
+    service = StartsInDoubtService(desk.view, PartitionLeaders(context, None, None, {}))
     assert service.answer((JOB,)).terms == ({"east": TERM} if loaded else {})
     assert JOB in context.cancellations.jobs
--- a/roadbend/placement/starts_in_doubt.py
+++ b/roadbend/placement/starts_in_doubt.py
@@ -75,11 +75,13 @@
         orders: Iterable[WorkerOrder],
     ) -> None:
         """Note the starts among the orders that answer a heartbeat, before they are sent."""
+        starts = [order for order in orders if isinstance(order, StartTask)]
+        if not starts:
+            return
         dropped_at = received_at + WORKER_ANSWER_TIMEOUT * (1 + 2 * clock.DRIFT) + ANSWER_MARGIN
         start = AnsweredStart(position, dropped_at)
-        for order in orders:
-            if isinstance(order, StartTask):
-                self._note(machine, TaskKey(order.job, order.task_index), order.attempt, start)
+        for order in starts:
+            self._note(machine, TaskKey(order.job, order.task_index), order.attempt, start)
 
     def _note(
         self, machine: Machine, key: TaskKey, number: int, start: AnsweredStart | DirectStart
--- a/roadbend/placement/stop_orders.py
+++ b/roadbend/placement/stop_orders.py
@@ -1,6 +1,6 @@
 """Tasks that a partition's leader wants stopped, until the records no longer name them."""
 
-from collections.abc import ItemsView, Iterable, Mapping
+from collections.abc import ItemsView, Mapping
 from datetime import datetime, timedelta
 from types import MappingProxyType
 
@@ -9,7 +9,6 @@
 from roadbend.fleet.terminations import TaskKey
 from roadbend.placement.machine_registry import MachineRegistry
 from roadbend.placement.partition_records import PartitionRecords
-from roadbend.store.record_view import JobSlice
 from roadbend.store.records import Attempt
 
 
@@ -46,18 +45,8 @@
         """Order all tasks whose job is over or cancelled to be stopped: their work is useless."""
         for name, job_slice in self._records.job_slices().items():
             if job_slice.attempts and self._records.live_job(name) is None:
-                self._order_slice(job_slice, now)
-
-    def order_cancelled_jobs(self, jobs: Iterable[str], now: datetime) -> None:
-        """Order all tasks of these jobs, which are cancelled, to be stopped."""
-        job_slices = self._records.job_slices()
-        for name in jobs:
-            if name in job_slices:
-                self._order_slice(job_slices[name], now)
-
-    def _order_slice(self, job_slice: JobSlice, now: datetime) -> None:
-        for task_index, attempt in job_slice.attempts.items():
-            self.order_cancelled(TaskKey(job_slice.job, task_index), attempt, now)
+                for task_index, attempt in job_slice.attempts.items():
+                    self.order_cancelled(TaskKey(name, task_index), attempt, now)
 
     def drop_unrecorded(self) -> None:
         """Drop the orders whose attempts the records no longer name on that machine."""
