A machine that lacks a cancelled job's start is shown a higher token

Cause (traced): a start is recorded and waits for a heartbeat while its leader is refused and cut off. Where a leader can't be asked, an attempt was settled only once its machine held it; a machine that answered that it lacks it proved nothing, for the start may be on its way for 4 s more. Change: once no leader sends starts of the job any more (2 s), whoever confirms shows the machine the next token of the latest term. One that follows refuses what was sent before. For that no start may carry a token that its machine has not shown: a leader's answer that raises the token now carries none, the next one does. The leader goes on from a raised token, so no lease is lost; only machines of leaders that do so (the incarnation in the leader record says it) are shown one. Why it works: docs/meetings.md, 3. The log names each start in doubt and what was missing, and the evidence that came in the end.

--- a/roadbend/controller/cancellation_confirmation.py
+++ b/roadbend/controller/cancellation_confirmation.py
@@ -2,40 +2,40 @@
 
 Once a user is told, no start of the job may be carried out any more. No leader can record a start
 of a job whose cancellation is in the records; so what may still start are attempts that they name.
-The leaders of the partitions that have such attempts are asked whether a start of them is in doubt,
-or, where one can't be asked, the machines. docs/meetings.md has the argument, and the bound's.
+The leaders of the partitions that have such attempts are asked whether a start of them is in doubt.
+Where one can't be asked, the machines are.
+docs/meetings.md has the argument, and the bound's.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from enum import StrEnum
 
 import trio
 
 from roadbend import clock
 from roadbend.controller.attempts_on_machines import AttemptsOnMachines
 from roadbend.controller.cancellations import ConfirmedCancellations
+from roadbend.controller.leader_questions import LeaderQuestions, all_settled
 from roadbend.controller.starts_in_doubt_service import StartsInDoubtService
 from roadbend.fleet.direct_commands import START_TIMEOUT
 from roadbend.log import Log
 from roadbend.partitions.election import START_FRESHNESS
-from roadbend.peers.frames import STARTS_EXTENSION, FrameError, FrameKind
-from roadbend.peers.links import HeartbeatExchange, Link, NoReplyError, Peers
-from roadbend.peers.starts_in_doubt import (
-    PartitionStartsInDoubt,
-    StartsInDoubtReply,
-    StartsInDoubtRequest,
-)
+from roadbend.peers.frames import SETTLED_EXTENSION, STARTS_EXTENSION
+from roadbend.peers.links import HeartbeatExchange, Peers
+from roadbend.peers.starts_in_doubt import PartitionStartsInDoubt
 from roadbend.placement.context import ControllerContext
 from roadbend.settings import OperatorSettings, PlatformSettings
+from roadbend.store.record_view import JobSlice
 
 log = Log("controller")
 
-# How long a leader may take for an answer, and where all controllers are asked first.
-ANSWER_TIMEOUT = timedelta(milliseconds=500)
+# How long leaders may take for an answer where all controllers are asked first.
 QUICK_ANSWER_TIMEOUT = timedelta(milliseconds=200)
 # How long a look may take beyond its user's patience.
 LOOK_TIMEOUT = timedelta(seconds=1)
-# How soon machines that did not hold all attempts are asked again.
+# How soon machines that did not settle all attempts are asked again.
 INSPECT_INTERVAL = timedelta(seconds=1)
 # Once a cancellation has been noted for so long, no leader sends a start of the job any more: it
 # knows of it, or its records are too old.
@@ -57,6 +57,35 @@
     return longest * (1 + 2 * clock.DRIFT) + operator.state_margin
 
 
+class Evidence(StrEnum):
+    """What proved that no start of a job can be carried out any more; logged."""
+
+    # The leaders of all partitions answered, without a read of the records.
+    ALL_LEADERS = "all-leaders"
+    LEADER = "leader"
+    MACHINES = "machines"
+    TIME = "time"
+
+
+class Missing(StrEnum):
+    """Why a partition is waited for; logged."""
+
+    LEADER_SILENT = "leader-silent"
+    LEADER_IN_DOUBT = "leader-in-doubt"
+
+
+@dataclass
+class _Look:
+    """What came of looking at the partitions whose records name attempts of a job."""
+
+    settled: dict[str, Evidence] = field(default_factory=dict)
+    waits_for: dict[str, Missing] = field(default_factory=dict)
+
+    def settle(self, partition: str, evidence: Evidence) -> None:
+        self.waits_for.pop(partition, None)
+        self.settled[partition] = evidence
+
+
 class CancellationConfirmation:
     """Finds out whether users may be told of a cancellation that is in the records."""
 
@@ -69,8 +98,9 @@
         machines: AttemptsOnMachines,
         noted: ConfirmedCancellations,
     ) -> None:
-        self._context, self._peers, self._exchange = context, peers, exchange
-        self._service, self._machines, self._noted = service, machines, noted
+        self._context, self._peers = context, peers
+        self._leaders = LeaderQuestions(context.settings.name, peers, exchange, service)
+        self._machines, self._noted = machines, noted
         self._max_wait = max_wait(context.settings, context.operator)
 
     async def confirm(self, job: str, patience: timedelta) -> bool:
@@ -80,36 +110,37 @@
         """
         self._noted.add(job)
         began = clock.now()
-        waits_for: set[str] | None = None
+        look: _Look | None = None
         with trio.move_on_after((patience + LOOK_TIMEOUT).total_seconds()):
-            waits_for = await self._look(job, began + patience)
+            look = await self._look_until(job, began + patience)
         waited_s = f"{(clock.now() - began).total_seconds():.2f}"
-        if waits_for == set():
-            log.info("cancellation-confirmed", job=job, waited_s=waited_s)
+        if look is not None and not look.waits_for:
+            evidence = _pairs(look.settled)
+            log.info("cancellation-confirmed", job=job, evidence=evidence, waited_s=waited_s)
             return True
         # None: the records were not read, or a leader did not answer, in time.
-        partitions = "unknown" if waits_for is None else ",".join(sorted(waits_for))
+        partitions = "unknown" if look is None else _pairs(look.waits_for)
         log.info("cancellation-waits", job=job, partitions=partitions, waited_s=waited_s)
         return False
 
-    async def _look(self, job: str, until: datetime) -> set[str]:
-        """Return the partitions in which starts of a job may still be carried out, by `until`."""
+    async def _look_until(self, job: str, until: datetime) -> _Look:
+        """Look for starts of a job that may still be carried out, until there are none."""
         if await self._is_settled_everywhere(job):
-            return set()
+            return _Look({"*": Evidence.ALL_LEADERS})
         # Whatever start was recorded before the cancellation is in the view from here on.
         await self._context.reader.read_barrier()
         inspect_at = clock.ORIGIN
         while True:
-            waits_for = self._open_partitions(job)
-            if waits_for:
-                waits_for -= await self._settled_partitions(job, waits_for)
-            if waits_for and self._noted_for(job) > NO_MORE_STARTS and clock.now() >= inspect_at:
+            look = await self._ask_leaders(job)
+            inspects = self._noted_for(job) > NO_MORE_STARTS and clock.now() >= inspect_at
+            if look.waits_for and inspects:
                 inspect_at = clock.now() + INSPECT_INTERVAL
-                waits_for -= await self._partitions_held(job, waits_for)
+                await self._ask_machines(job, look)
             if self._noted_for(job) > self._max_wait:
-                return set()
-            if not waits_for or clock.now() >= until:
-                return waits_for
+                for partition in list(look.waits_for):
+                    look.settle(partition, Evidence.TIME)
+            if not look.waits_for or clock.now() >= until:
+                return look
             await clock.pause(RETRY_INTERVAL)
 
     def _noted_for(self, job: str) -> timedelta:
@@ -125,15 +156,15 @@
         Whoever acquired a partition before the cancellation was written knows that term; so the
         leader under the highest term that anybody knows knows all starts that were recorded.
         """
-        links = self._peers.links
         now = clock.now()
         if not all(
-            link.alive(now) and link.known.supports(STARTS_EXTENSION) for link in links.values()
+            link.alive(now) and link.known.supports(STARTS_EXTENSION)
+            for link in self._peers.links.values()
         ):
             return False
         with trio.move_on_after(QUICK_ANSWER_TIMEOUT.total_seconds()):
-            replies = await self._ask(job, links.keys() | {self._context.settings.name})
-            return len(replies) == len(links) + 1 and _all_settled(job, replies)
+            replies = await self._leaders.ask_all(job)
+            return replies is not None and all_settled(job, replies)
         return False
 
     # With the records: only those matter whose partitions have attempts.
@@ -146,75 +177,68 @@
             if job in job_slices and job_slices[job].attempts
         }
 
-    async def _settled_partitions(self, job: str, partitions: set[str]) -> set[str]:
-        """Ask the leaders of partitions; return those in which no start of a job is in doubt."""
+    async def _ask_leaders(self, job: str) -> _Look:
+        """Ask the leaders of open partitions."""
+        look = _Look()
+        partitions = self._open_partitions(job)
+        if not partitions:
+            return look
         leaders = {self._context.election.leader_of(partition) for partition in partitions}
-        replies = await self._ask(job, leaders)
-        return {
-            answer.partition
-            for reply in replies
-            for answer in reply.partitions
-            if job not in answer.jobs and self._is_current(answer)
-        }
+        replies = await self._leaders.ask(job, leaders)
+        answers = [answer for reply in replies for answer in reply.partitions]
+        # What was in the records before the question may have been cleared meanwhile.
+        for partition in sorted(partitions & self._open_partitions(job)):
+            self._judge(job, partition, answers, look)
+        return look
+
+    def _judge(
+        self, job: str, partition: str, answers: Iterable[PartitionStartsInDoubt], look: _Look
+    ) -> None:
+        """Note whether the partition's leader has answered that all is settled."""
+        answer = next(
+            (a for a in answers if a.partition == partition and self._is_current(a)), None
+        )
+        if answer is not None and job in answer.jobs:
+            look.waits_for[partition] = Missing.LEADER_IN_DOUBT
+        elif answer is not None:
+            look.settle(partition, Evidence.LEADER)
+        else:
+            look.waits_for[partition] = Missing.LEADER_SILENT
 
     def _is_current(self, answer: PartitionStartsInDoubt) -> bool:
         """Whether an answer is of the latest leadership that the records name, or a later one."""
         term = self._context.view.terms.get(answer.partition)
         return term is not None and answer.term >= term.number
 
-    async def _partitions_held(self, job: str, partitions: set[str]) -> set[str]:
-        """Return the partitions all of whose attempts of a job are held by their machines.
+    # The machines themselves, once no leader sends starts of the job any more.
+
+    async def _ask_machines(self, job: str, look: _Look) -> None:
+        """Settle the partitions whose machines hold, or refuse, all attempts of a job."""
+        for partition in list(look.waits_for):
+            job_slice = self._context.view.job_slices[partition].get(job)
+            if job_slice is None or await self._machines_settle(partition, job_slice):
+                look.settle(partition, Evidence.MACHINES)
+
+    async def _machines_settle(self, partition: str, job_slice: JobSlice) -> bool:
+        attempts = dict(job_slice.attempts)
+        term = self._followed_term(partition)
+        if term is None:
+            return await self._machines.hold_all(job_slice.job, attempts)
+        return await self._machines.settle_all(job_slice.job, attempts, term)
+
+    def _followed_term(self, partition: str) -> int | None:
+        """Return the partition's term if its leader goes on from a token that a peer raises.
 
-        To be asked once no leader can send a start of the job any more.
+        One that does not would leave the machine to its lease.
         """
-        return {
-            partition
-            for partition in partitions
-            if (job_slice := self._context.view.job_slices[partition].get(job)) is None
-            or await self._machines.hold_all(job, dict(job_slice.attempts))
-        }
+        term = self._context.view.terms.get(partition)
+        leader = self._context.view.partition_leaders.get(partition)
+        if term is None or leader is None or leader.term != term.number:
+            return None
+        return term.number if leader.incarnation.endswith(SETTLED_EXTENSION) else None
 
-    # Asking controllers.
-
-    async def _ask(self, job: str, controllers: Collection[str | None]) -> list[StartsInDoubtReply]:
-        """Return the replies of those controllers that answer."""
-        replies: list[StartsInDoubtReply] = []
-        if self._context.settings.name in controllers:
-            replies.append(self._service.answer((job,)))
-        async with trio.open_nursery() as nursery:
-            for name, link in self._peers.links.items():
-                if name in controllers:
-                    nursery.start_soon(self._ask_peer, link, job, replies)
-        return replies
-
-    async def _ask_peer(self, link: Link, job: str, replies: list[StartsInDoubtReply]) -> None:
-        """Add a peer's reply to `replies`."""
-        if not link.known.supports(STARTS_EXTENSION):
-            # An older version is told of the cancellation, and can't answer for its starts.
-            await link.exchange_heartbeats(self._exchange)
-            return
-        request = StartsInDoubtRequest((job,)).pack()
-        try:
-            reply = await link.call(FrameKind.STARTS_IN_DOUBT, request, ANSWER_TIMEOUT)
-            replies.append(StartsInDoubtReply.unpack(reply))
-        except NoReplyError:
-            log.debug("starts-in-doubt-unanswered", peer=link.peer.name, job=job)
-        except FrameError as error:
-            log.error("frame-malformed", peer=link.peer.name, error=str(error))
-
-
-def _all_settled(job: str, replies: Iterable[StartsInDoubtReply]) -> bool:
-    """Whether the leaders under the highest terms that anybody knows have no start in doubt."""
-    latest: dict[str, int] = {}
-    for reply in replies:
-        if not reply.terms:
-            return False
-        for partition, term in reply.terms.items():
-            latest[partition] = max(term, latest.get(partition, 0))
-    settled = {
-        answer.partition
-        for reply in replies
-        for answer in reply.partitions
-        if job not in answer.jobs and answer.term >= latest.get(answer.partition, 0)
-    }
-    return latest.keys() <= settled
+
+def _pairs(partitions: dict[str, Evidence] | dict[str, Missing]) -> str:
+    """Return what is logged of partitions: each with what was found there."""
+    pairs = [f"{partition}:{found}" for partition, found in sorted(partitions.items())]
+    return ",".join(pairs) or "none"
--- a/roadbend/controller/controller.py
+++ b/roadbend/controller/controller.py
@@ -58,7 +58,7 @@
     """A controller: its parts, wired together."""
 
     # What the controller understands beyond version 2 of the frames; its incarnation ends with it.
-    EXTENSIONS = frames.STARTS_EXTENSION
+    EXTENSIONS = frames.SETTLED_EXTENSION
 
     def __init__(
         self,
--- a/roadbend/fakes/previous_version.py
+++ b/roadbend/fakes/previous_version.py
@@ -22,7 +22,13 @@
 VALUE_BYTES, TXN_OPS = 4096, 8
 
 
-class Version090Controller(Controller):
+class Version0100Controller(Controller):
+    """A controller that, as 0.10.0, goes on from no token that a peer has raised."""
+
+    EXTENSIONS = frames.STARTS_EXTENSION
+
+
+class Version090Controller(Version0100Controller):
     """A controller that confirms cancellations as 0.9.0 does and does not answer for its starts."""
 
     EXTENSIONS = frames.GANGS_EXTENSION
--- a/roadbend/fleet/direct_commands.py
+++ b/roadbend/fleet/direct_commands.py
@@ -15,11 +15,11 @@
 from roadbend.fleet.machines import DirectStart, Machine
 from roadbend.fleet.messages import StartTask, StopTask, WorkerHeartbeat, WorkerOrder
 from roadbend.fleet.terminations import TaskKey
+from roadbend.fleet.token_raise import MAX_INCARNATIONS
 from roadbend.http.client import Client, NoAnswerError
 from roadbend.http.net import Net
 from roadbend.http.server import MalformedError
 from roadbend.log import Log
-from roadbend.store import records
 from roadbend.store.records import Attempt
 
 log = Log("fleet")
@@ -31,8 +31,6 @@
 # The token that fences an unanswered start is shown so many times, each for so long.
 FENCE_TRIES = 3
 FENCE_TIMEOUT = timedelta(milliseconds=500)
-# How many incarnations of a machine a token can number.
-MAX_INCARNATIONS = (1 << records.INCARNATION_BITS) - 2
 # A machine is given direct starts if it received an answer of ours within so many intervals.
 SILENT_INTERVALS = 2.2
 # How often stops are looked for. How often one that brought no end is sent again, and how many are
--- a/roadbend/fleet/machines.py
+++ b/roadbend/fleet/machines.py
@@ -212,6 +212,15 @@
         self.token.advance()
         self.last_evaluation = HeartbeatEvaluationCache()
 
+    def follow_token(self, incarnation: int) -> None:
+        """Go on from the token of our term that a peer has raised the machine's to.
+
+        A controller does so before it confirms a cancellation while we can't be asked.
+        """
+        self.token.advance()
+        self.token.incarnation = incarnation
+        self.last_evaluation = HeartbeatEvaluationCache()
+
     def restart(self, position: HeartbeatPosition) -> None:
         """Begin a new incarnation, which counts its heartbeats anew from this position."""
         self.contact.position, self.contact.suspected = position, False
--- /dev/null
+++ b/roadbend/fleet/test_token_raise.py
@@ -0,0 +1,26 @@
+"""Which token a machine may be shown for a leader that can't be asked."""
+
+import pytest
+
+from roadbend.fleet.token_raise import next_token
+
+TERM = 7
+LOWEST, HIGHEST = TERM << 16, TERM << 16 | 0xFFFF
+
+
+@pytest.mark.parametrize(
+    "token, expected",
+    [(LOWEST, LOWEST + 1), (LOWEST + 41, LOWEST + 42), (HIGHEST - 2, HIGHEST - 1)],
+)
+def test_the_next_token_is_of_the_same_term(token, expected):
+    assert next_token(token, TERM) == expected
+
+
+@pytest.mark.parametrize(
+    "token",
+    [0, LOWEST - 1, HIGHEST - 1, HIGHEST, HIGHEST + 1],
+    ids=["none", "former-term", "last", "beyond", "next-term"],
+)
+def test_no_token_is_raised_into_another_term(token):
+    """Guards against a token that a newer leader's starts would not exceed."""
+    assert next_token(token, TERM) is None
--- /dev/null
+++ b/roadbend/fleet/token_raise.py
@@ -0,0 +1,43 @@
+"""Raise the fencing token that a machine has seen, for a leader that can't be asked.
+
+From then on the machine refuses whatever was sent under the lower token. The leader goes on from
+the raised token once a heartbeat shows it (`Machine.follow_token`), so no lease is lost.
+"""
+
+from datetime import timedelta
+
+from roadbend.fleet import messages
+from roadbend.fleet.messages import WorkerHeartbeat
+from roadbend.http.client import Client, NoAnswerError
+from roadbend.http.net import Net
+from roadbend.http.server import MalformedError
+from roadbend.store import records
+
+# How many incarnations of a machine a token can number.
+MAX_INCARNATIONS = records.INCARNATION_MASK - 1
+RAISE_TIMEOUT = timedelta(milliseconds=500)
+EXECUTED = 200
+
+
+def next_token(token: int, term: int) -> int | None:
+    """Return the next token of a term; None if a token is not of that term, or its last."""
+    if token >> records.INCARNATION_BITS != term:
+        return None
+    if token & records.INCARNATION_MASK >= MAX_INCARNATIONS:
+        return None
+    return token + 1
+
+
+async def raise_token(net: Net, shown: WorkerHeartbeat, address: str, term: int) -> bool:
+    """Raise the token of the machine that has just shown its state; return whether it follows."""
+    token = next_token(shown.token, term)
+    if token is None:
+        return False
+    client = Client(net, address, most=1, keep=0)
+    command = messages.direct_command(token, shown.position.epoch)
+    try:
+        status, body = await client.request("POST", "/commands", command, within=RAISE_TIMEOUT)
+        answer = messages.parse_heartbeat(body) if status == EXECUTED else None
+    except (NoAnswerError, MalformedError):
+        return False
+    return answer is not None and answer.machine == shown.machine and answer.token >= token
--- a/roadbend/peers/frames.py
+++ b/roadbend/peers/frames.py
@@ -26,6 +26,8 @@
 GANGS_EXTENSION = "+gangs"
 # The same of controllers that answer which cancelled jobs have starts in doubt, too.
 STARTS_EXTENSION = "+starts" + GANGS_EXTENSION
+# The same of controllers that go on from a machine's token that a peer has raised.
+SETTLED_EXTENSION = "+settled" + STARTS_EXTENSION
 
 
 class FrameKind(enum.IntEnum):
--- a/roadbend/placement/heartbeats.py
+++ b/roadbend/placement/heartbeats.py
@@ -100,6 +100,8 @@
             if not machine.admit(heartbeat, self.token(machine), now):
                 # A late copy, or a machine that began anew: only the machine itself can tell.
                 return None
+            if heartbeat.token > self.token(machine):
+                machine.follow_token(heartbeat.token & records.INCARNATION_MASK)
             orders, news = self._take_in(machine, heartbeat, now)
             if not (is_new or news):
                 return self._answer(machine, heartbeat, orders, now)
@@ -209,7 +211,14 @@
         for key, (_, attempt) in recorded.items():
             if self._records.live_job(key[0]) is None:
                 self._stops.order_cancelled(TaskKey(*key), attempt, now)
-        may_start = self._context.election.may_start(now) and not machine.lifecycle.fencing
+        shows_our_token = heartbeat.token == self.token(machine)
+        # Whoever raises the machine's token relies on it that no start carries a higher one than it
+        # has shown.
+        may_start = (
+            self._context.election.may_start(now)
+            and not machine.lifecycle.fencing
+            and (shows_our_token or machine.token.newly_created)
+        )
         jobs = {
             key[0]: job for key in recorded if (job := self._records.live_job(key[0])) is not None
         }
--- a/roadbend/store/records/__init__.py
+++ b/roadbend/store/records/__init__.py
@@ -6,6 +6,7 @@
 from roadbend.store.records.job import PRIORITY, Job, JobSpec, job_end_value
 from roadbend.store.records.leadership import (
     INCARNATION_BITS,
+    INCARNATION_MASK,
     ControllerRecord,
     LeaderRecord,
     TermRecord,
@@ -23,6 +24,7 @@
 
 __all__ = [
     "INCARNATION_BITS",
+    "INCARNATION_MASK",
     "NO_USAGE",
     "PRIORITY",
     "Attempt",
--- a/roadbend/store/records/leadership.py
+++ b/roadbend/store/records/leadership.py
@@ -6,6 +6,7 @@
 # The workers' fencing token is the partition's term with this many bits below it, which number a
 # machine's incarnations.
 INCARNATION_BITS = 16
+INCARNATION_MASK = (1 << INCARNATION_BITS) - 1
 
 
 @dataclass(frozen=True)
