--- a/tests/scenarios/test_raised_tokens.py
+++ b/tests/scenarios/test_raised_tokens.py
@@ -1,8 +1,8 @@
 """A cancellation is confirmed by a machine that refuses the job's starts, without its leader.
 
 A user got 503 for as long as a leader could not be asked and a recorded start had not reached its
-machine yet (docs/incidents/2026-12-start-that-nobody-sent.md). Who confirms shows the machine the next
-token of its term. Each test names the guard without which a cancelled job begins, or a machine
+machine yet (docs/incidents/2026-12-start-that-nobody-sent.md). Who confirms shows the machine the
+next token of its term. Each test names the guard without which a cancelled job begins, or a machine
 loses its lease.
 """
 
