No direct stop to a task that is proven gone and not recorded yet

Cause (traced): the machine had shown under our token that it lacks the tasks; until a transaction recorded that, 0.6 s later, their stops were still due, and went out directly. Change: a task of which the end is proven gets no direct stop.

--- a/roadbend/fleet/direct_commands.py
+++ b/roadbend/fleet/direct_commands.py
@@ -211,7 +211,9 @@
             leader.stops.order_all_cancelled(now)
             for key, stop in leader.stops.items():
                 mark = _SentStop(leader.leadership.term, key, stop.attempt, stop.grace)
-                if now - sent.get(mark, clock.ORIGIN) < STOP_AGAIN_AFTER:
+                if key in leader.terminations or (
+                    now - sent.get(mark, clock.ORIGIN) < STOP_AGAIN_AFTER
+                ):
                     continue
                 spaced_out = leader.recovery.spaces_out(key, stop, now)
                 if spaced_out or stop.machine in self._stopping:
