A machine is shown one higher token a job; unheld attempts are forgotten without peers, too

A cancelled job with one silent machine had the tokens of its other machines raised again every second that its user asked; each raise costs the machine a heartbeat. Who raised one remembers that, up to 4,096: no start of the job is sent any more. And the unheld attempts were only cleared when a peer asked for a report; a leader without peers of this version kept those of machines that never showed them. Both have a test that fails before.

--- a/roadbend/controller/attempts_on_machines.py
+++ b/roadbend/controller/attempts_on_machines.py
@@ -5,6 +5,7 @@
 hold an attempt can be shown a higher token, and then refuses what was sent under a lower one.
 """
 
+from collections import OrderedDict
 from collections.abc import Mapping
 
 import trio
@@ -21,6 +22,8 @@
 
 # Machines asked at once, for all jobs together.
 MAX_CONNECTIONS = 16
+# Machines, each with a job whose starts it refuses, that are remembered.
+MAX_REFUSING = 4096
 
 Attempts = set[tuple[TaskKey, int]]
 
@@ -31,6 +34,9 @@
     def __init__(self, net: Net, inventory: CloudInventory) -> None:
         self._net, self._inventory = net, inventory
         self._connections = trio.CapacityLimiter(MAX_CONNECTIONS)
+        # Machines that have followed a raised token, by job. Each is raised once for it: no start
+        # of the job is sent any more.
+        self._refusing: OrderedDict[tuple[str, str], None] = OrderedDict()
 
     async def hold_all(self, job: str, attempts: Mapping[int, Attempt]) -> bool:
         """Whether the machines hold all these attempts of a job now."""
@@ -51,11 +57,13 @@
         for task_index, attempt in attempts.items():
             task = (TaskKey(job, task_index), attempt.number)
             by_machine.setdefault(attempt.machine, set()).add(task)
+        for machine in [machine for machine in by_machine if (machine, job) in self._refusing]:
+            del by_machine[machine]
         all_settled = True
 
         async def ask(machine: str, wanted: Attempts) -> None:
             nonlocal all_settled
-            if not await self._settles(machine, wanted, term):
+            if not await self._settles(job, machine, wanted, term):
                 # The rest need not be asked.
                 all_settled = False
                 nursery.cancel_scope.cancel()
@@ -65,7 +73,7 @@
                 nursery.start_soon(ask, machine, wanted)
         return all_settled
 
-    async def _settles(self, machine: str, wanted: Attempts, term: int | None) -> bool:
+    async def _settles(self, job: str, machine: str, wanted: Attempts, term: int | None) -> bool:
         """Whether a machine answers that it holds all these attempts, or follows a higher token."""
         listed = self._inventory.rows.get(machine)
         if listed is None:
@@ -85,7 +93,10 @@
             if not await raise_token(self._net, heartbeat, listed.address, term):
                 _log_in_doubt(machine, wanted - held, "token-not-raised")
                 return False
-        log.info("token-raised", machine=machine, jobs=_jobs(wanted))
+        log.info("token-raised", machine=machine, job=job)
+        self._refusing[machine, job] = None
+        if len(self._refusing) > MAX_REFUSING:
+            self._refusing.popitem(last=False)
         return True
 
 
@@ -100,7 +111,3 @@
         machine=machine,
         missing=missing,
     )
-
-
-def _jobs(attempts: Attempts) -> str:
-    return ",".join(sorted({key.job for key, _ in attempts}))
--- a/roadbend/placement/leader.py
+++ b/roadbend/placement/leader.py
@@ -236,6 +236,7 @@
         )
         self.stops.drop_unrecorded()
         self.starts_in_doubt.tidy(now)
+        self.unheld.tidy(now)
         self.gang_attempts.drop_over(
             lambda job: self.records.live_job(job) is not None,
             self.gangs.filled,
--- a/roadbend/placement/test_unheld_attempts.py
+++ b/roadbend/placement/test_unheld_attempts.py
@@ -91,6 +91,17 @@
     assert desk.unheld.jobs() == set() and not desk.unheld._by_machine
 
 
+def test_what_is_over_is_forgotten_also_if_no_peer_asks():
+    """Guards against a set that grows without bound."""
+    desk = Desk()
+    desk.unheld.tidy(NOW)
+    desk.record({}, 6)
+    desk.unheld.tidy(NOW + S)
+    assert desk.unheld._by_machine
+    desk.unheld.tidy(NOW + 6 * S)
+    assert not desk.unheld._by_machine
+
+
 def test_a_lost_attempt_is_unheld_again_and_waits_for_the_peers():
     """Guards against a start that is sent anew while a peer relies on a report."""
     desk = Desk()
--- a/roadbend/placement/unheld_attempts.py
+++ b/roadbend/placement/unheld_attempts.py
@@ -7,14 +7,18 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from datetime import datetime
+from datetime import datetime, timedelta
 
+from roadbend import clock
 from roadbend.fleet.machines import ObservedTask
 from roadbend.fleet.terminations import TaskKey
 from roadbend.placement.partition_records import PartitionRecords
 from roadbend.placement.start_reports import StartReports, Withdrawal
 from roadbend.store.records import Attempt
 
+# How often attempts that are over are looked for.
+TIDY_INTERVAL = timedelta(seconds=5)
+
 
 @dataclass
 class _UnheldAttempt:
@@ -31,6 +35,7 @@
     def __init__(self, records: PartitionRecords) -> None:
         self._records = records
         self._by_machine: dict[str, dict[TaskKey, _UnheldAttempt]] = {}
+        self._tidied_at = clock.ORIGIN
         for machine, attempts in records.attempts_by_machine().items():
             for key, (_, attempt) in attempts.items():
                 self.note_recorded(TaskKey(*key), Attempt(attempt.number, machine))
@@ -76,6 +81,12 @@
         withdrawal = self._by_machine[machine][key].withdrawal
         return withdrawal is None or self._reports().is_complete(withdrawal, now)
 
+    def tidy(self, now: datetime) -> None:
+        """Forget attempts that are over, every now and then, also if no peer asks for reports."""
+        if now - self._tidied_at >= TIDY_INTERVAL:
+            self._tidied_at = now
+            self.jobs()
+
     def jobs(self) -> set[str]:
         """Return the jobs that have unheld attempts; forget those that are over."""
         jobs: set[str] = set()
--- a/tests/scenarios/test_raised_tokens.py
+++ b/tests/scenarios/test_raised_tokens.py
@@ -9,9 +9,11 @@
 import pytest
 import trio
 
+from roadbend.controller.attempts_on_machines import AttemptsOnMachines
 from roadbend.fakes.previous_version import Version0100Controller
 from roadbend.fakes.submission import job
 from roadbend.fakes.world import World
+from roadbend.store.records import Attempt
 from tests.scenarios.held_starts import (
     ARRAY,
     CANCELLED,
@@ -165,6 +167,26 @@
         await w.over()
 
 
+async def test_a_machine_is_shown_one_higher_token_for_a_job_however_often_its_user_asks():
+    """Guards against a machine that gets a new token every second while another one is silent."""
+    async with deployment() as w:
+        machine = await machine_of_kept_service(w)
+        worker = w.cloud.machines[machine].worker
+        node = w.controllers["node-1"]
+        machines = AttemptsOnMachines(w.network.port("node-1"), node.fleet.inventory)
+        term, before = node.view.terms["east"].number, worker.token
+        attempts = {0: Attempt(9, machine), 1: Attempt(9, "m-999999")}
+        for _ in range(5):
+            assert not await machines.settle_all(CANCELLED, attempts, term)
+            await trio.sleep(1)
+        assert await machines.settle_all(CANCELLED, {0: Attempt(9, machine)}, term)
+        assert worker.token == before + 1
+        # Another job's start is refused by a token of its own.
+        assert await machines.settle_all("run-000002", {0: Attempt(10, machine)}, term)
+        assert worker.token == before + 2
+        await w.over()
+
+
 async def test_no_start_goes_out_under_a_token_that_its_machine_has_not_shown():
     """Guards what a peer relies on that raises a token: all starts carry lower ones."""
     async with deployment() as w:
