--- a/tests/scenarios/test_raised_tokens.py
+++ b/tests/scenarios/test_raised_tokens.py
@@ -175,10 +175,16 @@
         node = w.controllers["node-1"]
         machines = AttemptsOnMachines(w.network.port("node-1"), node.fleet.inventory)
         term, before = node.view.terms["east"].number, worker.token
-        attempts = {0: Attempt(9, machine), 1: Attempt(9, "m-999999")}
+        assert await w.submit(0, job(51, **{**SERVICE, "yard": "west"}), None) == 201
+        assert await w.until(lambda: w.board.running("run-000051"), 60)
+        silent = next(iter(w.board.where[w.board.running("run-000051")[0]]))
+        await trio.sleep(10)
+        w.network.cut("node-1", silent)
+        attempts = {0: Attempt(9, machine), 1: Attempt(9, silent)}
         for _ in range(5):
             assert not await machines.settle_all(CANCELLED, attempts, term)
             await trio.sleep(1)
+        w.network.heal("node-1", silent)
         assert await machines.settle_all(CANCELLED, {0: Attempt(9, machine)}, term)
         assert worker.token == before + 1
         # Another job's start is refused by a token of its own.
