A silent leader whose workers turn to others is replaced before its lease ends

Cause: a dead leader was known by the expiry of its key alone, and an outage gives keys their full time again. Traced by its time line: controllers end at 30.1 s, keys last to 46.9, workers' leases end from 45.0 on, while these workers come to the one controller that is back every three seconds and are told 503.

Mend: a leader that was silent for takeover-silence, and of whose machines with tasks more than takeover-share have turned to us under its term since, is gone; its partition is acquired on the leader record as read. No rule needs the former leader's lease to expire: terms and tokens fence it (docs/meetings.md). A heartbeat counts by position, term and the instant before which it can't have been sent, which the server now tells of each request.

--- a/roadbend/clock.py
+++ b/roadbend/clock.py
@@ -18,7 +18,12 @@
 
 def now() -> datetime:
     """Return the instant of the steady clock."""
-    return ORIGIN + timedelta(seconds=trio.current_time())
+    return from_steady_s(trio.current_time())
+
+
+def from_steady_s(seconds: float) -> datetime:
+    """Convert seconds of trio's clock to an instant of the steady clock."""
+    return ORIGIN + timedelta(seconds=seconds)
 
 
 def wall() -> datetime:
--- a/roadbend/fleet/failure_detector.py
+++ b/roadbend/fleet/failure_detector.py
@@ -71,6 +71,10 @@
                     # The machines of the other partitions have to be looked after all the same.
                     log.crash("failure-detection-failed", partition=leader.partition)
 
+    def paused_since(self, instant: datetime) -> bool:
+        """Tell whether this process went on after a pause since an instant."""
+        return self._pauses.any_since(instant)
+
     def _look(self, leader: Leader, nursery: trio.Nursery) -> None:
         """Begin to look into a partition's silent machines, the longest silent first."""
         now = clock.now()
--- a/roadbend/fleet/foreign_heartbeats.py
+++ b/roadbend/fleet/foreign_heartbeats.py
@@ -6,7 +6,10 @@
 from itertools import accumulate
 from typing import NamedTuple
 
+from roadbend import clock
 from roadbend.fleet.messages import HeartbeatPosition, WorkerHeartbeat
+from roadbend.partitions.unserved import UnservedQuestion
+from roadbend.store.records import INCARNATION_BITS
 
 # Bytes of names of machines that we tell their leader we hear, a partition and all together (a peer
 # heartbeat is one frame), and heartbeats of other leaders' machines that we remember.
@@ -17,6 +20,10 @@
 NAME_OVERHEAD = 2
 # For how long a machine counts as heard.
 HEARD_FOR = timedelta(seconds=6)
+# A worker that no controller serves comes to each of them once in this time: one does not answer it
+# (4 s), and it waits a second before the next. On a connection that it keeps it may have sent what
+# comes in one round as early as in the round before.
+UNSERVED_ROUND = timedelta(seconds=8)
 
 
 class _Heard(NamedTuple):
@@ -24,6 +31,10 @@
 
     at: datetime
     position: HeartbeatPosition
+    # The term of the token that it carries.
+    term: int
+    # The machine can't have sent it before this instant.
+    sent_after: datetime
 
 
 class ForeignHeartbeats:
@@ -33,12 +44,18 @@
         # By partition and machine, the one heard last at the end.
         self._heard: dict[str, OrderedDict[str, _Heard]] = {}
 
-    def note(self, heartbeat: WorkerHeartbeat, now: datetime) -> None:
-        """Note a heartbeat, unless it is a late copy, which is no sign of life."""
+    def note(
+        self, heartbeat: WorkerHeartbeat, now: datetime, sent_after: datetime = clock.ORIGIN
+    ) -> None:
+        """Note a heartbeat, unless it is a late copy, which is no sign of life.
+
+        `sent_after` is the instant before which the machine can't have sent it.
+        """
         heard = self._heard.setdefault(heartbeat.zone, OrderedDict())
         last = heard.get(heartbeat.machine)
         if last is None or heartbeat.position > last.position:
-            heard[heartbeat.machine] = _Heard(now, heartbeat.position)
+            term = heartbeat.token >> INCARNATION_BITS
+            heard[heartbeat.machine] = _Heard(now, heartbeat.position, term, sent_after)
             heard.move_to_end(heartbeat.machine)
         while len(heard) > MAX_FOREIGN_HEARTBEATS:
             heard.popitem(last=False)
@@ -47,6 +64,23 @@
         """Return when a machine was last heard; raise `KeyError` if it was not."""
         return self._heard[partition][machine]
 
+    def count_unserved(self, question: UnservedQuestion, now: datetime) -> int:
+        """Count which machines have lately turned to us, so that their leader does not serve them.
+
+        A worker that its leader serves stays with it. What was held back on its way does not count:
+        it came on a connection from before.
+        """
+        heard: dict[str, _Heard] = self._heard.get(question.partition, OrderedDict())
+        sent_since = max(question.silent_since, now - 2 * UNSERVED_ROUND)
+        return sum(
+            1
+            for machine in question.machines
+            if (row := heard.get(machine)) is not None
+            and row.term == question.term
+            and now - row.at < UNSERVED_ROUND
+            and row.sent_after > sent_since
+        )
+
     def machines(self, now: datetime, led: Container[str]) -> dict[str, tuple[str, ...]]:
         """Return the machines heard lately, by partition, without the partitions that we lead."""
         out = {}
--- a/roadbend/fleet/process_pauses.py
+++ b/roadbend/fleet/process_pauses.py
@@ -32,6 +32,10 @@
             log.info("process-paused", paused_s=f"{paused.total_seconds():.1f}")
             self._pauses.append((now, paused))
 
+    def any_since(self, instant: datetime) -> bool:
+        """Tell whether a pause ended after an instant."""
+        return bool(self._pauses) and self._pauses[-1][0] > instant
+
     def silence(self, since: datetime, now: datetime) -> timedelta:
         """Return how long others have been silent, less our own pauses.
 
--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -9,12 +9,13 @@
 from roadbend.fleet.cloud_inventory import CloudInventory
 from roadbend.fleet.direct_commands import DirectCommands
 from roadbend.fleet.failure_detector import FailureDetector
-from roadbend.fleet.foreign_heartbeats import ForeignHeartbeats
+from roadbend.fleet.foreign_heartbeats import UNSERVED_ROUND, ForeignHeartbeats
 from roadbend.fleet.leader import Controller, Leader
 from roadbend.fleet.messages import WorkerHeartbeat
 from roadbend.fleet.zone_reachability import ZoneReachability
 from roadbend.http.net import Net
 from roadbend.http.server import MalformedError, Request, Response, decode
+from roadbend.partitions.unserved import UnservedQuestion
 from roadbend.peers.links import Peers
 
 # Most characters of an error that a worker is told.
@@ -68,7 +69,7 @@
             return _refused(400, str(error)[:ANSWERED_ERROR])
         if leader is not None and election.leadership(heartbeat.zone) == leader.leadership:
             return await self._answer(leader, heartbeat, now)
-        return self._redirect(heartbeat, now)
+        return self._redirect(heartbeat, now, clock.from_steady_s(request.sent_after_s))
 
     async def _answer(self, leader: Leader, heartbeat: WorkerHeartbeat, now: datetime) -> Response:
         """Answer a heartbeat of a partition that we lead."""
@@ -84,17 +85,28 @@
             return _refused(503, "no state")
         return Response(200, messages.heartbeat_answer(*answer))
 
-    def _redirect(self, heartbeat: WorkerHeartbeat, now: datetime) -> Response:
+    def _redirect(
+        self, heartbeat: WorkerHeartbeat, now: datetime, sent_after: datetime
+    ) -> Response:
         """Send the worker to the leader of its partition, and note that we hear it."""
         election = self._controller.election
         if heartbeat.zone not in election.partitions():
             return _refused(503, "no such part")
-        self.foreign_heartbeats.note(heartbeat, now)
+        self.foreign_heartbeats.note(heartbeat, now, sent_after)
         leader = election.leader_of(heartbeat.zone)
         if leader is None or leader == self._controller.settings.name:
             return _refused(503, "no owner yet")
         return Response(421, messages.redirect(leader))
 
+    def count_unserved(self, question: UnservedQuestion, now: datetime) -> int:
+        """Count which machines of a silent leader have lately turned to us.
+
+        After a pause of this process none counts: what came meanwhile looks as if it came now.
+        """
+        if self.failure_detector.paused_since(now - UNSERVED_ROUND):
+            return 0
+        return self.foreign_heartbeats.count_unserved(question, now)
+
     def heard(self, now: datetime) -> dict[str, tuple[str, ...]]:
         """Return the machines of other leaders' partitions that we hear, by partition."""
         return self.foreign_heartbeats.machines(now, self._leaders)
--- /dev/null
+++ b/roadbend/fleet/test_foreign_heartbeats.py
@@ -0,0 +1,112 @@
+"""Which machines of a silent leader have turned to this controller."""
+
+from dataclasses import replace
+from datetime import timedelta
+
+import pytest
+import trio
+
+from roadbend import clock
+from roadbend.fakes.world import world
+from roadbend.fleet.foreign_heartbeats import UNSERVED_ROUND, ForeignHeartbeats
+from roadbend.fleet.messages import HeartbeatPosition, WorkerHeartbeat
+from roadbend.partitions.unserved import UnservedQuestion
+from roadbend.store.records import INCARNATION_BITS
+
+S = timedelta(seconds=1)
+T = clock.ORIGIN + 1000 * S
+TERM = 7
+HEARTBEAT = WorkerHeartbeat(
+    machine="m-1",
+    address="m-1:1",
+    machine_type="g2",
+    zone="east",
+    spot=False,
+    position=HeartbeatPosition(1, 50),
+    token=TERM << INCARNATION_BITS,
+    notice=None,
+    tasks=(),
+    reported_tasks=None,
+)
+QUESTION = UnservedQuestion("east", TERM, T - 5 * S, {"m-1": None, "m-2": None})
+
+
+def noted(*rows):
+    """Note heartbeats: changes, when each came and since when it may have been sent."""
+    foreign = ForeignHeartbeats()
+    for changes, came, sent_after in rows:
+        foreign.note(replace(HEARTBEAT, **changes), came, sent_after)
+    return foreign
+
+
+@pytest.mark.parametrize(
+    "changes, came, sent_after, counted",
+    [
+        ({}, T, T - S, 1),
+        ({"machine": "m-3"}, T, T - S, 0),
+        ({"zone": "west"}, T, T - S, 0),
+        ({"token": (TERM - 1) << INCARNATION_BITS}, T, T - S, 0),
+        ({"token": (TERM + 1) << INCARNATION_BITS}, T, T - S, 0),
+        ({"token": TERM << INCARNATION_BITS | 3}, T, T - S, 1),
+        # It turned to its leader again since, as far as we know.
+        ({}, T - UNSERVED_ROUND, T - UNSERVED_ROUND, 0),
+        # The leader was heard since.
+        ({}, T, T - 6 * S, 0),
+        # Held back on its way: its connection is an old one.
+        ({}, T, T - 100 * S, 0),
+        ({}, T, clock.ORIGIN, 0),
+    ],
+    ids=[
+        "turned",
+        "other-machine",
+        "other-zone",
+        "older-term",
+        "newer-term",
+        "raised-token",
+        "a-round-ago",
+        "before-silence",
+        "held-back",
+        "unknown",
+    ],
+)
+def test_a_machine_counts_once_it_has_turned_to_us_under_its_leaders_term(
+    changes, came, sent_after, counted
+):
+    """Guards against replacing a leader on the word of a heartbeat that proves nothing."""
+    foreign = noted((changes, came, sent_after))
+    assert foreign.count_unserved(QUESTION, T) == counted
+
+
+def test_a_copy_does_not_make_a_machine_turn_to_us_again():
+    """Guards against late copies that count as heartbeats."""
+    long_ago = T - 30 * S
+    copy = ({}, T, T - S)
+    older = ({"position": HeartbeatPosition(1, 49)}, T, T - S)
+    foreign = noted(({}, long_ago, long_ago), copy, older)
+    assert foreign.count_unserved(QUESTION, T) == 0
+
+
+def test_what_is_held_back_for_longer_than_two_rounds_does_not_count():
+    """Guards against a leader that is silent to us for long and serves its workers."""
+    question = replace(QUESTION, silent_since=T - 600 * S)
+    sent_after = T - 2 * UNSERVED_ROUND
+    assert noted(({}, T, sent_after)).count_unserved(question, T) == 0
+    assert noted(({}, T, sent_after + S)).count_unserved(question, T) == 1
+
+
+async def test_nothing_counts_for_a_round_after_a_pause_of_this_process():
+    """Guards against what piled up during a pause, which looks as if it were sent after it."""
+    async with world() as w:
+        await trio.sleep(30)
+        fleet = w.controllers["node-0"].fleet
+        now = clock.now()
+        question = replace(QUESTION, silent_since=now - 5 * S)
+        fleet.foreign_heartbeats.note(HEARTBEAT, now, now - S)
+        assert fleet.count_unserved(question, now) == 1
+        fleet.failure_detector._pauses.note_time(now - 20 * S)
+        assert fleet.count_unserved(question, now) == 0
+        later = now + UNSERVED_ROUND
+        fleet.foreign_heartbeats.note(
+            replace(HEARTBEAT, position=HeartbeatPosition(1, 51)), later, later - S
+        )
+        assert fleet.count_unserved(question, later) == 1
--- a/roadbend/http/exchange.py
+++ b/roadbend/http/exchange.py
@@ -46,9 +46,10 @@
         # Where a client sent more than one request at once, h11 has the rest.
         self._has_trailing_data = False
 
-    async def receive(self) -> Request | Response | None:
+    async def receive(self, sent_after_s: float) -> Request | Response | None:
         """Return the next request, a response that refuses it, or None after the last one.
 
+        `sent_after_s` is the steady time, in seconds, since when the client may send it.
         Raises `h11.RemoteProtocolError` where it is no request.
         """
         data = None
@@ -56,12 +57,12 @@
             received = await self._stream.receive_some(RECEIVE_BYTES)
             data = received if type(received) is bytes else bytes(received)
             self._connection.deadline = trio.current_time() + REQUEST_S
-            request = self._request_heads.find(data)
+            request = self._request_heads.find(data, sent_after_s)
             if request is not None:
                 self._is_known = True
                 return request
         self._is_known = False
-        return await self._read(data)
+        return await self._read(data, sent_after_s)
 
     async def send(self, response: Response) -> bool:
         """Send a response; return whether another request may follow."""
@@ -85,7 +86,7 @@
         self._has_trailing_data = bool(conn.trailing_data[0])
         return True
 
-    async def _read(self, first: bytes | None) -> Request | Response | None:
+    async def _read(self, first: bytes | None, sent_after_s: float) -> Request | Response | None:
         """Read a request with h11, which gets the bytes that have come already first."""
         head: h11.Request | None = None
         body: list[bytes] = []
@@ -107,7 +108,7 @@
                     return Response(413, {"error": "body too large"}, close=True)
                 body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return self._finish(head, b"".join(body), first)
+                return self._finish(head, b"".join(body), first, sent_after_s)
             else:  # The connection is closed.
                 return None
 
@@ -117,7 +118,9 @@
             head = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._conn.send(head) or b"")
 
-    def _finish(self, head: h11.Request, body: bytes, first: bytes | None) -> Request:
+    def _finish(
+        self, head: h11.Request, body: bytes, first: bytes | None, sent_after_s: float
+    ) -> Request:
         """Make the request; `first` are its bytes, if it came in one piece."""
         path, _, query = head.target.decode("ascii", "replace").partition("?")
         request = Request(
@@ -126,6 +129,7 @@
             query=query,
             body=body,
             trace_parent=_trace_parent(head),
+            sent_after_s=sent_after_s,
         )
         if first is not None:
             self._request_heads.remember(first, head, request, self._conn)
--- a/roadbend/http/heads.py
+++ b/roadbend/http/heads.py
@@ -40,13 +40,13 @@
     def __len__(self) -> int:
         return len(self._known)
 
-    def find(self, data: bytes) -> Request | None:
+    def find(self, data: bytes, sent_after_s: float = 0.0) -> Request | None:
         """Return the request, if the bytes are a whole one with a known head."""
         head, end_of_head, body = data.partition(END_OF_HEAD)
         known = self._known.get(head)
         if known is None or not end_of_head or len(body) != known.body_length:
             return None
-        return Request(known.method, known.path, known.query, body)
+        return Request(known.method, known.path, known.query, body, None, sent_after_s)
 
     def remember(
         self, data: bytes, parsed: h11.Request, request: Request, conn: h11.Connection
--- a/roadbend/http/messages.py
+++ b/roadbend/http/messages.py
@@ -25,6 +25,10 @@
     body: bytes
     # The W3C trace context that came with it, unchecked.
     trace_parent: str | None = None
+    # The steady time, in seconds, before which its client can't have sent it: when its connection
+    # was accepted, or when the response before it went out. What was held back on its way came on
+    # an old connection.
+    sent_after_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/roadbend/http/server.py
+++ b/roadbend/http/server.py
@@ -81,7 +81,7 @@
             connection.deadline = now + IDLE_S
             connection.waiting[connection] = now
             try:
-                request = await exchange.receive()
+                request = await exchange.receive(now)
             except h11.RemoteProtocolError as error:
                 connection.deadline = trio.current_time() + WRITE_S
                 status = error.error_status_hint or 400
--- a/roadbend/partitions/election.py
+++ b/roadbend/partitions/election.py
@@ -19,8 +19,20 @@
 from roadbend.partitions.hold_offs import HoldOffs
 from roadbend.partitions.leadership import Leadership, LossReason
 from roadbend.partitions.live_controllers import LiveControllers
-from roadbend.partitions.policy import Action, Decision, PartitionState
+from roadbend.partitions.policy import (
+    Action,
+    ControllersState,
+    Decision,
+    PartitionState,
+)
 from roadbend.partitions.records import ElectionRecords
+from roadbend.partitions.unserved import (
+    NO_MACHINES,
+    CountUnserved,
+    MachineCounts,
+    UnservedQuestion,
+    count_none,
+)
 from roadbend.peers.links import Peers
 from roadbend.settings import OperatorSettings, PlatformSettings
 from roadbend.store.client import (
@@ -67,6 +79,8 @@
         self.leaderships: dict[str, Leadership] = {}
         # Called with a partition's name whenever our leadership of it begins or ends.
         self.changed: list[Callable[[str], None]] = []
+        # Set by who knows the machines.
+        self.count_unserved: CountUnserved = count_none
         self._settings, self._operator = settings, operator
         self._view, self._reader, self._peers = view, reader, peers
         records = ElectionRecords(state, view, reader)
@@ -193,11 +207,13 @@
             return
         controllers = self._live_controllers.observe(now)
         for partition in self.partitions():
-            state = self._partition_state(partition, now)
+            state = self._partition_state(partition, controllers, now)
             decision = policy.decide(state, controllers, self._operator, now)
             await self._carry_out(decision, state, now)
 
-    def _partition_state(self, partition: str, now: datetime) -> PartitionState:
+    def _partition_state(
+        self, partition: str, controllers: ControllersState, now: datetime
+    ) -> PartitionState:
         recorded = self._view.partition_leaders.get(partition)
         if recorded is None:
             leaderless_since = self._leaderless_since.setdefault(partition, now)
@@ -214,8 +230,23 @@
             acquisition_held=self._hold_offs.holds_acquisition(partition, now),
             held_failbacks=self._hold_offs.held_failbacks(partition, now),
             was_led=partition in self._led,
+            machines=self._count_machines(partition, controllers, now),
         )
 
+    def _count_machines(
+        self, partition: str, controllers: ControllersState, now: datetime
+    ) -> MachineCounts:
+        """Count the machines of a partition whose leader is silent: none for any other."""
+        recorded = self._view.partition_leaders.get(partition)
+        if recorded is None:
+            return NO_MACHINES
+        silent = policy.silent_since(recorded, controllers, self._operator, now)
+        if silent is None:
+            return NO_MACHINES
+        machines = self._view.attempts_by_machine.get(partition, {})
+        question = UnservedQuestion(partition, recorded.term, silent, machines)
+        return MachineCounts(len(machines), self.count_unserved(question, now))
+
     async def _carry_out(self, decision: Decision, state: PartitionState, now: datetime) -> None:
         partition = state.name
         if decision.failback_to is not None:
@@ -226,6 +257,9 @@
             case Action.RAISE_TERM:
                 self._log_raised_term(state)
                 await self._acquire(state, now)
+            case Action.REPLACE_LEADER:
+                self._log_replaced_leader(state)
+                await self._acquire(state, now)
             case Action.ACQUIRE:
                 await self._acquire(state, now)
             case Action.RELEASE | Action.FAIL_BACK:
@@ -241,6 +275,16 @@
             seen_term=state.lost_term,
         )
 
+    def _log_replaced_leader(self, state: PartitionState) -> None:
+        log.info(
+            "leader-replaced",
+            partition=state.name,
+            leader=state.recorded.controller if state.recorded else None,
+            term=state.recorded.term if state.recorded else 0,
+            running_machines=state.machines.running,
+            unserved_machines=state.machines.unserved,
+        )
+
     def _begin_failback(self, partition: str, controller: str, now: datetime) -> None:
         log.info("failback-started", partition=partition, to_controller=controller)
         graces = self._operator.takeover_grace * ACQUISITION_HOLD_OFF_GRACES
--- a/roadbend/partitions/policy.py
+++ b/roadbend/partitions/policy.py
@@ -12,6 +12,7 @@
 from roadbend import clock
 from roadbend.clock import DRIFT, ZERO
 from roadbend.partitions.leadership import Leadership, LossReason
+from roadbend.partitions.unserved import NO_MACHINES, MachineCounts
 from roadbend.peers.heartbeat import PeerState
 from roadbend.settings import OperatorSettings
 from roadbend.store.records import LeaderRecord
@@ -26,6 +27,8 @@
     # Go on as before: lead it, or leave it to its leader.
     NOTHING = enum.auto()
     ACQUIRE = enum.auto()
+    # Acquire it from a leader that is gone, before that controller's lease expires.
+    REPLACE_LEADER = enum.auto()
     # Acquire it again under a term above the one that machines have seen.
     RAISE_TERM = enum.auto()
     # Delete a leader record of ours for which there is no leadership.
@@ -79,6 +82,8 @@
     held_failbacks: frozenset[str]
     # Whether it had a leader since we began to read the records.
     was_led: bool = False
+    # Counted only while its leader is silent.
+    machines: MachineCounts = NO_MACHINES
 
 
 def rendezvous(key: str, names: Iterable[str]) -> str | None:
@@ -113,7 +118,8 @@
         return Decision(Action.NOTHING, lost)
     if recorded.controller != controllers.name:
         lost = None if leadership is None else LossReason.LED_BY_ANOTHER
-        return Decision(Action.NOTHING, lost)
+        is_gone = _leader_is_gone(partition, recorded, controllers, operator, now)
+        return Decision(Action.REPLACE_LEADER if is_gone else Action.NOTHING, lost)
     if recorded.incarnation != controllers.incarnation:
         # Ours from before a restart: it is acquired at once, under a new term.
         return Decision(Action.ACQUIRE)
@@ -127,6 +133,50 @@
     return Decision(Action.NOTHING)
 
 
+def silent_since(
+    recorded: LeaderRecord,
+    controllers: ControllersState,
+    operator: OperatorSettings,
+    now: datetime,
+) -> datetime | None:
+    """Return since when another controller, a partition's leader, is silent to us.
+
+    None: it is not, or not for long enough.
+    """
+    if recorded.controller == controllers.name:
+        return None
+    heard_at = _last_heard(recorded.controller, controllers)
+    return heard_at if now - heard_at >= operator.takeover_silence else None
+
+
+def _leader_is_gone(
+    partition: PartitionState,
+    recorded: LeaderRecord,
+    controllers: ControllersState,
+    operator: OperatorSettings,
+    now: datetime,
+) -> bool:
+    """Tell whether to acquire a partition before its leader's lease expires.
+
+    A leader out of our reach alone still serves its workers, and they stay with it; those of one
+    that is gone turn to other controllers. No rule depends on the lease: terms and tokens fence the
+    former leader (docs/meetings.md).
+    """
+    silent = silent_since(recorded, controllers, operator, now)
+    if silent is None or partition.acquisition_held:
+        return False
+    machines = partition.machines
+    if machines.unserved <= machines.running * operator.takeover_share:
+        return False
+    me = controllers.name
+    heard = [name for name, peer in controllers.peers.items() if peer.alive(now)]
+    candidates = [me, *(name for name in heard if name != recorded.controller)]
+    # Another one that hears the workers, too, goes first.
+    is_first = preferred(partition.name, controllers.zones, candidates) == me
+    grace = ZERO if is_first else operator.takeover_grace
+    return now - silent >= operator.takeover_silence + grace
+
+
 def _may_acquire(
     partition: PartitionState,
     controllers: ControllersState,
