A successor takes over its predecessor's report of settled starts

Cause: a report of settled starts counts under the latest term only; a successor counted every attempt on a machine that had not shown its token as in doubt. Evidence: cancellation-waits with leader-in-doubt, start-in-doubt with machine-silent, while the report was seconds old in the successor's memory.

Mend: on acquiring a partition the last report of the term just before counts, if asked for less than REPORT_LIFETIME before, for jobs that it does not name and slices that have not changed since. Lost terms and restarted machines inherit nothing.

The unit tests each hold one guard of the new code.

--- a/roadbend/controller/cancellation_confirmation.py
+++ b/roadbend/controller/cancellation_confirmation.py
@@ -18,7 +18,7 @@
 from roadbend.controller.attempts_on_machines import AttemptsOnMachines
 from roadbend.controller.cancellations import ConfirmedCancellations
 from roadbend.controller.leader_questions import LeaderQuestions, all_settled
-from roadbend.controller.peer_start_reports import PeerStartReports
+from roadbend.controller.peer_start_reports import NO_MORE_STARTS, PeerStartReports
 from roadbend.controller.starts_in_doubt_service import StartsInDoubtService
 from roadbend.fleet.direct_commands import START_TIMEOUT
 from roadbend.log import Log
@@ -38,9 +38,6 @@
 LOOK_TIMEOUT = timedelta(seconds=1)
 # How soon machines that did not settle all attempts are asked again.
 INSPECT_INTERVAL = timedelta(seconds=1)
-# Once a cancellation has been noted for so long, no leader sends a start of the job any more: it
-# knows of it, or its records are too old.
-NO_MORE_STARTS = START_FRESHNESS * (1 + 2 * clock.DRIFT)
 # How soon a cancellation that can't be confirmed yet is looked at again.
 RETRY_INTERVAL = timedelta(milliseconds=100)
 
@@ -228,8 +225,7 @@
         report = self._reports.find(partition, term.number)
         if report is None or job in report.unsettled_jobs:
             return False
-        newest = max(shard.mod_revision for shard in job_slice.shards.values())
-        return newest <= report.revision
+        return job_slice.newest_mod_revision <= report.revision
 
     # The machines themselves, once no leader sends starts of the job any more.
 
--- a/roadbend/controller/controller.py
+++ b/roadbend/controller/controller.py
@@ -94,6 +94,7 @@
         )
         cancellations = ConfirmedCancellations(settings.cancel_within)
         self._peer_start_reports = PeerStartReports(cancellations)
+        self.partition_leaders.predecessor_report = self._peer_start_reports.take_over
         self._exchange = self._make_exchange(cancellations)
         self._availability = Availability(self.context, self.peers)
         self._starts_in_doubt = StartsInDoubtService(self.view, self.partition_leaders)
--- a/roadbend/controller/leaders.py
+++ b/roadbend/controller/leaders.py
@@ -8,11 +8,15 @@
 from roadbend.autoscaler.service import Autoscaler
 from roadbend.fleet.service import Fleet
 from roadbend.fleet.terminations import TaskKey
+from roadbend.log import Log
+from roadbend.peers.settled_starts import SettledStarts
 from roadbend.placement.context import ControllerContext
 from roadbend.placement.leader import PartitionLeader
 from roadbend.placement.recovery_hooks import PartitionRecovery
 from roadbend.store.records import Attempt
 
+log = Log("controller")
+
 TERM_PREFIX, JOB_PREFIX, TEAM_PREFIX = "r/term/", "r/job/", "r/team/"
 
 
@@ -32,6 +36,8 @@
         self._autoscaler = autoscaler
         # Gives what is asked before a partition's records are acted on, where recovery is on.
         self.recovery_of: Callable[[PartitionLeader], PartitionRecovery] = _no_recovery
+        # Returns what the former leader of a partition, under a term, reported of its starts.
+        self.predecessor_report: Callable[[str, int], SettledStarts | None] = _no_report
         self._nursery: trio.Nursery | None = None
 
     def start_in(self, nursery: trio.Nursery) -> None:
@@ -46,11 +52,25 @@
             return
         leader = PartitionLeader(self._context, leadership, self._fleet.commands.order_now)
         leader.use_recovery(self.recovery_of(leader))
+        self._inherit_starts(leader)
         self.leaders[partition] = leader
         if self._nursery is not None:
             self._nursery.start_soon(leader.run)
             self._nursery.start_soon(self._autoscaler.run, leader)
 
+    def _inherit_starts(self, leader: PartitionLeader) -> None:
+        """Take over what the former leader reported of its starts, if it led just before us.
+
+        Revisions of records that were lost mean nothing.
+        """
+        partition, term = leader.partition, leader.leadership.term
+        if self._context.election.has_lost_term(partition):
+            return
+        report = self.predecessor_report(partition, term - 1)
+        if report is not None:
+            log.info("start-report-inherited", partition=partition, term=report.term)
+            leader.starts_in_doubt.inherit(report.revision, report.unsettled_jobs)
+
     def note_cancelled(self, jobs: Iterable[str]) -> None:
         """Note that users are, or are about to be, told that these jobs are cancelled.
 
@@ -88,5 +108,9 @@
                 leader.steps.request()
 
 
+def _no_report(_partition: str, _term: int) -> SettledStarts | None:
+    return None
+
+
 def _no_recovery(_leader: PartitionLeader) -> PartitionRecovery:
     return PartitionRecovery()
--- a/roadbend/controller/peer_start_reports.py
+++ b/roadbend/controller/peer_start_reports.py
@@ -2,10 +2,12 @@
 
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from typing import NamedTuple
 
 from roadbend import clock
 from roadbend.controller.cancellations import MAX_CANCELLATIONS, ConfirmedCancellations
 from roadbend.log import Log
+from roadbend.partitions.election import START_FRESHNESS
 from roadbend.peers.frames import SETTLED_EXTENSION, FrameError, FrameKind
 from roadbend.peers.links import Link, NoReplyError
 from roadbend.peers.settled_starts import SettledStarts, SettledStartsReport, SettledStartsRequest
@@ -15,6 +17,9 @@
 
 REPORT_INTERVAL = timedelta(seconds=1)
 REPORT_TIMEOUT = timedelta(seconds=1)
+# After so long a leader knows of a cancellation that was noted or of a new term, or sends no start
+# any more because its records are too old.
+NO_MORE_STARTS = START_FRESHNESS * (1 + 2 * clock.DRIFT)
 # Cancellations noted so long ago are in the records of whoever may start tasks.
 CANCELLATIONS_SPAN = REPORT_LIFETIME * 2
 
@@ -29,12 +34,21 @@
     partitions: dict[str, SettledStarts] = field(default_factory=dict)
 
 
+class _HeldAcknowledgement(NamedTuple):
+    """The last report of a peer that is acknowledged, and for how long no later one is."""
+
+    incarnation: str
+    number: int
+    until: datetime
+
+
 class PeerStartReports:
     """Asks each peer for a report every second, and keeps the latest."""
 
     def __init__(self, noted: ConfirmedCancellations) -> None:
         self._noted = noted
         self._reports: dict[str, _PeerReport] = {}
+        self._held: dict[str, _HeldAcknowledgement] = {}
 
     async def run(self, link: Link) -> None:
         """Ask one peer, for ever."""
@@ -45,13 +59,37 @@
 
     def find(self, partition: str, term: int) -> SettledStarts | None:
         """Return what the leader of a partition under a term reported, if it may be relied on."""
+        sender = self._sender(partition, term)
+        return None if sender is None else self._reports[sender].partitions[partition]
+
+    def take_over(self, partition: str, term: int) -> SettledStarts | None:
+        """Return the same for the successor here of that leader, which has just been replaced.
+
+        It relies on the report from now on. The former leader, if it lives, may send starts anew
+        that it called settled, once all peers have acknowledged a later report; so none is
+        acknowledged until it sends no starts any more.
+        """
+        sender = self._sender(partition, term)
+        if sender is None:
+            return None
+        report = self._reports[sender]
+        until = clock.now() + NO_MORE_STARTS
+        held = self._held.get(sender)
+        if held is None or held.incarnation != report.incarnation or clock.now() >= held.until:
+            self._held[sender] = _HeldAcknowledgement(report.incarnation, report.number, until)
+        else:
+            self._held[sender] = held._replace(until=until)
+        return report.partitions[partition]
+
+    def _sender(self, partition: str, term: int) -> str | None:
+        """Return the peer whose report as a partition's leader may be relied on."""
         now = clock.now()
-        for report in self._reports.values():
+        for peer, report in self._reports.items():
             settled = report.partitions.get(partition)
             if settled is None or now - report.asked_at > REPORT_LIFETIME:
                 continue
             if settled.term == term:
-                return settled
+                return peer
         return None
 
     async def _ask(self, link: Link) -> None:
@@ -79,4 +117,7 @@
         last = self._reports.get(peer)
         if last is None or len(cancellations) > MAX_CANCELLATIONS:
             return SettledStartsRequest("", 0, tuple(cancellations[:MAX_CANCELLATIONS]))
+        held = self._held.get(peer)
+        if held is not None and now < held.until and held.incarnation == last.incarnation:
+            return SettledStartsRequest(held.incarnation, held.number, tuple(cancellations))
         return SettledStartsRequest(last.incarnation, last.number, tuple(cancellations))
--- a/roadbend/controller/test_peer_start_reports.py
+++ b/roadbend/controller/test_peer_start_reports.py
@@ -14,7 +14,7 @@
 from roadbend.controller.cancellation_confirmation import CancellationConfirmation
 from roadbend.controller.cancellations import MAX_CANCELLATIONS, ConfirmedCancellations
 from roadbend.controller.leaders import PartitionLeaders
-from roadbend.controller.peer_start_reports import PeerStartReports
+from roadbend.controller.peer_start_reports import NO_MORE_STARTS, PeerStartReports
 from roadbend.controller.settled_starts_service import MAX_UNSETTLED_JOBS, SettledStartsService
 from roadbend.fakes.platform import settings_for
 from roadbend.peers.frames import FrameError
@@ -170,6 +170,68 @@
     assert len(request.cancellations) == MAX_CANCELLATIONS
 
 
+async def test_a_report_that_a_successor_relies_on_is_the_last_one_acknowledged_for_a_while():
+    """Guards against a former leader that lives and sends a start anew that it called settled."""
+    desk = Desk()
+    await desk.get(SETTLED)
+    assert desk.reports.take_over("east", TERM) == SETTLED
+    await desk.get(SETTLED, number=2)
+    await desk.get(number=3)
+    assert desk.link.requests[-1].number == 1
+    # Another one of its partitions is acquired meanwhile.
+    await trio.sleep(NO_MORE_STARTS.total_seconds() / 2)
+    await desk.get(SETTLED, number=4)
+    assert desk.reports.take_over("east", TERM) == SETTLED
+    await trio.sleep(NO_MORE_STARTS.total_seconds() * 0.9)
+    assert desk.reports._request("node-1", clock.now()).number == 1
+    await trio.sleep(NO_MORE_STARTS.total_seconds() * 0.2)
+    assert desk.reports._request("node-1", clock.now()).number == 4
+
+
+async def test_a_restarted_peer_gets_its_reports_acknowledged():
+    """Guards against starts of lost tasks that wait for an acknowledgement without need."""
+    desk = Desk()
+    await desk.get(SETTLED)
+    desk.reports.take_over("east", TERM)
+    desk.link.answer = SettledStartsReport("b2", 7, ()).pack()
+    await desk.reports._ask(desk.link)
+    request = desk.reports._request("node-1", clock.now())
+    assert (request.incarnation, request.number) == ("b2", 7)
+
+
+@pytest.mark.parametrize(
+    "late, partition, term",
+    [(True, "east", TERM), (False, "west", TERM), (False, "east", TERM + 1)],
+    ids=["too-old", "other-partition", "other-term"],
+)
+async def test_a_successor_relies_on_nothing_else(late, partition, term):
+    """Guards against a report that its sender does not stand by any more, or never gave."""
+    desk = Desk()
+    await desk.get(SETTLED)
+    await trio.sleep(REPORT_LIFETIME.total_seconds() + 0.01 if late else 0)
+    assert desk.reports.take_over(partition, term) is None
+    await desk.get(SETTLED, number=2)
+    assert desk.reports._request("node-1", clock.now()).number == 2
+
+
+@pytest.mark.parametrize("lost_term", [False, True])
+def test_a_leader_inherits_from_the_term_before_its_own(lost_term):
+    """Guards against a report from before two changes of leader, or with records that were lost."""
+    inherited = []
+    election = SimpleNamespace(has_lost_term=lambda _partition: lost_term)
+    leaders = PartitionLeaders(SimpleNamespace(election=election), None, None, {})
+    reports = {("east", TERM): SETTLED}
+    leaders.predecessor_report = lambda partition, term: reports.get((partition, term))
+    for term in (TERM, TERM + 1, TERM + 2):
+        leader = SimpleNamespace(
+            partition="east",
+            leadership=SimpleNamespace(term=term),
+            starts_in_doubt=SimpleNamespace(inherit=lambda *report: inherited.append(report)),
+        )
+        leaders._inherit_starts(leader)
+    assert inherited == ([] if lost_term else [(REVISION, ())])
+
+
 class LeaderDesk:
     """A controller that leads the east, and reports."""
 
--- a/roadbend/partitions/election.py
+++ b/roadbend/partitions/election.py
@@ -150,6 +150,10 @@
         """
         self._lost_terms[partition] = max(term, self._lost_terms.get(partition, 0))
 
+    def has_lost_term(self, partition: str) -> bool:
+        """Tell whether machines have seen a term of the partition that the records have lost."""
+        return partition in self._lost_terms
+
     def on_record(self, key: str) -> None:
         """Stop leading partitions of which a record names a higher term."""
         if key.startswith("r/term/"):
--- a/roadbend/placement/starts_in_doubt.py
+++ b/roadbend/placement/starts_in_doubt.py
@@ -6,7 +6,7 @@
 still be on its way", lists what settles a start.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
@@ -61,8 +61,25 @@
         # Machines with attempts of which former leaders may have sent starts, and those that
         # restarted, until they show a token that refuses what was sent before.
         self._unconfirmed: set[str] = set(records.attempts_by_machine())
+        # Those of them that restarted under this leadership.
+        self._restarted: set[str] = set()
+        # Jobs of which no start by a former leader can be on its way any more.
+        self._settled_before: set[str] = set()
         self._tidied_at = clock.ORIGIN
 
+    def inherit(self, revision: int, unsettled_jobs: Collection[str]) -> None:
+        """Take over what the former leader reported before this leadership began.
+
+        Its report says that every attempt recorded at the revision or before is terminated, or held
+        by its machine, but for those of `unsettled_jobs`; it sends none of them anew. What is
+        recorded and sent under this leadership is noted here as ever.
+        """
+        self._settled_before = {
+            job
+            for job, job_slice in self._records.job_slices().items()
+            if job not in unsettled_jobs and job_slice.newest_mod_revision <= revision
+        }
+
     def note_direct(self, machine: Machine, key: TaskKey, start: DirectStart) -> None:
         """Note a direct start before it is sent."""
         self._note(machine, key, start.attempt, start)
@@ -92,10 +109,12 @@
     def note_confirmed(self, machine: str) -> None:
         """Note that a machine has shown our token: it refuses what former leaders sent."""
         self._unconfirmed.discard(machine)
+        self._restarted.discard(machine)
 
     def note_restarted(self, machine: str) -> None:
         """Note that a machine has restarted: it knows no token until it shows ours again."""
         self._unconfirmed.add(machine)
+        self._restarted.add(machine)
 
     def has_any(self, job: str, now: datetime) -> bool:
         """Whether a start of a job may still be carried out; it must not be started any more."""
@@ -139,17 +158,16 @@
         Looks through the attempts of the job or those on such machines, whichever are fewer.
         """
         job_slice = self._records.job_slices().get(job)
-        if not self._unconfirmed or job_slice is None:
+        unconfirmed = self._restarted if job in self._settled_before else self._unconfirmed
+        if not unconfirmed or job_slice is None:
             return False
-        if len(job_slice.attempts) <= len(self._unconfirmed):
+        if len(job_slice.attempts) <= len(unconfirmed):
             machines = {attempt.machine for attempt in job_slice.attempts.values()}
-            machines &= self._unconfirmed
+            machines &= unconfirmed
         else:
             recorded = self._records.attempts_by_machine()
             machines = {
-                name
-                for name in self._unconfirmed
-                if any(key[0] == job for key in recorded.get(name, ()))
+                name for name in unconfirmed if any(key[0] == job for key in recorded.get(name, ()))
             }
         return any(not self._lease_expired(name, now) for name in machines)
 
--- a/roadbend/placement/test_starts_in_doubt.py
+++ b/roadbend/placement/test_starts_in_doubt.py
@@ -189,6 +189,41 @@
     assert desk.in_doubt()
 
 
+def test_what_the_former_leader_reported_as_settled_is_not_in_doubt():
+    """Guards against a cancellation that waits for a machine because its leader has changed."""
+    desk = Desk(acquired_at=NOW, recorded_before=True)
+    desk.starts.inherit(5, (OTHER,))
+    assert not desk.in_doubt()
+
+
+@pytest.mark.parametrize(
+    "revision, unsettled", [(4, ()), (5, (JOB,))], ids=["recorded-later", "named"]
+)
+def test_what_the_former_leader_did_not_report_as_settled_is_in_doubt(revision, unsettled):
+    """Guards against a start that the former leader sent after its report, or that it named."""
+    desk = Desk(acquired_at=NOW, recorded_before=True)
+    desk.starts.inherit(revision, unsettled)
+    assert desk.in_doubt()
+
+
+def test_an_inherited_attempt_whose_machine_restarts_is_in_doubt():
+    """Guards against a restarted machine that knows no token yet."""
+    desk = Desk(acquired_at=NOW, recorded_before=True)
+    desk.starts.inherit(5, ())
+    desk.starts.note_restarted("m-1")
+    assert desk.in_doubt()
+    desk.starts.note_confirmed("m-1")
+    assert not desk.in_doubt()
+
+
+def test_an_own_start_of_an_inherited_attempt_is_in_doubt():
+    """Guards against a lost attempt that we start anew and call settled."""
+    desk = Desk(acquired_at=NOW, recorded_before=True)
+    desk.starts.inherit(5, ())
+    desk.send_directly()
+    assert desk.in_doubt()
+
+
 def test_settled_starts_are_dropped_though_nobody_asks():
     desk = Desk()
     desk.answer()
--- a/roadbend/store/job_slice.py
+++ b/roadbend/store/job_slice.py
@@ -43,6 +43,11 @@
             )
         return self._done
 
+    @property
+    def newest_mod_revision(self) -> int:
+        """The revision at which what the records say of it last changed."""
+        return max(shard.mod_revision for shard in self.shards.values())
+
     def shard_of(self, task_index: int, width: int) -> int:
         """Return the shard in which a task's attempt is, or would be, recorded.
 
