One order to stop knows when and by which way it last went out

Cause: direct commands kept their stops in a local map, heartbeats' answers theirs on the order, and neither asked the other; an order decided again forgot both.

Mend: StopOrder keeps when it went out by each way, also over an order that says the same, and the machine's answer to a direct command. A heartbeat from before that answer is not answered with the stop again. Only that proof counts, so a lost stop goes with the next answer as before. The map and its bound are gone.

--- a/roadbend/fleet/direct_commands.py
+++ b/roadbend/fleet/direct_commands.py
@@ -3,7 +3,7 @@
 A stop that arrives late does no harm. A start that arrives late would: see `_start_directly`.
 """
 
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
@@ -12,8 +12,14 @@
 from roadbend import clock
 from roadbend.fleet import messages
 from roadbend.fleet.leader import Controller, Leader
-from roadbend.fleet.machines import DirectStart, Machine
-from roadbend.fleet.messages import StartTask, StopTask, WorkerHeartbeat, WorkerOrder
+from roadbend.fleet.machines import DirectStart, Machine, StopOrder, StopReceipt
+from roadbend.fleet.messages import (
+    HeartbeatPosition,
+    StartTask,
+    StopTask,
+    WorkerHeartbeat,
+    WorkerOrder,
+)
 from roadbend.fleet.terminations import TaskKey
 from roadbend.fleet.token_raise import MAX_INCARNATIONS
 from roadbend.http.client import Client, NoAnswerError
@@ -33,12 +39,9 @@
 FENCE_TIMEOUT = timedelta(milliseconds=500)
 # A machine is given direct starts if it received an answer of ours within so many intervals.
 SILENT_INTERVALS = 2.2
-# How often stops are looked for. How often one that brought no end is sent again, and how many are
-# remembered before those that are older than `SENT_FOR` are forgotten.
+# How often stops are looked for, and how often one that brought no end is sent again.
 STOP_INTERVAL = timedelta(milliseconds=200)
 STOP_AGAIN_AFTER = timedelta(seconds=3)
-MAX_SENT = 20_000
-SENT_FOR = timedelta(seconds=20)
 # Statuses of a worker's answer: executed, malformed, and refused for its token or epoch.
 EXECUTED = 200
 REFUSED = (400, 409)
@@ -46,13 +49,11 @@
 Starts = list[tuple[TaskKey, Attempt]]
 
 
-class _SentStop(NamedTuple):
-    """A stop that was sent."""
+class _DueStop(NamedTuple):
+    """A stop that is to be sent now."""
 
-    term: int
     key: TaskKey
-    attempt: int
-    grace: timedelta
+    stop: StopOrder
 
 
 class _StartAnswer(NamedTuple):
@@ -74,19 +75,31 @@
         # however many hang, what waits here is bounded by the machines.
         self._stopping: set[str] = set()
 
-    async def command(self, leader: Leader, machine: str, orders: list[WorkerOrder]) -> None:
-        """Send orders to a machine once; nobody knows whether they were carried out."""
+    async def command(
+        self, leader: Leader, machine: str, orders: list[WorkerOrder]
+    ) -> HeartbeatPosition | None:
+        """Send orders to a machine once; return its position after it has carried them out.
+
+        None: nobody knows whether it has, or it refused them.
+        """
         target = leader.machines.get(machine)
         if target is None:
-            return
+            return None
         token, epoch = leader.heartbeats.token(target), target.contact.position.epoch
         body = messages.direct_command(token, epoch, orders)
         client = Client(self._net, target.address, most=1, keep=0)
         try:
             async with self._connections:
-                await client.request("POST", "/commands", body, within=COMMAND_TIMEOUT)
-        except NoAnswerError as error:
+                status, answer = await client.request(
+                    "POST", "/commands", body, within=COMMAND_TIMEOUT
+                )
+            if status != EXECUTED:
+                return None
+            heartbeat = messages.parse_heartbeat(answer)
+        except (NoAnswerError, MalformedError) as error:
             log.debug("direct-command-lost", machine=machine, error=error)
+            return None
+        return heartbeat.position if heartbeat.machine == machine else None
 
     # Starts.
 
@@ -192,44 +205,54 @@
     async def send_stops(self, nursery: trio.Nursery) -> None:
         """Send stops directly as well as with heartbeat answers."""
         self._nursery = nursery
-        sent: dict[_SentStop, datetime] = {}
         while True:
             await clock.pause(STOP_INTERVAL)
             now = clock.now()
-            if len(sent) > MAX_SENT:
-                sent = {stop: at for stop, at in sent.items() if now - at < SENT_FOR}
             for leader in list(self._leaders.values()):
-                for machine, orders in self._due_stops(leader, sent, now).items():
-                    nursery.start_soon(self._send_stops_to, leader, machine, orders)
+                for machine, stops in self._due_stops(leader, self._stopping, now).items():
+                    nursery.start_soon(self._send_stops_to, leader, machine, stops)
 
     def _due_stops(
-        self, leader: Leader, sent: dict[_SentStop, datetime], now: datetime
-    ) -> dict[str, list[WorkerOrder]]:
-        """Return the stops that are to go out now, by machine, and note them as sent."""
-        due: dict[str, list[WorkerOrder]] = {}
+        self, leader: Leader, stopping: Container[str], now: datetime
+    ) -> dict[str, list[_DueStop]]:
+        """Return the stops that are to go out now, by machine, and note them as sent.
+
+        `stopping`: the machines to which stops are on their way.
+        """
+        due: dict[str, list[_DueStop]] = {}
         with leader.lock:
             leader.stops.order_all_cancelled(now)
             for key, stop in leader.stops.items():
-                mark = _SentStop(leader.leadership.term, key, stop.attempt, stop.grace)
+                sent_at = stop.sent_directly_at
                 if key in leader.terminations or (
-                    now - sent.get(mark, clock.ORIGIN) < STOP_AGAIN_AFTER
+                    sent_at is not None and now - sent_at < STOP_AGAIN_AFTER
                 ):
                     continue
                 spaced_out = leader.recovery.spaces_out(key, stop, now)
-                if spaced_out or stop.machine in self._stopping:
+                if spaced_out or stop.machine in stopping:
                     continue
                 if stop.machine in leader.machines:
-                    sent[mark] = now
-                    order = StopTask(*key, stop.attempt, stop.grace)
-                    due.setdefault(stop.machine, []).append(order)
+                    stop.sent_directly_at = now
+                    due.setdefault(stop.machine, []).append(_DueStop(key, stop))
         return due
 
-    async def _send_stops_to(self, leader: Leader, machine: str, orders: list[WorkerOrder]) -> None:
-        self._stopping.add(machine)
+    async def _send_stops_to(self, leader: Leader, name: str, stops: list[_DueStop]) -> None:
+        """Send stops to a machine, and note its answer: it has carried them out."""
+        machine = leader.machines.get(name)
+        if machine is None:
+            return
+        incarnation = machine.token.incarnation
+        orders: list[WorkerOrder] = [
+            StopTask(*key, stop.attempt, stop.grace) for key, stop in stops
+        ]
+        self._stopping.add(name)
         try:
-            await self.command(leader, machine, orders)
+            position = await self.command(leader, name, orders)
         finally:
-            self._stopping.discard(machine)
+            self._stopping.discard(name)
+        if position is not None:
+            for _, stop in stops:
+                stop.receipt = StopReceipt(incarnation, position)
 
 
 def _still_wanted(leader: Leader, name: str, starts: Starts, now: datetime) -> Starts:
--- a/roadbend/fleet/heartbeat_evaluation.py
+++ b/roadbend/fleet/heartbeat_evaluation.py
@@ -118,9 +118,12 @@
         if key in expected.ended:
             expected.ended.withdraw(key, machine.id)
         stop = expected.stops.get(key)
-        if stop is not None and stop.attempt == task.attempt:
-            self.orders.append(_stop(task, stop, self.now - observed.since))
-            stop.sent_at = self.now
+        if stop is None or stop.attempt != task.attempt:
+            return
+        if stop.was_carried_out_after(self.heartbeat.position, machine.token.incarnation):
+            return
+        self.orders.append(_stop(task, stop, self.now - observed.since))
+        stop.sent_at = self.now
 
     def evaluate_absent(self, key: tuple[str, int], job: str, attempt: Attempt) -> None:
         """Evaluate a recorded attempt that the heartbeat does not show."""
--- a/roadbend/fleet/machines.py
+++ b/roadbend/fleet/machines.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from typing import NamedTuple
 
 from roadbend.fleet.messages import (
     NO_HEARTBEAT_YET,
@@ -238,9 +239,18 @@
             self.images.pop(next(iter(self.images)))
 
 
+class StopReceipt(NamedTuple):
+    """A machine's answer to a direct command to stop: it has carried the command out."""
+
+    # Of the machine, as its leader counts them, when the command went out.
+    incarnation: int
+    # The machine's position when it answered.
+    position: HeartbeatPosition
+
+
 @dataclass
 class StopOrder:
-    """The decision to stop an attempt, and why."""
+    """The decision to stop an attempt, why, and when and by which way it last went out."""
 
     attempt: int
     grace: timedelta
@@ -249,3 +259,27 @@
     machine: str
     # When the answer to a heartbeat last carried the order.
     sent_at: datetime | None = None
+    # When a direct command last did, and its answer.
+    sent_directly_at: datetime | None = None
+    receipt: StopReceipt | None = None
+
+    def was_carried_out_after(self, heartbeat: HeartbeatPosition, incarnation: int) -> bool:
+        """Whether the machine has carried the order out since it sent a heartbeat.
+
+        Such a heartbeat can't show it, and its answer need not carry the order again. Without that
+        proof it does: the direct command may be lost.
+        """
+        receipt = self.receipt
+        if receipt is None or receipt.incarnation != incarnation:
+            return False
+        return receipt.position > heartbeat
+
+    def continue_from(self, former: "StopOrder") -> None:
+        """Take over when an order that says the same went out."""
+        if (former.attempt, former.grace, former.machine) == (
+            self.attempt,
+            self.grace,
+            self.machine,
+        ):
+            self.sent_at = former.sent_at
+            self.sent_directly_at, self.receipt = former.sent_directly_at, former.receipt
--- a/roadbend/fleet/test_machines.py
+++ b/roadbend/fleet/test_machines.py
@@ -8,7 +8,8 @@
 from roadbend import clock
 from roadbend.fakes.submission import job
 from roadbend.fleet import heartbeat_evaluation, messages
-from roadbend.fleet.machines import DirectStart, Machine, StopOrder
+from roadbend.fleet.machines import DirectStart, Machine, StopOrder, StopReceipt
+from roadbend.fleet.messages import HeartbeatPosition
 from roadbend.fleet.terminations import Termination, Terminations
 from roadbend.http.server import MalformedError
 from roadbend.intake.messages import read_submission
@@ -156,6 +157,41 @@
     assert messages.order_to_wire(again[0])["windDownS"] == 0.0
 
 
+@pytest.mark.parametrize(
+    "receipt, sent",
+    [
+        (None, True),
+        (StopReceipt(0, HeartbeatPosition(1, 5)), True),
+        (StopReceipt(0, HeartbeatPosition(1, 6)), False),
+        # The machine has restarted since, and counts anew.
+        (StopReceipt(1, HeartbeatPosition(1, 6)), True),
+    ],
+    ids=["lost", "before", "after", "former-incarnation"],
+)
+def test_a_stop_that_was_carried_out_after_a_heartbeat_does_not_go_with_its_answer(receipt, sent):
+    """Guards against a stop sent twice, and against a lost one that is not sent again."""
+    desk = Desk()
+    desk.stops[KEY] = StopOrder(70, clock.ZERO, "cancelled", NOW, "m-1", receipt=receipt)
+    orders = desk.take(tasks=[("run-000001/0", 70, "running", None)])
+    assert (("kill", "run-000001/0", 70) in verbs(orders)) == sent
+    # The next heartbeat still shows it running.
+    orders = desk.take(sequence=7, tasks=[("run-000001/0", 70, "running", None)])
+    assert ("kill", "run-000001/0", 70) in verbs(orders)
+
+
+@pytest.mark.parametrize(
+    "change, known",
+    [({}, True), ({"attempt": 71}, False), ({"grace": clock.ZERO}, False), ({"machine": 2}, False)],
+    ids=["same", "other-attempt", "less-grace", "other-machine"],
+)
+def test_an_order_that_replaces_one_like_it_knows_when_that_went_out(change, known):
+    """Guards against a stop sent twice because it was decided twice."""
+    former = StopOrder(70, timedelta(seconds=3), "peers", NOW, "m-1", NOW, NOW)
+    stop = replace(former, sent_at=None, sent_directly_at=None, **change)
+    stop.continue_from(former)
+    assert (stop.sent_at == NOW, stop.sent_directly_at == NOW) == (known, known)
+
+
 def test_a_task_moved_elsewhere_is_not_ordered_again():
     desk = Desk()
     desk.jobs = {"run-000001": replace(desk.job, allocation={})}
--- a/roadbend/placement/heartbeats.py
+++ b/roadbend/placement/heartbeats.py
@@ -198,7 +198,8 @@
             and machine.unrecorded_tasks == 0
             and machine.tasks.keys() == recorded.keys()
         )
-        if still and not any(key in self._terminations for key in recorded):
+        # What is to end is judged anew, too, until it has.
+        if still and not any(key in self._terminations or key in self._stops for key in recorded):
             machine.last_evaluation.unchanged_version = self._context.view.machine_versions.get(
                 self._partition, {}
             ).get(machine.id, 0)
--- a/roadbend/placement/stop_orders.py
+++ b/roadbend/placement/stop_orders.py
@@ -32,7 +32,10 @@
         self, key: TaskKey, attempt: Attempt, grace: timedelta, reason: str, now: datetime
     ) -> None:
         """Order a task's attempt to be stopped, in place of an earlier order."""
-        self._orders[key] = StopOrder(attempt.number, grace, reason, now, attempt.machine)
+        former = self._orders.get(key)
+        stop = self._orders[key] = StopOrder(attempt.number, grace, reason, now, attempt.machine)
+        if former is not None:
+            stop.continue_from(former)
         self._registry.expect_change(attempt.machine)
 
     def order_cancelled(self, key: TaskKey, attempt: Attempt, now: datetime) -> None:
