--- a/roadbend/checkers/search.py
+++ b/roadbend/checkers/search.py
@@ -5,7 +5,8 @@
 
     python -m roadbend.checkers.search --seeds 0-999 --processes 4
 
-It prints one line for each run that breaks a rule, with the faults that are left of it.
+It prints one line for each run that breaks a rule, with the faults that are left of it, and after
+every `PIECE` runs how many there were: what ended counts, also of a search that is cut short.
 """
 
 import argparse
@@ -25,6 +26,9 @@
     use_simulated_time_of_day,
 )
 
+# After so many runs a search says how many there were.
+PIECE = 20
+
 
 def shrink(run: Run, rule: str) -> Run:
     """Return the run without the faults that the broken rule does not need."""
@@ -70,19 +74,26 @@
     kinds = tuple(kind for kind in options.kinds.split(",") if kind)
     if unknown := [kind for kind in kinds if kind not in FAULTS]:
         parser.error(f"--kinds: {', '.join(unknown)}; there are {', '.join(FAULTS)}")
-    count = bad = 0
+    count = broken_count = 0
     with multiprocessing.Pool(options.processes) as pool:
         for seed, broken, run in pool.imap_unordered(
             partial(look, kinds=kinds, recovery=options.recovery), seeds(options.seeds)
         ):
             count += 1
             if broken:
-                bad += 1
+                broken_count += 1
                 print(f"seed {seed} ({run.site}): {broken[0]}", flush=True)
                 for fault in run.faults:
                     print(f"    {fault}", flush=True)
-    print(f"{count} runs, {bad} of them with a rule broken", flush=True)
-    return 1 if bad else 0
+            if count % PIECE == 0:
+                print(_summary(count, broken_count), flush=True)
+    if count % PIECE:
+        print(_summary(count, broken_count), flush=True)
+    return 1 if broken_count else 0
+
+
+def _summary(count: int, broken_count: int) -> str:
+    return f"{count} runs, {broken_count} of them with a rule broken"
 
 
 if __name__ == "__main__":
