Confirmation, direct starts and the election's observation stand apart

No behaviour changes. cancellation_confirmation.py: the judging of leaders' answers and the asking of machines have modules of their own, and so has what came of a look. direct_commands.py: the bookkeeping of direct starts. election.py: what is known of a partition (partition_observation.py), with a test that machines are counted only while their leader is silent; that check overlaps with the one of the policy, so no other test failed without it (tried).

--- a/roadbend/controller/controller.py
+++ b/roadbend/controller/controller.py
@@ -108,7 +108,7 @@
         self.peers.handlers[frames.FrameKind.SETTLED_STARTS] = self._settled_starts.on_call
         self.view.watchers.append(self.partition_leaders.on_record)
         self.view.attempt_listeners.append(self.partition_leaders.on_attempt)
-        self.election.count_unserved = self.fleet.count_unserved
+        self.election.observer.count_unserved = self.fleet.count_unserved
         self.election.changed.append(self.partition_leaders.on_leadership)
         # What else runs as long as the controller does, such as recovery where it is switched on.
         self.background: list[Callable[[], Awaitable[None]]] = []
--- a/roadbend/controller/leaders.py
+++ b/roadbend/controller/leaders.py
@@ -64,7 +64,7 @@
         Revisions of records that were lost mean nothing.
         """
         partition, term = leader.partition, leader.leadership.term
-        if self._context.election.has_lost_term(partition):
+        if self._context.election.observer.has_lost_term(partition):
             return
         report = self.predecessor_report(partition, term - 1)
         if report is not None:
--- /dev/null
+++ b/roadbend/controller/machine_evidence.py
@@ -0,0 +1,38 @@
+"""Ask machines for the attempts of a cancelled job, where its leader can't be asked."""
+
+from roadbend.controller.attempts_on_machines import AttemptsOnMachines
+from roadbend.controller.cancellation_look import CancellationLook, Evidence
+from roadbend.peers.frames import SETTLED_EXTENSION
+from roadbend.store.record_view import JobSlice, RecordView
+
+
+class MachineEvidence:
+    """Asks the machines themselves, once no leader sends starts of the job any more."""
+
+    def __init__(self, view: RecordView, machines: AttemptsOnMachines) -> None:
+        self._view, self._machines = view, machines
+
+    async def ask(self, job: str, look: CancellationLook) -> None:
+        """Settle the partitions whose machines hold, or refuse, all attempts of a job."""
+        for partition in list(look.waits_for):
+            job_slice = self._view.job_slices[partition].get(job)
+            if job_slice is None or await self._machines_settle(partition, job_slice):
+                look.settle(partition, Evidence.MACHINES)
+
+    async def _machines_settle(self, partition: str, job_slice: JobSlice) -> bool:
+        attempts = dict(job_slice.attempts)
+        term = self._followed_term(partition)
+        if term is None:
+            return await self._machines.hold_all(job_slice.job, attempts)
+        return await self._machines.settle_all(job_slice.job, attempts, term)
+
+    def _followed_term(self, partition: str) -> int | None:
+        """Return the partition's term if its leader goes on from a token that a peer raises.
+
+        One that does not would leave the machine to its lease.
+        """
+        term = self._view.terms.get(partition)
+        leader = self._view.partition_leaders.get(partition)
+        if term is None or leader is None or leader.term != term.number:
+            return None
+        return term.number if leader.incarnation.endswith(SETTLED_EXTENSION) else None
--- a/roadbend/controller/test_peer_start_reports.py
+++ b/roadbend/controller/test_peer_start_reports.py
@@ -218,7 +218,8 @@
 def test_a_leader_inherits_from_the_term_before_its_own(lost_term):
     """Guards against a report from before two changes of leader, or with records that were lost."""
     inherited = []
-    election = SimpleNamespace(has_lost_term=lambda _partition: lost_term)
+    observer = SimpleNamespace(has_lost_term=lambda _partition: lost_term)
+    election = SimpleNamespace(observer=observer)
     leaders = PartitionLeaders(SimpleNamespace(election=election), None, None, {})
     reports = {("east", TERM): SETTLED}
     leaders.predecessor_report = lambda partition, term: reports.get((partition, term))
--- a/roadbend/fleet/direct_commands.py
+++ b/roadbend/fleet/direct_commands.py
@@ -10,9 +10,10 @@
 import trio
 
 from roadbend import clock
-from roadbend.fleet import messages
+from roadbend.fleet import direct_starts, messages
+from roadbend.fleet.direct_starts import Starts
 from roadbend.fleet.leader import Controller, Leader
-from roadbend.fleet.machines import DirectStart, Machine, StopOrder, StopReceipt
+from roadbend.fleet.machines import Machine, StopOrder, StopReceipt
 from roadbend.fleet.messages import (
     HeartbeatPosition,
     StartTask,
@@ -26,7 +27,6 @@
 from roadbend.http.net import Net
 from roadbend.http.server import MalformedError
 from roadbend.log import Log
-from roadbend.store.records import Attempt
 
 log = Log("fleet")
 # Commands in progress at once.
@@ -46,8 +46,6 @@
 EXECUTED = 200
 REFUSED = (400, 409)
 
-Starts = list[tuple[TaskKey, Attempt]]
-
 
 class _DueStop(NamedTuple):
     """A stop that is to be sent now."""
@@ -126,10 +124,10 @@
             return
         async with self._connections:
             now = clock.now()
-            starts = _still_wanted(leader, name, starts, now)
+            starts = direct_starts.still_wanted(leader, name, starts, now)
             if not starts or not self._may_start_on(leader, machine, now):
                 return
-            epoch = _note_starts(leader, machine, starts, now)
+            epoch = direct_starts.note_starts(leader, machine, starts, now)
             orders = [StartTask(*key, attempt.number) for key, attempt in starts]
             body = messages.direct_command(leader.heartbeats.token(machine), epoch, orders)
             for key, attempt in starts:
@@ -143,10 +141,10 @@
                 )
             answer = await self._send_starts(machine, body)
             if answer.refused:
-                _forget_starts(machine, starts)
+                direct_starts.forget_starts(machine, starts)
                 return
         if answer.heartbeat is not None and answer.heartbeat.machine == name:
-            _acknowledge_starts(machine, starts, answer.heartbeat)
+            direct_starts.acknowledge_starts(machine, starts, answer.heartbeat)
             return
         log.info("direct-start-unanswered", partition=leader.partition, machine=name)
         if leader.machines.get(name) is machine:
@@ -253,46 +251,3 @@
         if position is not None:
             for _, stop in stops:
                 stop.receipt = StopReceipt(incarnation, position)
-
-
-def _still_wanted(leader: Leader, name: str, starts: Starts, now: datetime) -> Starts:
-    """Return the starts whose attempts are still recorded on the machine and are to run."""
-    recorded = leader.records.attempts_by_machine().get(name, {})
-    return [
-        (key, attempt)
-        for key, attempt in starts
-        if key in recorded
-        and recorded[key][1] == attempt
-        and key not in leader.stops
-        and key not in leader.terminations
-        and leader.records.live_job(key[0])
-        and leader.unheld.may_send(name, key, attempt.number, now)
-    ]
-
-
-def _note_starts(leader: Leader, machine: Machine, starts: Starts, now: datetime) -> int:
-    """Note starts before they go out; return the epoch for which they hold."""
-    epoch = machine.contact.position.epoch
-    for key, attempt in starts:
-        start = machine.token.direct_starts[key] = DirectStart(attempt.number, epoch)
-        leader.starts_in_doubt.note_direct(machine, key, start)
-    machine.last_evaluation.invalidate()
-    machine.contact.lease_started_at = now
-    return epoch
-
-
-def _forget_starts(machine: Machine, starts: Starts) -> None:
-    """Forget starts that were not carried out, nor will be."""
-    noted = machine.token.direct_starts
-    for key, attempt in starts:
-        if key in noted and noted[key].attempt == attempt.number:
-            noted[key].refused = True
-            del noted[key]
-
-
-def _acknowledge_starts(machine: Machine, starts: Starts, answer: WorkerHeartbeat) -> None:
-    """Note that the machine's answer is from after the starts were carried out."""
-    for key, attempt in starts:
-        start = machine.token.direct_starts.get(key)
-        if start is not None and start.attempt == attempt.number:
-            start.acknowledged_position = answer.position
--- a/roadbend/partitions/election.py
+++ b/roadbend/partitions/election.py
@@ -19,20 +19,9 @@
 from roadbend.partitions.hold_offs import HoldOffs
 from roadbend.partitions.leadership import Leadership, LossReason
 from roadbend.partitions.live_controllers import LiveControllers
-from roadbend.partitions.policy import (
-    Action,
-    ControllersState,
-    Decision,
-    PartitionState,
-)
+from roadbend.partitions.partition_observation import PartitionObserver
+from roadbend.partitions.policy import Action, Decision, PartitionState
 from roadbend.partitions.records import ElectionRecords
-from roadbend.partitions.unserved import (
-    NO_MACHINES,
-    CountUnserved,
-    MachineCounts,
-    UnservedQuestion,
-    count_none,
-)
 from roadbend.peers.links import Peers
 from roadbend.settings import OperatorSettings, PlatformSettings
 from roadbend.store.client import (
@@ -79,8 +68,6 @@
         self.leaderships: dict[str, Leadership] = {}
         # Called with a partition's name whenever our leadership of it begins or ends.
         self.changed: list[Callable[[str], None]] = []
-        # Set by who knows the machines.
-        self.count_unserved: CountUnserved = count_none
         self._settings, self._operator = settings, operator
         self._view, self._reader, self._peers = view, reader, peers
         records = ElectionRecords(state, view, reader)
@@ -88,12 +75,7 @@
         self._acquisition = Acquisition(settings.name, incarnation, operator.own_lease / 2, records)
         self._live_controllers = LiveControllers(settings, incarnation, view, peers)
         self._hold_offs = HoldOffs()
-        # Since when partitions have had no leader.
-        self._leaderless_since: dict[str, datetime] = {}
-        # Partitions of which the records have named a leader.
-        self._led: set[str] = set()
-        # Terms that machines have seen and the records have lost, by partition.
-        self._lost_terms: dict[str, int] = {}
+        self.observer = PartitionObserver(operator, view, self._hold_offs)
 
     def partitions(self) -> list[str]:
         """List all partitions: the zones of settings, controllers and machine types."""
@@ -148,11 +130,7 @@
 
         Machines have seen that term: as long as ours is not above it they refuse our answers.
         """
-        self._lost_terms[partition] = max(term, self._lost_terms.get(partition, 0))
-
-    def has_lost_term(self, partition: str) -> bool:
-        """Tell whether machines have seen a term of the partition that the records have lost."""
-        return partition in self._lost_terms
+        self.observer.note_lost_term(partition, term)
 
     def on_record(self, key: str) -> None:
         """Stop leading partitions of which a record names a higher term."""
@@ -211,46 +189,11 @@
             return
         controllers = self._live_controllers.observe(now)
         for partition in self.partitions():
-            state = self._partition_state(partition, controllers, now)
+            leadership = self.leaderships.get(partition)
+            state = self.observer.observe(partition, leadership, controllers, now)
             decision = policy.decide(state, controllers, self._operator, now)
             await self._carry_out(decision, state, now)
 
-    def _partition_state(
-        self, partition: str, controllers: ControllersState, now: datetime
-    ) -> PartitionState:
-        recorded = self._view.partition_leaders.get(partition)
-        if recorded is None:
-            leaderless_since = self._leaderless_since.setdefault(partition, now)
-        else:
-            leaderless_since = now
-            self._leaderless_since.pop(partition, None)
-            self._led.add(partition)
-        return PartitionState(
-            name=partition,
-            recorded=recorded,
-            leadership=self.leaderships.get(partition),
-            leaderless_since=leaderless_since,
-            lost_term=self._lost_terms.get(partition, 0),
-            acquisition_held=self._hold_offs.holds_acquisition(partition, now),
-            held_failbacks=self._hold_offs.held_failbacks(partition, now),
-            was_led=partition in self._led,
-            machines=self._count_machines(partition, controllers, now),
-        )
-
-    def _count_machines(
-        self, partition: str, controllers: ControllersState, now: datetime
-    ) -> MachineCounts:
-        """Count the machines of a partition whose leader is silent: none for any other."""
-        recorded = self._view.partition_leaders.get(partition)
-        if recorded is None:
-            return NO_MACHINES
-        silent = policy.silent_since(recorded, controllers, self._operator, now)
-        if silent is None:
-            return NO_MACHINES
-        machines = self._view.attempts_by_machine.get(partition, {})
-        question = UnservedQuestion(partition, recorded.term, silent, machines)
-        return MachineCounts(len(machines), self.count_unserved(question, now))
-
     async def _carry_out(self, decision: Decision, state: PartitionState, now: datetime) -> None:
         partition = state.name
         if decision.failback_to is not None:
--- /dev/null
+++ b/roadbend/partitions/partition_observation.py
@@ -0,0 +1,81 @@
+"""Observe partitions: who leads each, since when nobody does, and whom its machines turn to."""
+
+from datetime import datetime
+
+from roadbend.partitions import policy
+from roadbend.partitions.hold_offs import HoldOffs
+from roadbend.partitions.leadership import Leadership
+from roadbend.partitions.policy import ControllersState, PartitionState
+from roadbend.partitions.unserved import (
+    NO_MACHINES,
+    CountUnserved,
+    MachineCounts,
+    UnservedQuestion,
+    count_none,
+)
+from roadbend.settings import OperatorSettings
+from roadbend.store.record_view import RecordView
+
+
+class PartitionObserver:
+    """What this controller knows of each partition, from the records and from machines."""
+
+    def __init__(self, operator: OperatorSettings, view: RecordView, hold_offs: HoldOffs) -> None:
+        # Set by who hears the machines.
+        self.count_unserved: CountUnserved = count_none
+        self._operator, self._view, self._hold_offs = operator, view, hold_offs
+        # Since when partitions have had no leader.
+        self._leaderless_since: dict[str, datetime] = {}
+        # Partitions of which the records have named a leader.
+        self._led: set[str] = set()
+        # Terms that machines have seen and the records have lost, by partition.
+        self._lost_terms: dict[str, int] = {}
+
+    def note_lost_term(self, partition: str, term: int) -> None:
+        """Note a term that machines have seen and the records have lost."""
+        self._lost_terms[partition] = max(term, self._lost_terms.get(partition, 0))
+
+    def has_lost_term(self, partition: str) -> bool:
+        """Tell whether machines have seen a term of the partition that the records have lost."""
+        return partition in self._lost_terms
+
+    def observe(
+        self,
+        partition: str,
+        leadership: Leadership | None,
+        controllers: ControllersState,
+        now: datetime,
+    ) -> PartitionState:
+        """Return what is known of a partition; `leadership` is ours, if we lead it."""
+        recorded = self._view.partition_leaders.get(partition)
+        if recorded is None:
+            leaderless_since = self._leaderless_since.setdefault(partition, now)
+        else:
+            leaderless_since = now
+            self._leaderless_since.pop(partition, None)
+            self._led.add(partition)
+        return PartitionState(
+            name=partition,
+            recorded=recorded,
+            leadership=leadership,
+            leaderless_since=leaderless_since,
+            lost_term=self._lost_terms.get(partition, 0),
+            acquisition_held=self._hold_offs.holds_acquisition(partition, now),
+            held_failbacks=self._hold_offs.held_failbacks(partition, now),
+            was_led=partition in self._led,
+            machines=self._count_machines(partition, controllers, now),
+        )
+
+    def _count_machines(
+        self, partition: str, controllers: ControllersState, now: datetime
+    ) -> MachineCounts:
+        """Count the machines of a partition whose leader is silent: none for any other."""
+        recorded = self._view.partition_leaders.get(partition)
+        if recorded is None:
+            return NO_MACHINES
+        silent = policy.silent_since(recorded, controllers, self._operator, now)
+        if silent is None:
+            return NO_MACHINES
+        machines = self._view.attempts_by_machine.get(partition, {})
+        question = UnservedQuestion(partition, recorded.term, silent, machines)
+        return MachineCounts(len(machines), self.count_unserved(question, now))
--- /dev/null
+++ b/roadbend/partitions/test_partition_observation.py
@@ -0,0 +1,43 @@
+"""What is counted of a partition that another controller leads, and when."""
+
+from datetime import timedelta
+
+import pytest
+
+from roadbend import clock
+from roadbend.partitions.hold_offs import HoldOffs
+from roadbend.partitions.partition_observation import PartitionObserver
+from roadbend.partitions.policy import ControllersState
+from roadbend.partitions.unserved import NO_MACHINES, MachineCounts
+from roadbend.peers.heartbeat import PeerState
+from roadbend.settings import OperatorSettings
+from roadbend.store import keys
+from roadbend.store.record_view import RecordView
+from roadbend.store.records import Attempt, Resources, SliceShard
+
+S = timedelta(seconds=1)
+T = clock.ORIGIN + 1000 * S
+OPERATOR = OperatorSettings()
+
+
+@pytest.mark.parametrize("silent_for, asked", [(3.9 * S, False), (4 * S, True)])
+def test_machines_are_counted_only_while_their_leader_is_silent(silent_for, asked):
+    """Guards against a look at all machines in every round of the election."""
+    view, questions = RecordView(), []
+    view.put(keys.leader_key("west"), {"node": "n2", "boot": "i2", "term": 8}, 3)
+    attempts = {0: Attempt(70, "m-1"), 1: Attempt(71, "m-2")}
+    shard = SliceShard("run-1", "west", "red", Resources(1, 0, 1), attempts=attempts, shard=0)
+    view.put(shard.key, shard.to_value(), 5)
+    observer = PartitionObserver(OPERATOR, view, HoldOffs())
+
+    def count(question, _now):
+        questions.append((question.partition, question.term, set(question.machines)))
+        return 1
+
+    observer.count_unserved = count
+    peers = {"n2": PeerState(heard_at=T - silent_for)}
+    zones = {"n1": "east", "n2": "west"}
+    controllers = ControllersState("n1", "i1", zones, {"n1": T, "n2": T}, peers)
+    state = observer.observe("west", None, controllers, T)
+    assert state.machines == (MachineCounts(2, 1) if asked else NO_MACHINES)
+    assert questions == ([("west", 8, {"m-1", "m-2"})] if asked else [])
