--- a/roadbend/fleet/test_foreign_heartbeats.py
+++ b/roadbend/fleet/test_foreign_heartbeats.py
@@ -94,6 +94,14 @@
     assert noted(({}, T, sent_after + S)).count_unserved(question, T) == 1
 
 
+def test_a_machine_that_came_a_round_ago_may_be_served_again():
+    """Guards against workers that found their leader again and count as unserved."""
+    question = replace(QUESTION, silent_since=T - 600 * S)
+    came = T - UNSERVED_ROUND
+    assert noted(({}, came, came)).count_unserved(question, T) == 0
+    assert noted(({}, came + S, came)).count_unserved(question, T) == 1
+
+
 async def test_nothing_counts_for_a_round_after_a_pause_of_this_process():
     """Guards against what piled up during a pause, which looks as if it were sent after it."""
     async with world() as w:
