A leader counts as gone after 6 s of silence; one never heard, after 3.5 s

The price: an outage of the state store that begins 4 to 6 s after a leader is gone is not met in time any more. The case [4.5-8] of test_silent_leaders (a leader cut off) fails now: two of four tasks begin again. Case and bound stay; it is on the list of known failures. The second case of test_inherited_starts cuts the cloud off as well: with its leader in place for longer, the machine was deleted as silent.

--- a/roadbend/partitions/policy.py
+++ b/roadbend/partitions/policy.py
@@ -13,7 +13,7 @@
 from roadbend.clock import DRIFT, ZERO
 from roadbend.partitions.leadership import Leadership, LossReason
 from roadbend.partitions.unserved import NO_MACHINES, MachineCounts
-from roadbend.peers.heartbeat import PeerState
+from roadbend.peers.heartbeat import ALIVE_FOR, PeerState
 from roadbend.settings import OperatorSettings
 from roadbend.store.records import LeaderRecord
 
@@ -146,7 +146,21 @@
     if recorded.controller == controllers.name:
         return None
     heard_at = _last_heard(recorded.controller, controllers)
-    return heard_at if now - heard_at >= operator.takeover_silence else None
+    enough = _silence_needed(recorded.controller, controllers, operator)
+    return heard_at if now - heard_at >= enough else None
+
+
+def _silence_needed(
+    controller: str, controllers: ControllersState, operator: OperatorSettings
+) -> timedelta:
+    """Return after which silence a leader may be gone.
+
+    One that restarts is heard again within `takeover_silence`; one that lives, soon after we began.
+    """
+    peer = controllers.peers.get(controller)
+    if peer is not None and peer.heard_at is not None:
+        return operator.takeover_silence
+    return min(operator.takeover_silence, ALIVE_FOR)
 
 
 def _leader_is_gone(
@@ -174,7 +188,8 @@
     # Another one that hears the workers, too, goes first.
     is_first = preferred(partition.name, controllers.zones, candidates) == me
     grace = ZERO if is_first else operator.takeover_grace
-    return now - silent >= operator.takeover_silence + grace
+    enough = _silence_needed(recorded.controller, controllers, operator)
+    return now - silent >= enough + grace
 
 
 def _may_acquire(
--- a/roadbend/partitions/test_silent_leader_policy.py
+++ b/roadbend/partitions/test_silent_leader_policy.py
@@ -14,7 +14,7 @@
     preferred,
 )
 from roadbend.partitions.unserved import MachineCounts
-from roadbend.peers.heartbeat import PeerState
+from roadbend.peers.heartbeat import ALIVE_FOR, PeerState
 from roadbend.settings import OperatorSettings
 from roadbend.store.records import LeaderRecord
 
@@ -70,6 +70,14 @@
     assert action(known=known) is Action.NOTHING
 
 
+@pytest.mark.parametrize("began_ago, replaced", [(0.99, False), (1.0, True)])
+def test_a_leader_that_we_have_never_heard_is_replaced_sooner(began_ago, replaced):
+    """Guards against a cold restart in which the first to return waits too long for the others."""
+    known = controllers(began_at=T - ALIVE_FOR * began_ago)
+    known = replace(known, peers={**known.peers, "n2": PeerState()})
+    assert action(known=known) is (Action.REPLACE_LEADER if replaced else Action.NOTHING)
+
+
 @pytest.mark.parametrize("running, unserved", [(0, 0), (10, 0), (10, 5), (1, 0)])
 def test_a_leader_that_may_serve_half_of_its_workers_is_not_replaced(running, unserved):
     """Guards against replacing a leader that only we can't reach."""
--- a/roadbend/settings/operator_settings.py
+++ b/roadbend/settings/operator_settings.py
@@ -36,7 +36,7 @@
         1.5, 0, 60, "wait before acquiring a partition whose own controller may return"
     )
     takeover_silence: timedelta = seconds(
-        4.0, 2, 60, "silence of a leader after which its partition may go over before its lease"
+        6.0, 2, 60, "silence of a leader after which its partition may go over before its lease"
     )
     takeover_share: float = number(
         0.5, 0.25, 1.0, "share of a silent leader's machines above which its partition goes over"
