--- a/tests/scenarios/test_inherited_starts.py
+++ b/tests/scenarios/test_inherited_starts.py
@@ -4,6 +4,7 @@
 until the machine answered (docs/incidents/2026-12-report-lost-with-its-term.md).
 """
 
+import pytest
 import trio
 
 from roadbend.fakes.world import World
@@ -37,13 +38,15 @@
         await w.over()
 
 
-async def test_a_former_leader_that_lives_does_not_begin_a_cancelled_task_again():
+@pytest.mark.parametrize(
+    "services", [(), ("state", "cloud")], ids=["peers-and-workers", "everything"]
+)
+async def test_a_former_leader_that_lives_does_not_begin_a_cancelled_task_again(services):
     """Guards against a predecessor whose machine loses the task as its successor relies on it."""
     async with deployment() as w:
         machine = await machine_of_kept_service(w)
         # Without the cloud it does not delete the machine as silent.
-        services = ("state", "cloud", "node-1", "node-2")
-        others = (*services, *(worker.machine for worker in w.workers()))
+        others = (*services, "node-1", "node-2", *(worker.machine for worker in w.workers()))
         w.nursery.start_soon(w.cut_pairs, [("node-0", other) for other in others], 30.0)
         await successor(w)
         status, answer = await w.call(1, "POST", f"/v1/jobs/{KEPT}/withdraw", {})
