Election: what it decides on, the preferred controller and silent leaders stand apart

What a controller understands by its incarnation was told in two places and is one function. Nothing that is decided has changed; the tests of the package pass as they were.

--- a/roadbend/controller/machine_evidence.py
+++ b/roadbend/controller/machine_evidence.py
@@ -2,7 +2,7 @@
 
 from roadbend.controller.attempts_on_machines import AttemptsOnMachines
 from roadbend.controller.cancellation_look import CancellationLook, Evidence
-from roadbend.peers.frames import SETTLED_EXTENSION
+from roadbend.peers.frames import SETTLED_EXTENSION, supports
 from roadbend.store.record_view import JobSlice, RecordView
 
 
@@ -35,4 +35,4 @@
         leader = self._view.partition_leaders.get(partition)
         if term is None or leader is None or leader.term != term.number:
             return None
-        return term.number if leader.incarnation.endswith(SETTLED_EXTENSION) else None
+        return term.number if supports(leader.incarnation, SETTLED_EXTENSION) else None
--- a/roadbend/partitions/election.py
+++ b/roadbend/partitions/election.py
@@ -16,11 +16,11 @@
 from roadbend.partitions import messages, policy
 from roadbend.partitions.acquisition import Acquisition, AcquisitionRequest
 from roadbend.partitions.controller_lease import ControllerLease
+from roadbend.partitions.election_state import Action, Decision, PartitionState
 from roadbend.partitions.hold_offs import HoldOffs
 from roadbend.partitions.leadership import Leadership, LossReason
 from roadbend.partitions.live_controllers import LiveControllers
 from roadbend.partitions.partition_observation import PartitionObserver
-from roadbend.partitions.policy import Action, Decision, PartitionState
 from roadbend.partitions.records import ElectionRecords
 from roadbend.peers.links import Peers
 from roadbend.settings import OperatorSettings, PlatformSettings
--- a/roadbend/partitions/live_controllers.py
+++ b/roadbend/partitions/live_controllers.py
@@ -3,7 +3,7 @@
 from datetime import datetime
 
 from roadbend import clock
-from roadbend.partitions.policy import ControllersState
+from roadbend.partitions.election_state import ControllersState
 from roadbend.peers.links import Peers
 from roadbend.settings import PlatformSettings
 from roadbend.store.record_view import RecordView
--- a/roadbend/partitions/partition_observation.py
+++ b/roadbend/partitions/partition_observation.py
@@ -2,10 +2,10 @@
 
 from datetime import datetime
 
-from roadbend.partitions import policy
+from roadbend.partitions import silent_leader
+from roadbend.partitions.election_state import ControllersState, PartitionState
 from roadbend.partitions.hold_offs import HoldOffs
 from roadbend.partitions.leadership import Leadership
-from roadbend.partitions.policy import ControllersState, PartitionState
 from roadbend.partitions.unserved import (
     NO_MACHINES,
     CountUnserved,
@@ -73,7 +73,7 @@
         recorded = self._view.partition_leaders.get(partition)
         if recorded is None:
             return NO_MACHINES
-        silent = policy.silent_since(recorded, controllers, self._operator, now)
+        silent = silent_leader.silent_since(recorded, controllers, self._operator, now)
         if silent is None:
             return NO_MACHINES
         machines = self._view.attempts_by_machine.get(partition, {})
--- a/roadbend/peers/frames.py
+++ b/roadbend/peers/frames.py
@@ -31,6 +31,11 @@
 SETTLED_EXTENSION = "+settled" + STARTS_EXTENSION
 
 
+def supports(incarnation: str, extension: str) -> bool:
+    """Tell from a controller's incarnation whether it understands an extension of version 2."""
+    return incarnation.endswith(extension)
+
+
 class FrameKind(enum.IntEnum):
     """What a frame is about."""
 
--- a/roadbend/peers/heartbeat.py
+++ b/roadbend/peers/heartbeat.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from roadbend.clock import DRIFT, ZERO
-from roadbend.peers.frames import PayloadReader, PayloadWriter
+from roadbend.peers.frames import PayloadReader, PayloadWriter, supports
 
 # A peer that was heard this lately counts as alive.
 ALIVE_FOR = timedelta(seconds=3.5)
@@ -141,4 +141,4 @@
 
         One that has not been heard may not.
         """
-        return self.heartbeat is not None and self.heartbeat.incarnation.endswith(extension)
+        return self.heartbeat is not None and supports(self.heartbeat.incarnation, extension)
