A partition with gangs goes from a live leader without gangs to one that knows them

In an ordinary roll (test_gangs_in_a_roll): one of four tasks of a gang is told to stop.

Now a controller that hears such a leader, leads its own zone's partition and none of another, acquires a partition with gangs from it, by the same transaction as from a silent leader; it does not fail back to a controller without gangs while gangs are there, and a partition without a leader goes to one that knows them first. A leader that is not heard, or that was heard only in its former life, keeps its machines: they may reach it alone.

The case of production expected the fault (one task told to stop); it now expects the whole gang, as the other versions' cases do. What a leader without gangs does that is alone, one task, is a test of its own.

--- a/roadbend/partitions/election.py
+++ b/roadbend/partitions/election.py
@@ -187,7 +187,7 @@
         now, contact = clock.now(), self._reader.contact
         if contact is None or now - contact > DECISION_FRESHNESS:
             return
-        controllers = self._live_controllers.observe(now)
+        controllers = self._live_controllers.observe(self.leaderships.keys(), now)
         for partition in self.partitions():
             leadership = self.leaderships.get(partition)
             state = self.observer.observe(partition, leadership, controllers, now)
@@ -207,6 +207,9 @@
             case Action.REPLACE_LEADER:
                 self._log_replaced_leader(state)
                 await self._acquire(state, now)
+            case Action.REPLACE_LEADER_WITHOUT_GANGS:
+                self._log_replaced_leader_without_gangs(state)
+                await self._acquire(state, now)
             case Action.ACQUIRE:
                 await self._acquire(state, now)
             case Action.RELEASE | Action.FAIL_BACK:
@@ -232,6 +235,14 @@
             unserved_machines=state.machines.unserved,
         )
 
+    def _log_replaced_leader_without_gangs(self, state: PartitionState) -> None:
+        log.info(
+            "leader-without-gangs-replaced",
+            partition=state.name,
+            leader=state.recorded.controller if state.recorded else None,
+            term=state.recorded.term if state.recorded else 0,
+        )
+
     def _begin_failback(self, partition: str, controller: str, now: datetime) -> None:
         log.info("failback-started", partition=partition, to_controller=controller)
         graces = self._operator.takeover_grace * ACQUISITION_HOLD_OFF_GRACES
--- a/roadbend/partitions/election_state.py
+++ b/roadbend/partitions/election_state.py
@@ -1,7 +1,7 @@
 """What an election decides on, and what it decides."""
 
 import enum
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from datetime import datetime
 
@@ -20,6 +20,8 @@
     ACQUIRE = enum.auto()
     # Acquire it from a leader that is gone, before that controller's lease expires.
     REPLACE_LEADER = enum.auto()
+    # Acquire it, with the gangs in it, from a live leader of a version without gangs.
+    REPLACE_LEADER_WITHOUT_GANGS = enum.auto()
     # Acquire it again under a term above the one that machines have seen.
     RAISE_TERM = enum.auto()
     # Delete a leader record of ours for which there is no leadership.
@@ -52,6 +54,15 @@
     peers: Mapping[str, PeerState]
     # Since when this controller listens to the others.
     began_at: datetime = clock.ORIGIN
+    # The partitions that this controller leads.
+    led: Collection[str] = ()
+    # The live controllers of versions without gangs.
+    without_gangs: frozenset[str] = frozenset()
+
+    @property
+    def led_of_other_zones(self) -> int:
+        """How many partitions this controller leads beside that of its own zone."""
+        return sum(1 for partition in self.led if partition != self.zones[self.name])
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,3 +86,7 @@
     was_led: bool = False
     # Counted only while its leader is silent.
     machines: MachineCounts = NO_MACHINES
+    # Whether it holds or runs tasks of gangs; looked at only while a live controller knows none.
+    holds_gangs: bool = False
+    # Since when it has done so under a leader of a version without gangs; None: it does not.
+    gangs_at_risk_since: datetime | None = None
--- a/roadbend/partitions/live_controllers.py
+++ b/roadbend/partitions/live_controllers.py
@@ -1,9 +1,11 @@
 """Know which controllers are alive, since when, and what they last said."""
 
+from collections.abc import Collection
 from datetime import datetime
 
 from roadbend import clock
 from roadbend.partitions.election_state import ControllersState
+from roadbend.peers.frames import GANGS_EXTENSION, supports
 from roadbend.peers.links import Peers
 from roadbend.settings import PlatformSettings
 from roadbend.store.record_view import RecordView
@@ -24,8 +26,11 @@
         self._alive_since: dict[str, datetime] = {}
         self._began_at = clock.now()
 
-    def observe(self, now: datetime) -> ControllersState:
-        """Read the records, and return what is known of all controllers."""
+    def observe(self, led: Collection[str], now: datetime) -> ControllersState:
+        """Read the records, and return what is known of all controllers.
+
+        `led`: the partitions that this controller leads, as they change.
+        """
         live = set(self._view.controllers) | {self._name}
         for name in live:
             self._alive_since.setdefault(name, now)
@@ -38,4 +43,14 @@
             alive_since=self._alive_since,
             peers={name: link.known for name, link in self._peers.links.items()},
             began_at=self._began_at,
+            led=led,
+            without_gangs=self._without_gangs(),
+        )
+
+    def _without_gangs(self) -> frozenset[str]:
+        """Return the live controllers of versions without gangs."""
+        return frozenset(
+            name
+            for name, record in self._view.controllers.items()
+            if name != self._name and not supports(record.incarnation, GANGS_EXTENSION)
         )
--- a/roadbend/partitions/partition_observation.py
+++ b/roadbend/partitions/partition_observation.py
@@ -13,6 +13,7 @@
     UnservedQuestion,
     count_none,
 )
+from roadbend.peers.frames import GANGS_EXTENSION, supports
 from roadbend.settings import OperatorSettings
 from roadbend.store.record_view import RecordView
 
@@ -28,6 +29,8 @@
         self._leaderless_since: dict[str, datetime] = {}
         # Partitions of which the records have named a leader.
         self._led: set[str] = set()
+        # Since when partitions with gangs have had a leader of a version without gangs.
+        self._gangs_at_risk_since: dict[str, datetime] = {}
         # Terms that machines have seen and the records have lost, by partition.
         self._lost_terms: dict[str, int] = {}
 
@@ -54,6 +57,7 @@
             leaderless_since = now
             self._leaderless_since.pop(partition, None)
             self._led.add(partition)
+        holds_gangs = self._holds_gangs(partition, controllers)
         return PartitionState(
             name=partition,
             recorded=recorded,
@@ -64,8 +68,36 @@
             held_failbacks=self._hold_offs.held_failbacks(partition, now),
             was_led=partition in self._led,
             machines=self._count_machines(partition, controllers, now),
+            holds_gangs=holds_gangs,
+            gangs_at_risk_since=self._note_gangs_at_risk(partition, holds_gangs, now),
         )
 
+    def _holds_gangs(self, partition: str, controllers: ControllersState) -> bool:
+        """Tell whether a partition holds or runs tasks of gangs.
+
+        Only while a controller that knows none may lead it: else it makes no difference.
+        """
+        if not controllers.without_gangs and not self._is_led_without_gangs(partition):
+            return False
+        view = self._view
+        slices = view.job_slices.get(partition, {})
+        assigned = view.assigned_jobs.get(partition, {})
+        return any(name in slices or name in assigned for name in view.gangs)
+
+    def _is_led_without_gangs(self, partition: str) -> bool:
+        """Tell whether a partition's leader is of a version without gangs."""
+        recorded = self._view.partition_leaders.get(partition)
+        return recorded is not None and not supports(recorded.incarnation, GANGS_EXTENSION)
+
+    def _note_gangs_at_risk(
+        self, partition: str, holds_gangs: bool, now: datetime
+    ) -> datetime | None:
+        """Return since when a partition with gangs has had a leader that knows none."""
+        if holds_gangs and self._is_led_without_gangs(partition):
+            return self._gangs_at_risk_since.setdefault(partition, now)
+        self._gangs_at_risk_since.pop(partition, None)
+        return None
+
     def _count_machines(
         self, partition: str, controllers: ControllersState, now: datetime
     ) -> MachineCounts:
--- a/roadbend/partitions/policy.py
+++ b/roadbend/partitions/policy.py
@@ -7,7 +7,7 @@
 from datetime import datetime, timedelta
 
 from roadbend.clock import DRIFT, ZERO
-from roadbend.partitions import silent_leader
+from roadbend.partitions import gang_leaders, silent_leader
 from roadbend.partitions.election_state import (
     Action,
     ControllersState,
@@ -18,6 +18,7 @@
 from roadbend.partitions.preference import preferred, rendezvous
 from roadbend.peers.heartbeat import PeerState
 from roadbend.settings import OperatorSettings
+from roadbend.store.records import LeaderRecord
 
 __all__ = [
     "Action",
@@ -49,8 +50,7 @@
         return Decision(Action.NOTHING, lost)
     if recorded.controller != controllers.name:
         lost = None if leadership is None else LossReason.LED_BY_ANOTHER
-        is_gone = silent_leader.is_leader_gone(partition, recorded, controllers, operator, now)
-        return Decision(Action.REPLACE_LEADER if is_gone else Action.NOTHING, lost)
+        return Decision(_replacement(partition, recorded, controllers, operator, now), lost)
     if recorded.incarnation != controllers.incarnation:
         # Ours from before a restart: it is acquired at once, under a new term.
         return Decision(Action.ACQUIRE)
@@ -64,6 +64,21 @@
     return Decision(Action.NOTHING)
 
 
+def _replacement(
+    partition: PartitionState,
+    recorded: LeaderRecord,
+    controllers: ControllersState,
+    operator: OperatorSettings,
+    now: datetime,
+) -> Action:
+    """Decide whether to acquire a partition from another leader before its lease expires."""
+    if silent_leader.is_leader_gone(partition, recorded, controllers, operator, now):
+        return Action.REPLACE_LEADER
+    if gang_leaders.is_leader_to_replace(partition, recorded, controllers, operator, now):
+        return Action.REPLACE_LEADER_WITHOUT_GANGS
+    return Action.NOTHING
+
+
 def _may_acquire(
     partition: PartitionState,
     controllers: ControllersState,
@@ -78,7 +93,8 @@
     if partition.acquisition_held and len(live) > 1:
         return False
     me = controllers.name
-    candidates = [name for name in live if name != me or not partition.acquisition_held]
+    unheld = [name for name in live if name != me or not partition.acquisition_held]
+    candidates = gang_leaders.acquirers(partition, unheld, controllers)
     if preferred(partition.name, controllers.zones, candidates) == me:
         grace = ZERO
     else:
@@ -120,7 +136,9 @@
 ) -> str | None:
     """Choose a controller of the partition's zone that can lead it again, instead of this one."""
     zones, me = controllers.zones, controllers.name
-    home = preferred(partition.name, zones, controllers.alive_since)
+    home = preferred(
+        partition.name, zones, gang_leaders.failback_candidates(partition, controllers)
+    )
     if home is None or home == me or home in partition.held_failbacks:
         return None
     if now - leadership.acquired_at < operator.hand_back_after:
--- a/tests/scenarios/test_gangs_in_a_roll.py
+++ b/tests/scenarios/test_gangs_in_a_roll.py
@@ -1,6 +1,7 @@
 """What becomes of a running gang when a controller of an older version leads its partition.
 
-The version in production knows no gangs and stops single tasks of them for other work
+The version in production knows no gangs and stops single tasks of them for other work. So a
+controller that knows gangs leads the partition instead
 (docs/incidents/2026-12-gang-under-an-older-leader.md).
 """
 
@@ -19,6 +20,10 @@
 GANG, TASKS = "run-000001", 4
 # One task to a machine, and no machine beside those of the gang.
 CPUS = 16.0
+# How soon after its return a controller of the version in production leads no gangs any more.
+REPLACED_WITHIN_S = 2.0
+# Longer than any pause before a partition fails back, by default.
+LONG_S = 60
 
 
 async def restart_leader_as(w: World, version: type[Controller]) -> None:
@@ -40,11 +45,11 @@
 
 @pytest.mark.parametrize(
     "version, told_to_stop",
-    [(Controller, TASKS), (Version0100Controller, TASKS), (PreviousVersionController, 1)],
+    [(Controller, TASKS), (Version0100Controller, TASKS), (PreviousVersionController, TASKS)],
     ids=["today", "0.10.0", "production"],
 )
 async def test_a_gang_is_preempted_whole_by_versions_that_know_gangs(version, told_to_stop, caplog):
-    """Guards against a gang that is stopped in pieces; with production's leader it still is."""
+    """Guards against a gang that is stopped in pieces."""
     caplog.set_level(logging.INFO)
     async with world(teams=TEAMS, capacity=TASKS) as w:
         body = gang(1, TASKS, yard="east", vcpus=CPUS)
@@ -60,3 +65,78 @@
         assert len(stopped_tasks(w)) == told_to_stop
         # What operators look for.
         assert f"task-preempted partition=east task={GANG}/" in caplog.text
+
+
+async def run_gang(w: World, length: float) -> None:
+    """Let a gang run in the east, on all of its machines."""
+    assert await w.submit(0, gang(1, TASKS, yard="east", vcpus=CPUS), length) == 201
+    assert await w.until(lambda: len(w.board.running(GANG)) == TASKS, 60)
+    await trio.sleep(8)
+
+
+async def test_a_leader_without_gangs_that_is_alone_stops_single_tasks():
+    """What nothing prevents: no controller that knows gangs is up (docs/operations.md)."""
+    async with world(count=1, teams=TEAMS, capacity=TASKS) as w:
+        await run_gang(w, 300)
+        await restart_leader_as(w, PreviousVersionController)
+        urgent = job(2, yard="east", rank="production", vcpus=CPUS, crew="blue", loaners=False)
+        assert await w.submit(0, urgent, 60) == 201
+        assert await w.until(lambda: w.board.running("run-000002"), 30)
+        assert len(stopped_tasks(w)) == 1
+
+
+async def test_a_partition_goes_to_a_controller_that_knows_gangs_and_back_once_they_are_done(
+    caplog,
+):
+    """Guards against a partition that changes to and fro while a gang runs in it."""
+    caplog.set_level(logging.INFO)
+    async with world(teams=TEAMS, capacity=TASKS) as w:
+        await run_gang(w, 100)
+        w.crash(0)
+        await trio.sleep(0.5)
+        w.start(0, PreviousVersionController)
+        assert await w.until(lambda: w.owner("east") in ("node-1", "node-2"), REPLACED_WITHIN_S)
+        caplog.clear()
+        await trio.sleep(LONG_S)
+        assert "leadership-acquired" not in caplog.text
+        # The change of leader has stopped nothing.
+        assert len(w.board.running(GANG)) == TASKS and not stopped_tasks(w)
+        assert await w.until(lambda: not w.board.running(GANG), LONG_S)
+        assert len(w.board.starts) == TASKS
+        assert await w.until(lambda: w.owner("east") == "node-0", LONG_S)
+
+
+async def test_controllers_that_return_together_leave_no_gang_to_one_without_gangs():
+    """Guards against a cold restart in which the older controller is as soon as the others."""
+    async with world(teams=TEAMS, capacity=TASKS) as w:
+        await run_gang(w, 300)
+        for at in range(w.count):
+            w.crash(at)
+        await trio.sleep(3)
+        for at in range(w.count):
+            w.start(at, at == 0)
+        assert await w.settled()
+        assert await w.until(lambda: w.owner("east") in ("node-1", "node-2"), REPLACED_WITHIN_S)
+        urgent = job(2, yard="east", rank="production", vcpus=CPUS, crew="blue", loaners=False)
+        assert await w.submit(1, urgent, 60) == 201
+        assert await w.until(lambda: w.board.running("run-000002"), 60)
+        assert len(stopped_tasks(w)) == TASKS
+
+
+async def test_a_leader_without_gangs_that_its_peers_do_not_hear_keeps_its_machines():
+    """Guards against machines that are taken from the only controller that they may reach."""
+    async with world(teams=TEAMS, capacity=TASKS) as w:
+        await run_gang(w, 300)
+        w.crash(0)
+        for peer in ("node-1", "node-2"):
+            w.network.cut("node-0", peer)
+        for worker in w.workers():
+            for peer in ("node-1", "node-2"):
+                w.network.cut(worker.machine, peer)
+        w.start(0, PreviousVersionController)
+        assert await w.until(lambda: w.owner("east") == "node-0", 15)
+        started = len(w.board.starts)
+        for _ in range(LONG_S):
+            await trio.sleep(1)
+            assert w.owner("east") == "node-0"
+        assert len(w.board.running(GANG)) == TASKS and len(w.board.starts) == started
