--- a/roadbend/checkers/search_faults.py
+++ b/roadbend/checkers/search_faults.py
@@ -13,6 +13,8 @@
 
 # The share of the jobs that are cancelled as they start, and how long their users ask, in seconds.
 CANCELLED_STARTS, PATIENCE_S = 0.5, 60.0
+# How long a controller is away at the most before it returns in an older version, in seconds.
+OLDER_VERSION_AWAY_S = 12.0
 
 
 class Deployment:
@@ -58,6 +60,19 @@
             self.world.start(at)
             await trio.sleep(rng.uniform(0.0, 2.0))
 
+    async def older_version(self, length: float, rng: random.Random) -> None:
+        """End a controller, start it in the version in production, and replace that one later."""
+        at = self.node(rng)
+        if f"node-{at}" not in self.world.controllers:
+            return
+        self.world.crash(at)
+        await trio.sleep(rng.uniform(0.1, OLDER_VERSION_AWAY_S))
+        self.world.start(at, True)
+        await trio.sleep(length)
+        if f"node-{at}" in self.world.controllers:
+            self.world.crash(at)
+        self.world.start(at)
+
     async def stall(self, length: float, rng: random.Random) -> None:
         """Let a controller stand still."""
         await self.world.stalls.stall(f"node-{self.node(rng)}", length)
@@ -301,6 +316,7 @@
 FAULTS = {
     "crash": Kind(Deployment.crash, (0.05, 12.0)),
     "crash-all": Kind(Deployment.crash_all, (0.1, 12.0)),
+    "older-version": Kind(Deployment.older_version, (2.0, 40.0)),
     "stall": Kind(Deployment.stall, (0.2, 25.0)),
     "slow": Kind(Deployment.slow, (2.0, 40.0)),
     "hand-over": Kind(Deployment.hand_over, (0.1, 0.2)),
@@ -334,4 +350,4 @@
 
 
 # Kinds that a seed draws only where `--kinds` names them, so that seeds keep their runs.
-ONLY_ON_REQUEST = {"crash-all", "cancel-starts"}
+ONLY_ON_REQUEST = {"crash-all", "older-version", "cancel-starts"}
