Scenarios of gangs in a roll run production's real program, too; a lost machine as a case

A leader of that version that is alone starts the tasks of a gang that lost a machine singly, each under an attempt number of its own, so that the gang never runs (the compatibility tests, found as the real program was run): the same cause with more harm. With a controller that knows gangs the partition goes over, and the gang runs again under one new number. The tests that state what that version does alone have it as the only controller now: beside others it leads no gangs.

--- a/tests/compatibility/test_production_program.py
+++ b/tests/compatibility/test_production_program.py
@@ -1,7 +1,9 @@
 """What the real program of the version in production does in a deployment in memory.
 
 Where a test has both, the fake that plays that version elsewhere does the same. The tests state
-what is: that version knows no gangs, and it will not change.
+what is: that version knows no gangs, and it will not change. Where it meets gangs it is the only
+controller, since another one that knows them would lead the partition instead
+(tests/scenarios/test_gangs_in_a_roll.py).
 """
 
 from concurrent.futures import ThreadPoolExecutor
@@ -101,7 +103,7 @@
 @BOTH
 async def test_it_stops_one_task_of_a_gang_for_work_of_higher_priority(version):
     """The gang's other tasks end by themselves when they miss the one that was stopped."""
-    async with world(teams=TEAMS, capacity=TASKS) as w:
+    async with world(count=1, teams=TEAMS, capacity=TASKS) as w:
         await begin_gang(w)
         await trio.sleep(8)
         restarted = trio.current_time()
@@ -110,7 +112,7 @@
         # A change of leader alone stops nothing.
         assert received(w, "kill", restarted) == [] and states(w) == ["running"] * TASKS
         urgent = job(2, yard="east", rank="production", vcpus=CPUS, crew="blue", loaners=False)
-        assert await w.submit(1, urgent, 60) == 201
+        assert await w.submit(0, urgent, 60) == 201
         assert await w.until(lambda: w.board.running(OTHER), 30)
         told = {order.task for order in received(w, "kill", restarted)}
         assert len(told) == 1
@@ -123,7 +125,7 @@
 
     Today's version gathers them under one number when it leads again.
     """
-    async with world(teams=TEAMS, capacity=2 * TASKS) as w:
+    async with world(count=1, teams=TEAMS, capacity=2 * TASKS) as w:
         await begin_gang(w)
         await trio.sleep(8)
         await restart_leader_as(w, version)
@@ -156,7 +158,7 @@
 @BOTH
 async def test_it_lets_tasks_that_gather_go_on(version):
     """It neither stops nor forgets them, and the gang begins under its first attempt's number."""
-    async with world(teams=TEAMS, capacity=2 * TASKS) as w:
+    async with world(count=1, teams=TEAMS, capacity=2 * TASKS) as w:
         late = await gather_all_but_one(w)
         restarted = trio.current_time()
         await restart_leader_as(w, version)
--- a/tests/scenarios/test_gangs_in_a_roll.py
+++ b/tests/scenarios/test_gangs_in_a_roll.py
@@ -11,10 +11,12 @@
 import trio
 
 from roadbend.controller import Controller
+from roadbend.fakes.gangs import attempts, running
 from roadbend.fakes.previous_version import PreviousVersionController, Version0100Controller
 from roadbend.fakes.submission import gang, job
 from roadbend.fakes.world import World, world
 from roadbend.settings import Team
+from tests.production_program import ProductionController
 
 TEAMS = {"red": Team("red", 0, 0, 100, 100), "blue": Team("blue", 0, 0, 100, 100)}
 GANG, TASKS = "run-000001", 4
@@ -24,6 +26,10 @@
 REPLACED_WITHIN_S = 2.0
 # Longer than any pause before a partition fails back, by default.
 LONG_S = 60
+# The version in production, played by a fake and by its own program.
+PRODUCTION = pytest.mark.parametrize(
+    "production", [PreviousVersionController, ProductionController], ids=["fake", "real"]
+)
 
 
 async def restart_leader_as(w: World, version: type[Controller]) -> None:
@@ -45,8 +51,13 @@
 
 @pytest.mark.parametrize(
     "version, told_to_stop",
-    [(Controller, TASKS), (Version0100Controller, TASKS), (PreviousVersionController, TASKS)],
-    ids=["today", "0.10.0", "production"],
+    [
+        (Controller, TASKS),
+        (Version0100Controller, TASKS),
+        (PreviousVersionController, TASKS),
+        (ProductionController, TASKS),
+    ],
+    ids=["today", "0.10.0", "production", "production itself"],
 )
 async def test_a_gang_is_preempted_whole_by_versions_that_know_gangs(version, told_to_stop, caplog):
     """Guards against a gang that is stopped in pieces."""
@@ -74,19 +85,21 @@
     await trio.sleep(8)
 
 
-async def test_a_leader_without_gangs_that_is_alone_stops_single_tasks():
+@PRODUCTION
+async def test_a_leader_without_gangs_that_is_alone_stops_single_tasks(production):
     """What nothing prevents: no controller that knows gangs is up (docs/operations.md)."""
     async with world(count=1, teams=TEAMS, capacity=TASKS) as w:
         await run_gang(w, 300)
-        await restart_leader_as(w, PreviousVersionController)
+        await restart_leader_as(w, production)
         urgent = job(2, yard="east", rank="production", vcpus=CPUS, crew="blue", loaners=False)
         assert await w.submit(0, urgent, 60) == 201
         assert await w.until(lambda: w.board.running("run-000002"), 30)
         assert len(stopped_tasks(w)) == 1
 
 
+@PRODUCTION
 async def test_a_partition_goes_to_a_controller_that_knows_gangs_and_back_once_they_are_done(
-    caplog,
+    production, caplog
 ):
     """Guards against a partition that changes to and fro while a gang runs in it."""
     caplog.set_level(logging.INFO)
@@ -94,7 +107,7 @@
         await run_gang(w, 100)
         w.crash(0)
         await trio.sleep(0.5)
-        w.start(0, PreviousVersionController)
+        w.start(0, production)
         assert await w.until(lambda: w.owner("east") in ("node-1", "node-2"), REPLACED_WITHIN_S)
         caplog.clear()
         await trio.sleep(LONG_S)
@@ -106,7 +119,8 @@
         assert await w.until(lambda: w.owner("east") == "node-0", LONG_S)
 
 
-async def test_controllers_that_return_together_leave_no_gang_to_one_without_gangs():
+@PRODUCTION
+async def test_controllers_that_return_together_leave_no_gang_to_one_without_gangs(production):
     """Guards against a cold restart in which the older controller is as soon as the others."""
     async with world(teams=TEAMS, capacity=TASKS) as w:
         await run_gang(w, 300)
@@ -114,7 +128,7 @@
             w.crash(at)
         await trio.sleep(3)
         for at in range(w.count):
-            w.start(at, at == 0)
+            w.start(at, production if at == 0 else False)
         assert await w.settled()
         assert await w.until(lambda: w.owner("east") in ("node-1", "node-2"), REPLACED_WITHIN_S)
         urgent = job(2, yard="east", rank="production", vcpus=CPUS, crew="blue", loaners=False)
@@ -123,7 +137,8 @@
         assert len(stopped_tasks(w)) == TASKS
 
 
-async def test_a_leader_without_gangs_that_its_peers_do_not_hear_keeps_its_machines():
+@PRODUCTION
+async def test_a_leader_without_gangs_that_its_peers_do_not_hear_keeps_its_machines(production):
     """Guards against machines that are taken from the only controller that they may reach."""
     async with world(teams=TEAMS, capacity=TASKS) as w:
         await run_gang(w, 300)
@@ -133,10 +148,25 @@
         for worker in w.workers():
             for peer in ("node-1", "node-2"):
                 w.network.cut(worker.machine, peer)
-        w.start(0, PreviousVersionController)
+        w.start(0, production)
         assert await w.until(lambda: w.owner("east") == "node-0", 15)
         started = len(w.board.starts)
         for _ in range(LONG_S):
             await trio.sleep(1)
             assert w.owner("east") == "node-0"
         assert len(w.board.running(GANG)) == TASKS and len(w.board.starts) == started
+
+
+@PRODUCTION
+async def test_a_gang_that_loses_a_machine_runs_again_although_an_older_controller_is_at_home(
+    production,
+):
+    """Guards against tasks of a gang that are started singly, and wait for each other in vain."""
+    async with world(teams=TEAMS, capacity=2 * TASKS) as w:
+        await run_gang(w, 300)
+        await restart_leader_as(w, production)
+        lost = next(worker for worker in w.workers() if worker.tasks)
+        w.nursery.start_soon(lost.hang, 600)
+        assert await w.until(lambda: lost.machine not in w.cloud.machines, 30)
+        assert await w.until(lambda: len(running(w, GANG)) == TASKS, 30)
+        assert len(attempts(w, GANG)) == 2
