A partition with gangs is taken over only where its machines answer us, and not twice in vain

Symptom: where the east's machines reach only their own zone's controller, of the version in production, while the controllers hear each other, the two others took turns to lead it without end (some 26 changes of leader in 180 s), the machines' leases ended, and a gang of 4 was started 5 times. Without the takeover that controller just kept them.

Cause: that we hear the leader says nothing of its machines; fail_over holds the acquisition for 20 s only, and then the gang is at risk again.

Now a few of the machines that run something by the records are asked before the acquisition, at the cloud's addresses: most have to answer. And a controller that has given a partition up because its workers did not reach it does not take it from a living leader again. A controller that is at home in the partition needs to lead nothing else for it, and partitions of zones without a controller do not count as another controller's (both left a gang to an older leader where two controllers share a zone).

Evidence: test_machines_that_reach_an_older_controller_alone_stay_with_it sees one acquisition and no task begun again in 120 s; the case in which machines answer and do not reach sees one try each.

--- a/roadbend/controller/controller.py
+++ b/roadbend/controller/controller.py
@@ -22,6 +22,7 @@
 from roadbend.controller.routes import Router, is_from_worker
 from roadbend.controller.settled_starts_service import SettledStartsService
 from roadbend.controller.starts_in_doubt_service import StartsInDoubtService
+from roadbend.fleet.machine_reach import MachineReach
 from roadbend.fleet.service import Fleet
 from roadbend.http.client import Client
 from roadbend.http.net import BACKLOG, Net
@@ -109,6 +110,9 @@
         self.view.watchers.append(self.partition_leaders.on_record)
         self.view.attempt_listeners.append(self.partition_leaders.on_attempt)
         self.election.observer.count_unserved = self.fleet.count_unserved
+        self.election.reaches_machines = MachineReach(
+            net, self.fleet.inventory, self.view
+        ).is_reached
         self.election.changed.append(self.partition_leaders.on_leadership)
         # What else runs as long as the controller does, such as recovery where it is switched on.
         self.background: list[Callable[[], Awaitable[None]]] = []
--- a/roadbend/partitions/election.py
+++ b/roadbend/partitions/election.py
@@ -7,7 +7,7 @@
 """
 
 import threading
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import datetime, timedelta
 
 from roadbend import clock
@@ -51,6 +51,11 @@
 ACQUISITION_HOLD_OFF_GRACES = 4
 
 
+async def _reaches_none(_partition: str) -> bool:
+    """Reach no machine: for a controller that knows none."""
+    return False
+
+
 class LeaderElection:
     """Which partitions this controller leads, and for how long it may act on that."""
 
@@ -68,6 +73,8 @@
         self.leaderships: dict[str, Leadership] = {}
         # Called with a partition's name whenever our leadership of it begins or ends.
         self.changed: list[Callable[[str], None]] = []
+        # Tells whether we reach a partition's machines; set by who knows their addresses.
+        self.reaches_machines: Callable[[str], Awaitable[bool]] = _reaches_none
         self._settings, self._operator = settings, operator
         self._view, self._reader, self._peers = view, reader, peers
         records = ElectionRecords(state, view, reader)
@@ -142,6 +149,7 @@
         """Give up a partition whose workers reach other controllers but not this one."""
         until = clock.now() + ACQUISITION_HOLD_OFF_UNREACHABLE
         self._hold_offs.hold_acquisition(partition, until)
+        self._hold_offs.note_unreachable(partition)
         self.lose(partition, LossReason.UNREACHABLE_FOR_WORKERS)
         await self._acquisition.release(partition)
 
@@ -208,8 +216,7 @@
                 self._log_replaced_leader(state)
                 await self._acquire(state, now)
             case Action.REPLACE_LEADER_WITHOUT_GANGS:
-                self._log_replaced_leader_without_gangs(state)
-                await self._acquire(state, now)
+                await self._replace_leader_without_gangs(state, now)
             case Action.ACQUIRE:
                 await self._acquire(state, now)
             case Action.RELEASE | Action.FAIL_BACK:
@@ -235,13 +242,16 @@
             unserved_machines=state.machines.unserved,
         )
 
-    def _log_replaced_leader_without_gangs(self, state: PartitionState) -> None:
+    async def _replace_leader_without_gangs(self, state: PartitionState, now: datetime) -> None:
+        if not await self.reaches_machines(state.name):
+            return
         log.info(
             "leader-without-gangs-replaced",
             partition=state.name,
             leader=state.recorded.controller if state.recorded else None,
             term=state.recorded.term if state.recorded else 0,
         )
+        await self._acquire(state, now)
 
     def _begin_failback(self, partition: str, controller: str, now: datetime) -> None:
         log.info("failback-started", partition=partition, to_controller=controller)
--- a/roadbend/partitions/election_state.py
+++ b/roadbend/partitions/election_state.py
@@ -59,10 +59,16 @@
     # The live controllers of versions without gangs.
     without_gangs: frozenset[str] = frozenset()
 
+    @property
+    def home(self) -> str:
+        """This controller's zone, and the partition of it."""
+        return self.zones[self.name]
+
     @property
     def led_of_other_zones(self) -> int:
-        """How many partitions this controller leads beside that of its own zone."""
-        return sum(1 for partition in self.led if partition != self.zones[self.name])
+        """How many partitions this controller leads that other controllers are at home in."""
+        others = set(self.zones.values()) - {self.home}
+        return sum(1 for partition in self.led if partition in others)
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,3 +96,5 @@
     holds_gangs: bool = False
     # Since when it has done so under a leader of a version without gangs; None: it does not.
     gangs_at_risk_since: datetime | None = None
+    # Whether we once gave it up because its workers did not reach us.
+    was_unreachable: bool = False
--- a/roadbend/partitions/gang_leaders.py
+++ b/roadbend/partitions/gang_leaders.py
@@ -29,22 +29,28 @@
     """Tell whether to acquire a partition with gangs from its live leader, which knows none.
 
     Only from one that we hear, and while we lead our own zone's partition: elsewhere its machines
-    may reach that leader alone. Terms and tokens fence it (docs/meetings.md).
+    may reach that leader alone. So they may where its machines don't answer us, which is asked
+    before it is acquired. Terms and tokens fence the leader (docs/meetings.md).
     """
     since = partition.gangs_at_risk_since
-    if since is None or partition.acquisition_held:
+    if since is None or partition.acquisition_held or partition.was_unreachable:
         return False
-    if controllers.zones[controllers.name] not in controllers.led:
-        return False
-    if controllers.led_of_other_zones >= MAX_LED_FOR_GANGS:
-        return False
-    if not _is_heard(recorded, controllers, now):
+    if not _can_lead(partition, controllers) or not _is_heard(recorded, controllers, now):
         return False
     is_first = preferred(partition.name, controllers.zones, _replacements(controllers, now))
     grace = ZERO if is_first == controllers.name else operator.takeover_grace
     return now - since >= grace
 
 
+def _can_lead(partition: PartitionState, controllers: ControllersState) -> bool:
+    """Tell whether this controller is at home in a partition, or well and leads not too many."""
+    if partition.name == controllers.home:
+        return True
+    if controllers.home not in controllers.led:
+        return False
+    return controllers.led_of_other_zones < MAX_LED_FOR_GANGS
+
+
 def _is_heard(leader: LeaderRecord, controllers: ControllersState, now: datetime) -> bool:
     """Tell whether we hear a leader, and not only heard the process before it."""
     peer = controllers.peers.get(leader.controller)
--- a/roadbend/partitions/hold_offs.py
+++ b/roadbend/partitions/hold_offs.py
@@ -21,6 +21,8 @@
     def __init__(self) -> None:
         self._acquisitions: dict[str, datetime] = {}
         self._failbacks: dict[FailbackRoute, datetime] = {}
+        # Partitions that we gave up because their workers did not reach us.
+        self._unreachable: set[str] = set()
 
     def hold_acquisition(self, partition: str, until: datetime) -> None:
         """Leave the partition to others for a while, if there are any."""
@@ -30,6 +32,14 @@
         """Don't fail the partition back to the controller for a while."""
         self._failbacks[FailbackRoute(partition, controller)] = until
 
+    def note_unreachable(self, partition: str) -> None:
+        """Remember for good that a partition's workers did not reach us."""
+        self._unreachable.add(partition)
+
+    def was_unreachable(self, partition: str) -> bool:
+        """Tell whether we once gave the partition up because its workers did not reach us."""
+        return partition in self._unreachable
+
     def holds_acquisition(self, partition: str, now: datetime) -> bool:
         """Tell whether the partition is left to others."""
         return now < self._acquisitions.get(partition, now)
--- a/roadbend/partitions/partition_observation.py
+++ b/roadbend/partitions/partition_observation.py
@@ -70,6 +70,7 @@
             machines=self._count_machines(partition, controllers, now),
             holds_gangs=holds_gangs,
             gangs_at_risk_since=self._note_gangs_at_risk(partition, holds_gangs, now),
+            was_unreachable=self._hold_offs.was_unreachable(partition),
         )
 
     def _holds_gangs(self, partition: str, controllers: ControllersState) -> bool:
--- a/roadbend/partitions/test_gang_leaders.py
+++ b/roadbend/partitions/test_gang_leaders.py
@@ -75,8 +75,12 @@
 
 @pytest.mark.parametrize(
     "changes",
-    [{"gangs_at_risk_since": None, "holds_gangs": False}, {"acquisition_held": True}],
-    ids=["no gangs", "given up lately"],
+    [
+        {"gangs_at_risk_since": None, "holds_gangs": False},
+        {"acquisition_held": True},
+        {"was_unreachable": True},
+    ],
+    ids=["no gangs", "given up lately", "its workers did not reach us"],
 )
 def test_it_leads_on_where_no_gang_is_at_risk_or_we_could_not_serve_its_machines(changes):
     assert action(replace(WEST, **changes)) is Action.NOTHING
@@ -103,6 +107,17 @@
     assert action(known=known) is Action.NOTHING
 
 
+@pytest.mark.parametrize(
+    "led, zones",
+    [((), {"n1": "west", "n2": "west", "n3": "north"}), (("east", "south"), ZONES)],
+    ids=["it leads the partition of our own zone", "we lead one that nobody is at home in"],
+)
+def test_a_leader_without_gangs_is_replaced_where_we_can_lead_the_partition(led, zones):
+    """Guards against two controllers in a zone, and zones without one, that leave gangs to it."""
+    known = replace(controllers(led=led), zones=zones)
+    assert action(known=known) is Action.REPLACE_LEADER_WITHOUT_GANGS
+
+
 def test_of_those_who_know_gangs_the_preferred_one_goes_first_and_the_others_a_grace_later():
     """Guards against a partition that nobody takes since the preferred one leads enough."""
     known = replace(controllers(), zones={**ZONES, "n3": "west"})
--- a/tests/scenarios/test_gangs_in_a_roll.py
+++ b/tests/scenarios/test_gangs_in_a_roll.py
@@ -170,3 +170,55 @@
         assert await w.until(lambda: lost.machine not in w.cloud.machines, 30)
         assert await w.until(lambda: len(running(w, GANG)) == TASKS, 30)
         assert len(attempts(w, GANG)) == 2
+
+
+def cut_east_from_peers(w: World) -> None:
+    """Let the east's machines reach no controller but their own zone's."""
+    for worker in w.workers():
+        for peer in ("node-1", "node-2"):
+            w.network.cut(worker.machine, peer)
+
+
+def count_acquisitions(text: str) -> int:
+    """Count how often the east was acquired, by the log."""
+    return text.count("leadership-acquired partition=east") + text.count("took part=east")
+
+
+@PRODUCTION
+async def test_machines_that_reach_an_older_controller_alone_stay_with_it(production, caplog):
+    """Guards against leaders that take turns, and serve nobody, until the gang's leases end."""
+    caplog.set_level(logging.INFO)
+    async with world(teams=TEAMS, capacity=TASKS) as w:
+        await run_gang(w, 400)
+        w.crash(0)
+        cut_east_from_peers(w)
+        caplog.clear()
+        w.start(0, production)
+        assert await w.until(lambda: w.owner("east") == "node-0", 15)
+        await trio.sleep(2 * LONG_S)
+        assert count_acquisitions(caplog.text) == 1
+        assert len(w.board.running(GANG)) == TASKS and len(w.board.starts) == TASKS
+
+
+@PRODUCTION
+async def test_a_controller_that_no_worker_reached_does_not_take_the_partition_again(
+    production, caplog
+):
+    """Guards against leaders that take turns where machines answer those whom they don't reach."""
+    caplog.set_level(logging.INFO)
+    async with world(teams=TEAMS, capacity=TASKS) as w:
+        await run_gang(w, 400)
+
+        async def reaches(_partition: str) -> bool:
+            return True
+
+        for peer in ("node-1", "node-2"):
+            w.controllers[peer].election.reaches_machines = reaches
+        w.crash(0)
+        cut_east_from_peers(w)
+        w.start(0, production)
+        await trio.sleep(LONG_S)
+        # Both have tried.
+        caplog.clear()
+        await trio.sleep(2 * LONG_S)
+        assert count_acquisitions(caplog.text) == 0 and w.owner("east") == "node-0"
