A new leader hears its machines before it stops work for other work

Symptom: a leader that has just begun preempts what runs on the machine that it heard first, however much is lost there.

Cause: only machines that have shown the new token are compared. Recovery waits for the others; without it nothing does.

Now a leader preempts once every machine that runs something by the records has shown its token, or 1.5 heartbeat intervals after it began. Free capacity is used at once as before, so a start waits at most 3.75 s longer with heartbeats of 2.5 s, once a change of leader, and only where work would be stopped for it.

--- a/roadbend/placement/preemption.py
+++ b/roadbend/placement/preemption.py
@@ -12,6 +12,7 @@
 from roadbend.placement.clearings import Clearings
 from roadbend.placement.free_capacity import RESOURCE_TOLERANCE, FreeCapacity
 from roadbend.placement.gangs import Gangs
+from roadbend.placement.heard_machines import HeardMachines
 from roadbend.placement.partition_state import PartitionState
 from roadbend.placement.preemption_policy import Clearing, RunningTask, Victim
 from roadbend.placement.queue_order import PendingTasks
@@ -42,6 +43,7 @@
         self._partition = state.records.partition
         self._usable_machines = usable_machines
         self._gangs = gangs
+        self._heard_machines = HeardMachines(state)
 
     def preempt(
         self,
@@ -56,7 +58,7 @@
         `capacities`: the machines that were looked at; `all_of_them`: whether these are all.
         """
         waiting = [item for item in not_placed if item.job.spec.priority > 0 or item.guaranteed]
-        if not waiting:
+        if not waiting or not self._heard_machines.are_complete(now):
             return
         if not all_of_them:
             capacities = self._with_the_rest(capacities, transaction)
