A test of what production's program does when a peer acquires its partition

A controller of today's version acquires the partition by its usual transaction while the older one leads. The older one, real or fake, stops leading within half a second, does not take the partition back while the record names the other, and no task is stopped or begun by the change.

--- a/tests/compatibility/test_production_program.py
+++ b/tests/compatibility/test_production_program.py
@@ -14,6 +14,8 @@
 from roadbend.fakes.submission import gang, job
 from roadbend.fakes.worker import FakeWorker
 from roadbend.fakes.world import World, world
+from roadbend.partitions import policy
+from roadbend.partitions.policy import Action, Decision
 from roadbend.settings import Team
 from tests import production_program
 from tests.production_program import ProductionController, ProductionSourcesError
@@ -167,3 +169,57 @@
         assert states(w) == ["running"] * TASKS
         for verb in ("run", "kill", "forget"):
             assert received(w, verb, restarted) == []
+
+
+@pytest.fixture
+def acquire_from_leader(monkeypatch):
+    """Let a controller of today's version acquire a partition, whoever leads it.
+
+    Its election does it in its next round, by the same transaction as from a leader that is gone.
+    """
+    decide = policy.decide
+    wanted: set[tuple[str, str]] = set()
+
+    def decide_as_wanted(partition, controllers, operator, now):
+        leader = partition.recorded and partition.recorded.controller
+        if (controllers.name, partition.name) in wanted and leader != controllers.name:
+            return Decision(Action.REPLACE_LEADER)
+        return decide(partition, controllers, operator, now)
+
+    async def acquire(w: World, controller: str, partition: str) -> None:
+        wanted.add((controller, partition))
+        election = w.controllers[controller].election
+        assert await w.until(lambda: election.leadership(partition), 2, 0.01)
+        wanted.clear()
+
+    monkeypatch.setattr(policy, "decide", decide_as_wanted)
+    return acquire
+
+
+@BOTH
+async def test_it_stops_leading_at_once_when_a_peer_acquires_its_partition(
+    version, acquire_from_leader
+):
+    """Nothing is stopped or begun by that, and it does not take the partition back by itself.
+
+    After 25 s the peer hands it back.
+    """
+    async with world(teams=TEAMS, capacity=2 * TASKS) as w:
+        await begin_gang(w)
+        await trio.sleep(8)
+        await restart_leader_as(w, version)
+        await trio.sleep(5)
+        before = trio.current_time()
+        older = w.controllers["node-0"].election
+        term = older.leadership("east").term
+        await acquire_from_leader(w, "node-1", "east")
+        assert await w.until(lambda: older.leadership("east") is None, 0.5, 0.01)
+        for _ in range(200):
+            await trio.sleep(0.1)
+            assert older.leadership("east") is None
+            assert w.state.value("r/own/east")["node"] == "node-1"
+        assert w.state.value("r/term/east") == {"n": term + 1, "node": "node-1"}
+        for verb in ("run", "kill", "forget"):
+            assert received(w, verb, before) == []
+        assert states(w) == ["running"] * TASKS
+        assert await w.until(lambda: older.leadership("east"), 10)
