Every machine of a gang that is asked has to answer before its partition is taken over

Symptom, by test_gangs_beyond_cuts: one of a gang's four machines reaches the older leader alone; the partition is taken over all the same, that machine's lease ends, and with it the gang. Where two controllers share a zone, the one that knows gangs never replaced the other.

Cause: most answers were enough, of any machines; and a controller that leads nothing reads no list of machines, so it knew no addresses to ask.

Now the machines that run gangs are asked first, all that are asked have to answer, but for those that have failed by the cloud's list, and a controller that is at home in the partition's zone asks none. A partition in which nothing runs is in reach. It is asked again after 5 s, not 20.

--- a/roadbend/fleet/machine_reach.py
+++ b/roadbend/fleet/machine_reach.py
@@ -11,14 +11,14 @@
 from roadbend.http.net import Net
 from roadbend.store.record_view import RecordView
 
-# Machines of a partition that are asked; a cut of the network shows on any few.
+# Machines of a partition that are asked at the most; a cut of a zone's network shows on any few.
 MAX_ASKED = 8
 # How long a partition that was found out of reach is not asked again.
-RETRY_INTERVAL = timedelta(seconds=20)
+RETRY_INTERVAL = timedelta(seconds=5)
 
 
 class MachineReach:
-    """Asks a few of a partition's machines whether they answer."""
+    """Asks machines of a partition with gangs whether they answer."""
 
     def __init__(self, net: Net, inventory: CloudInventory, view: RecordView) -> None:
         self._net, self._inventory, self._view = net, inventory, view
@@ -26,41 +26,43 @@
         self._out_of_reach: dict[str, datetime] = {}
 
     async def is_reached(self, partition: str) -> bool:
-        """Tell whether most of those machines answer that run something by the records.
+        """Tell whether the machines that run a partition's gangs answer us, or nothing runs there.
 
-        False, too, while the cloud's list has not been read.
+        All that are asked have to, but for those that have failed: one that is lost to us ends its
+        gang. False, too, while the cloud's list lacks one of them.
         """
         now = clock.now()
         if now < self._out_of_reach.get(partition, now):
             return False
-        addresses = self._addresses(partition)
-        if not addresses:
+        names = [name for name in self._choose(partition) if not self._inventory.is_failed(name)]
+        if not all(name in self._inventory.rows for name in names):
             return False
-        answered = await self._count_answers(addresses)
-        if 2 * answered > len(addresses):
+        if await self._all_answer(names):
             return True
         self._out_of_reach[partition] = clock.now() + RETRY_INTERVAL
         return False
 
-    def _addresses(self, partition: str) -> dict[str, str]:
-        """Return the addresses of some machines, spread over all of a partition's, by name."""
-        listed = self._inventory.rows
+    def _choose(self, partition: str) -> Sequence[str]:
+        """Choose machines that run gangs, or anything where none does, spread by name."""
         running = self._view.attempts_by_machine.get(partition, {})
-        known = sorted(name for name in running if name in listed)
-        return {name: listed[name].address for name in _spread(known, MAX_ASKED)}
+        gangs = self._view.gangs
+        with_gangs = [
+            name for name, attempts in running.items() if any(job in gangs for job, _ in attempts)
+        ]
+        return _spread(sorted(with_gangs or running), MAX_ASKED)
 
-    async def _count_answers(self, addresses: dict[str, str]) -> int:
-        answered = 0
+    async def _all_answer(self, names: Sequence[str]) -> bool:
+        silent = []
 
-        async def ask(name: str, address: str) -> None:
-            nonlocal answered
-            if await inspect_machine(self._net, address, name) is not None:
-                answered += 1
+        async def ask(name: str) -> None:
+            address = self._inventory.rows[name].address
+            if await inspect_machine(self._net, address, name) is None:
+                silent.append(name)
 
         async with trio.open_nursery() as nursery:
-            for name, address in addresses.items():
-                nursery.start_soon(ask, name, address)
-        return answered
+            for name in names:
+                nursery.start_soon(ask, name)
+        return not silent
 
 
 def _spread(names: Sequence[str], most: int) -> Sequence[str]:
--- a/roadbend/partitions/election.py
+++ b/roadbend/partitions/election.py
@@ -243,7 +243,8 @@
         )
 
     async def _replace_leader_without_gangs(self, state: PartitionState, now: datetime) -> None:
-        if not await self.reaches_machines(state.name):
+        at_home = state.name == self._settings.zone
+        if not at_home and not await self.reaches_machines(state.name):
             return
         log.info(
             "leader-without-gangs-replaced",
