A gang of which the records say that a task is done is done, as on a report

Symptom: a gang stays open for ever though machines have room (cold-restart rehearsal with a controller of the version in production that returns first; "every job runs or has its final answer" fails, simulated).

Cause: that version records the ends of a gang's tasks one by one, as done in its slice, and moves them into the job's record. Today's version ends a gang on a report only, and never read that. It starts a gang only if its whole share is unplaced, so nobody did anything once the rest was lost; and where the rest was all of a share, it started that in vain.

Why the mend works: if one task is done, all are, and done stays true, so the records are as good a witness as a report. The leader ends such a gang by the same path (gang_end.end_gang), on condition of the job's record as read, in bounded transactions; what may be on machines stays recorded until it is terminated, and is stopped as that of any job that is over. The records' view keeps an index of what is done, so that no step looks through all jobs.

--- a/roadbend/placement/termination_recorder.py
+++ b/roadbend/placement/termination_recorder.py
@@ -1,6 +1,6 @@
 """Writes terminations into the records, and takes out of them the slices and jobs that are over."""
 
-from collections.abc import Container
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field, replace
 from datetime import datetime
 from functools import partial
@@ -57,15 +57,22 @@
         That is slices and jobs. Return whether more is left for the next transaction.
         """
         more = False
-        for name, found in self.terminations_by_job().items():
+        done_gangs = self.done_gangs()
+        for name, found in self.terminations_by_job(done_gangs).items():
             job_slice = self._records.job_slices().get(name)
+            if job_slice is None and name in done_gangs:
+                # Nothing of it is recorded here, and it is over nevertheless.
+                spec = done_gangs[name].spec
+                job_slice = JobSlice(name, self._partition, spec.team, spec.resources)
             if job_slice is None:
                 continue
             terminations = self.collect(transaction, name, job_slice, found)
             more = self.plan_splits(transaction, terminations) or more
             job = terminations.job
-            if job is not None and job.spec.gang and any(e.done for _, e in terminations.ended):
+            if job is not None and (name in done_gangs or self.shows_gang_done(job, terminations)):
                 left = self.record_gang(transaction, job, terminations)
+                if left is not None and name in done_gangs:
+                    transaction.after.append(partial(self.log_ended_by_records, name))
             else:
                 left = self.record_job(transaction, terminations)
             if left is None:
@@ -74,6 +81,33 @@
             self.note_recorded(transaction, terminations, now)
         return more
 
+    def done_gangs(self) -> dict[str, Job]:
+        """Return the live gangs that are to be ended here because a task is done by the records.
+
+        A version before gangs recorded that task alone, and no machine reports it again. Done stays
+        true, so recovery need not have compared the records with the machines before. Whoever
+        holds tasks ends the gang, or any leader where nobody does: one of them succeeds, for all
+        depend on the job's record being as it was read.
+        """
+        found: dict[str, Job] = {}
+        for name in self._context.view.done_gangs():
+            job = self._records.live_job(name)
+            if job is not None and (
+                name in self._records.job_slices()
+                or self._partition in job.allocation
+                or not job.allocation
+            ):
+                found[name] = job
+        return found
+
+    def shows_gang_done(self, job: Job, terminations: JobTerminations) -> bool:
+        """Whether a job is a gang of which one of these terminations says that a task is done."""
+        return job.spec.gang and any(end.done for _, end in terminations.ended)
+
+    def log_ended_by_records(self, name: str) -> None:
+        """Log that a gang was ended without a report, since a task was done by the records."""
+        log.info("gang-ended-by-records", partition=self._partition, job=name)
+
     def record_gang(
         self, transaction: TransactionBuilder, job: Job, terminations: JobTerminations
     ) -> bool | None:
@@ -92,10 +126,13 @@
         terminations.keep_only(written, self._records.shard_width)
         return partly
 
-    def terminations_by_job(self) -> dict[str, list[tuple[int, Termination]]]:
+    def terminations_by_job(
+        self, done_gangs: Iterable[str]
+    ) -> dict[str, list[tuple[int, Termination]]]:
         """Return the terminations to be recorded, by job.
 
-        Jobs with slices of which nothing runs are among them, some with no termination.
+        Jobs with slices of which nothing runs are among them, and gangs that are done, some with no
+        termination.
         """
         by_job: dict[str, list[tuple[int, Termination]]] = {}
         for (job, task_index), end in self._terminations.items():
@@ -104,6 +141,8 @@
         for name, job_slice in self._records.job_slices().items():
             if not job_slice.attempts:
                 by_job.setdefault(name, [])
+        for name in done_gangs:
+            by_job.setdefault(name, [])
         return by_job
 
     def collect(
--- a/roadbend/store/attempt_index.py
+++ b/roadbend/store/attempt_index.py
@@ -27,6 +27,8 @@
         self.machine_versions: dict[str, dict[str, int]] = {}
         # Partition -> team -> what its recorded attempts use.
         self.usage: dict[str, dict[str, Usage]] = {}
+        # Job -> the partitions whose slice of it says that tasks are done.
+        self.partitions_with_done: dict[str, set[str]] = {}
         # Called with partition, job, task index and attempt when an attempt is named newly.
         self.listeners: list[Callable[[str, str, int, Attempt], None]] = []
         # One count for all versions, so that one that was dropped and began anew is never taken for
@@ -74,10 +76,21 @@
             self._charge(job_slice, growth)
         self._last_version += 1
         job_slice.set_shard(number, new, self._last_version)
+        if new is not None and new.done:
+            self.partitions_with_done.setdefault(job, set()).add(partition)
+        elif old is not None and old.done and not job_slice.done:
+            self._drop_done(partition, job)
         if not job_slice.shards:
             del job_slices[job]
         self._bound_versions(partition)
 
+    def _drop_done(self, partition: str, job: str) -> None:
+        """Note that no shard of a slice says any more that tasks are done."""
+        partitions = self.partitions_with_done[job]
+        partitions.discard(partition)
+        if not partitions:
+            del self.partitions_with_done[job]
+
     def _remove_attempts(
         self,
         job_slice: JobSlice,
--- a/roadbend/store/job_index.py
+++ b/roadbend/store/job_index.py
@@ -18,6 +18,8 @@
         # Jobs that are gangs, whatever their own records say: versions before gangs rewrite a job's
         # record without that.
         self.gangs: set[str] = set()
+        # Live jobs of which the job's own record says that tasks are done.
+        self.partly_done: set[str] = set()
         self._attempts = attempts
 
     def store(self, name: str, value: Any, mod_revision: int) -> None:
@@ -59,6 +61,10 @@
             self.jobs[name] = new
         elif old is not None:
             del self.jobs[name]
+        if new is not None and new.done:
+            self.partly_done.add(name)
+        else:
+            self.partly_done.discard(name)
         if (old is None) != (new is None):
             self.membership += 1
         if released:
--- a/roadbend/store/live_records.py
+++ b/roadbend/store/live_records.py
@@ -16,6 +16,7 @@
 from roadbend.store.records import (
     NO_USAGE,
     ControllerRecord,
+    Job,
     LeaderRecord,
     RecoveryProgress,
     TermRecord,
@@ -33,7 +34,8 @@
     """
 
     def __init__(self) -> None:
-        attempts, quotas = AttemptIndex(), QuotaTable()
+        self._attempts, quotas = AttemptIndex(), QuotaTable()
+        attempts = self._attempts
         terms = RecordTable(TermRecord.from_value)
         leaders = RecordTable(LeaderRecord.from_value)
         self._jobs = JobIndex(attempts)
@@ -82,6 +84,20 @@
         """The jobs that a record of its own says are gangs."""
         return self._jobs.gangs
 
+    def done_gangs(self) -> list[str]:
+        """Return the gangs of which the records say of a task that it is done: then all are.
+
+        In the order of their names. Jobs that are over are among them while slices of them are
+        left. Only versions before gangs write this, for they record the tasks' ends one by one.
+        """
+        gangs = self._jobs.gangs
+        in_slices = gangs & self._attempts.partitions_with_done.keys()
+        return sorted(in_slices | (gangs & self._jobs.partly_done))
+
+    def any_done(self, job: Job) -> bool:
+        """Whether the records say of any task of a live job that it is done, in any partition."""
+        return bool(job.done) or job.id in self._attempts.partitions_with_done
+
     @property
     def controllers(self) -> dict[str, ControllerRecord]:
         """The live controllers by name."""
