A controller replaces a leader without gangs in its own zone, whatever else it leads

Symptom: two controllers in one zone, the one of the version in production leads it: the other one, which knows gangs, leaves its gangs to it for ever (test_gangs_beyond_cuts, at home in its zone).

Cause: it must lead its own zone's partition before it may take another one for the sake of gangs, and that is the partition at risk. The limit on partitions of other zones stood in its way, too.

Now both conditions are on partitions of other zones alone.

--- a/roadbend/partitions/gang_leaders.py
+++ b/roadbend/partitions/gang_leaders.py
@@ -28,15 +28,13 @@
 ) -> bool:
     """Tell whether to acquire a partition with gangs from its live leader, which knows none.
 
-    Only from one that we hear, and while we lead our own zone's partition: elsewhere its machines
-    may reach that leader alone. Terms and tokens fence it (docs/meetings.md).
+    Only from one that we hear, and if it is our own zone's or we lead that one: elsewhere its
+    machines may reach that leader alone. Terms and tokens fence it (docs/meetings.md).
     """
     since = partition.gangs_at_risk_since
     if since is None or partition.acquisition_held:
         return False
-    if controllers.zones[controllers.name] not in controllers.led:
-        return False
-    if controllers.led_of_other_zones >= MAX_LED_FOR_GANGS:
+    if not _may_lead_for_gangs(partition, controllers):
         return False
     if not _is_heard(recorded, controllers, now):
         return False
@@ -45,6 +43,14 @@
     return now - since >= grace
 
 
+def _may_lead_for_gangs(partition: PartitionState, controllers: ControllersState) -> bool:
+    """Tell whether we may lead a partition: our own zone's, or one more where we lead that."""
+    home = controllers.zones[controllers.name]
+    if partition.name == home:
+        return True
+    return home in controllers.led and controllers.led_of_other_zones < MAX_LED_FOR_GANGS
+
+
 def _is_heard(leader: LeaderRecord, controllers: ControllersState, now: datetime) -> bool:
     """Tell whether we hear a leader, and not only heard the process before it."""
     peer = controllers.peers.get(leader.controller)
--- a/roadbend/partitions/test_gang_leaders.py
+++ b/roadbend/partitions/test_gang_leaders.py
@@ -103,6 +103,15 @@
     assert action(known=known) is Action.NOTHING
 
 
+@pytest.mark.parametrize("led", [(), ("north",)], ids=["we lead nothing", "we lead another zone's"])
+def test_the_leader_of_our_own_zones_partition_is_replaced_whatever_we_lead(led):
+    """Guards against a controller that must lead its own zone's partition before it may take it."""
+    at_home = replace(controllers(led=led), zones={**ZONES, "n1": "west"})
+    assert action(replace(WEST, gangs_at_risk_since=T), at_home) is (
+        Action.REPLACE_LEADER_WITHOUT_GANGS
+    )
+
+
 def test_of_those_who_know_gangs_the_preferred_one_goes_first_and_the_others_a_grace_later():
     """Guards against a partition that nobody takes since the preferred one leads enough."""
     known = replace(controllers(), zones={**ZONES, "n3": "west"})
