--- a/roadbend/partitions/test_gang_leaders.py
+++ b/roadbend/partitions/test_gang_leaders.py
@@ -2,13 +2,16 @@
 
 from dataclasses import replace
 from datetime import timedelta
+from types import SimpleNamespace
 
 import pytest
 
 from roadbend import clock
+from roadbend.fakes.platform import settings_for
 from roadbend.partitions.election_state import Action, ControllersState, PartitionState
 from roadbend.partitions.hold_offs import HoldOffs
 from roadbend.partitions.leadership import Leadership
+from roadbend.partitions.live_controllers import LiveControllers
 from roadbend.partitions.partition_observation import PartitionObserver
 from roadbend.partitions.policy import decide
 from roadbend.peers.frames import GANGS_EXTENSION
@@ -124,6 +127,14 @@
     assert action(just_now, third_is_older) is Action.REPLACE_LEADER_WITHOUT_GANGS
 
 
+def test_one_that_knows_gangs_and_is_not_heard_any_more_does_not_go_first():
+    """Guards against a grace that is spent on waiting for a controller that is gone."""
+    known = replace(controllers(), zones={**ZONES, "n3": "west"})
+    gone = replace(known, peers={**known.peers, "n3": heard("i3" + GANGS_EXTENSION, ALIVE_FOR)})
+    just_now = replace(WEST, gangs_at_risk_since=T)
+    assert action(just_now, gone) is Action.REPLACE_LEADER_WITHOUT_GANGS
+
+
 def test_a_partition_with_gangs_that_has_no_leader_is_not_left_to_its_own_older_controller():
     alone = controllers(third="i3")
     assert action(VACANT, alone) is Action.ACQUIRE
@@ -195,3 +206,30 @@
     all_new = replace(controllers(), without_gangs=frozenset())
     assert seen.observe("east", None, controllers(), T).holds_gangs
     assert not seen.observe("east", None, all_new, T).holds_gangs
+
+
+def test_gangs_are_looked_for_under_a_leader_without_gangs_that_is_not_among_the_live():
+    """Guards against gangs that are left to a leader since its controller's record is missing."""
+    seen = observer("run-1")
+    none_live = replace(controllers(), without_gangs=frozenset())
+    assert seen.observe("west", None, none_live, T).gangs_at_risk_since == T
+
+
+def test_gangs_that_come_back_to_a_leader_without_gangs_are_at_risk_from_then_on():
+    """Guards against a grace that counts from before another leader had the partition."""
+    seen = observer("run-1")
+    assert seen.observe("west", None, controllers(), T).gangs_at_risk_since == T
+    knows_gangs = {"node": "n3", "boot": "i3" + GANGS_EXTENSION, "term": 9}
+    seen._view.put(keys.leader_key("west"), knows_gangs, 100)
+    assert seen.observe("west", None, controllers(), T + S).gangs_at_risk_since is None
+    seen._view.put(keys.leader_key("west"), {"node": "n2", "boot": "i2", "term": 10}, 101)
+    assert seen.observe("west", None, controllers(), T + 2 * S).gangs_at_risk_since == T + 2 * S
+
+
+async def test_a_controllers_own_record_of_an_older_version_does_not_count():
+    """Guards against a controller that was just replaced, and leaves its own gangs to others."""
+    view, settings = RecordView(), settings_for(0, 3)
+    for revision, name in enumerate(("node-0", "node-1"), 1):
+        view.put(keys.controller_key(name), {"boot": "older"}, revision)
+    live = LiveControllers(settings, "i1" + GANGS_EXTENSION, view, SimpleNamespace(links={}))
+    assert live.observe((), T).without_gangs == {"node-1"}
--- a/tests/scenarios/test_gangs_in_a_roll.py
+++ b/tests/scenarios/test_gangs_in_a_roll.py
@@ -137,6 +137,29 @@
         assert len(stopped_tasks(w)) == TASKS
 
 
+@PRODUCTION
+async def test_of_two_partitions_with_gangs_a_controller_takes_one(production):
+    """Guards against one that decides on both by what it led before, and serves all machines."""
+    async with world(teams=TEAMS, capacity=TASKS) as w:
+        for number, zone in ((1, "east"), (2, "west")):
+            assert await w.submit(1, gang(number, TASKS, yard=zone, vcpus=6.0), 300) == 201
+        for name in ("run-000001", "run-000002"):
+            assert await w.until(lambda name=name: len(w.board.running(name)) == TASKS, 60)
+        for at in range(w.count):
+            w.crash(at)
+        await trio.sleep(0.5)
+        w.start(0, production)
+        w.start(2, production)
+        assert await w.until(lambda: w.owner("east") == "node-0" and w.owner("west"), 15)
+        election = w.start(1).election
+        most = 0
+        for _ in range(LONG_S * 10):
+            await trio.sleep(0.1)
+            led = [zone for zone in ("east", "west") if election.leadership(zone)]
+            most = max(most, len(led))
+        assert most == len(led) == 1
+
+
 @PRODUCTION
 async def test_a_leader_without_gangs_that_its_peers_do_not_hear_keeps_its_machines(production):
     """Guards against machines that are taken from the only controller that they may reach."""
