A fake worker's completed task that is started again exits once it has its image

Cause: the fake. "The result is kept: if the task is started again, it exits with `done` as soon as it has its image" (the protocol, task state `done`); it ran the task for its whole length again.

Evidence: five tasks complete at 70 s, and the heartbeats that say so are held back. The leases end at 77.5 s; the next leader orders the attempts again at 81.2 s. The first leader, back since 103.2 s, gets the held heartbeats at 105.259 s, records the ends at 105.352 s, and starts one task more; the five run on and are stopped at 105.874 s. No start is recorded beyond the reserved quota.

Now what has completed is kept beside the machines, for a gang with its first task that is done. A task that is started again begins and exits in one instant, so the judge judges its start as before: limit, place, cancellation, elsewhere. The judge is unchanged.

--- a/roadbend/checkers/test_search.py
+++ b/roadbend/checkers/test_search.py
@@ -52,6 +52,16 @@
     assert search_runs.play_alone(Run(53, "pet", faults)) == []
 
 
+def test_the_run_in_which_completed_tasks_ran_again_breaks_no_rule_any_more():
+    """Found by the search on 61282d6 (seed 60, eleven kinds) and made small: quota at 105.4 s."""
+    faults = (
+        Fault(49.47013577795059, "refuse", 1.8381475396874043, 327856009),
+        Fault(55.66522703305958, "slow-state", 24.83392636577453, 703291634),
+        Fault(61.14618323636588, "hold-packets", 43.363010224978204, 814169489),
+    )
+    assert search_runs.play_alone(Run(60, "pet", faults)) == []
+
+
 async def test_a_controller_that_stands_still_does_nothing_meanwhile_and_then_goes_on():
     async with world() as w:
         answered = []
--- a/roadbend/fakes/board.py
+++ b/roadbend/fakes/board.py
@@ -80,6 +80,8 @@
     lengths: dict[str, float | None] = field(default_factory=dict)
     where: dict[str, set[str]] = field(default_factory=dict)
     starts: list[tuple[float, str, str]] = field(default_factory=list)
+    # Tasks that have completed: their results lie outside the machines, too.
+    completed: set[str] = field(default_factory=set)
     # Called with every task that has completed.
     ends: list[Callable[[str], None]] = field(default_factory=list)
     # Gangs by job and attempt, and how much of a job is saved: checkpoints lie outside the
@@ -129,6 +131,12 @@
 
     def complete(self, task: str) -> None:
         """Note that a task has completed."""
+        job = task.rpartition("/")[0]
+        body = self.body(job)
+        if body.get("shape") == "group":
+            # If one of them is done, all are.
+            self.completed.update(f"{job}/{n}" for n in range(body["legs"]))
+        self.completed.add(task)
         if self.rules is not None:
             self.rules.completed(task)
         for see in self.ends:
--- a/roadbend/fakes/test_fakes.py
+++ b/roadbend/fakes/test_fakes.py
@@ -8,10 +8,12 @@
 
 from roadbend.checkers.observed_jobs import Place
 from roadbend.checkers.protocol_rules import Rules
+from roadbend.fakes.board import Board
 from roadbend.fakes.network import Network
 from roadbend.fakes.platform import MACHINE_TYPE
 from roadbend.fakes.state import FakeStateService
 from roadbend.fakes.submission import gang, job
+from roadbend.fakes.worker_tasks import WorkerSettings, WorkerTasks
 from roadbend.fakes.world import World, world
 from roadbend.http.client import Client, NoAnswerError
 from roadbend.settings import Team
@@ -413,3 +415,72 @@
         worker.execute([{"verb": "run", **task}, {"verb": "kill", "windDownS": 0, **task}])
         await trio.sleep(0.3)
         assert worker.tasks["run-000001/0", 7].ended
+
+
+def tasks_of_a_worker(board: Board, place: Place, nursery: trio.Nursery) -> WorkerTasks:
+    """What a worker that never hangs carries out, and nobody hears of."""
+
+    async def never() -> None:
+        pass
+
+    settings = WorkerSettings(caches_images=True)
+    tasks = WorkerTasks(
+        board, place, settings, wait_while_hung=never, hung=lambda: False, changed=lambda: None
+    )
+    tasks.nursery = nursery
+    return tasks
+
+
+@pytest.mark.parametrize("first, second", [(EAST, EAST), (EAST, WEST)], ids=["there", "elsewhere"])
+async def test_a_completed_task_that_is_started_again_exits_once_it_has_its_image(first, second):
+    """Its worker had lost it with its lease, and it ran for its whole length a second time: the
+    team's limit was passed once a heartbeat that was held back had shown its first end (search,
+    seed 60).
+    """
+    board, task, key = Board(Desk(legs=2).rules), f"{NAME}/0", (f"{NAME}/0", 7)
+    board.lengths[NAME] = 20.0
+    run = [{"verb": "run", "leg": task, "try": 7}]
+    async with trio.open_nursery() as nursery:
+        worker = tasks_of_a_worker(board, first, nursery)
+        worker.execute(run)
+        await trio.sleep(20.9)
+        assert worker.tasks[key].state == "running" and board.running(NAME)
+        await trio.sleep(0.2)
+        assert worker.tasks[key].cause == "done" and not board.running(NAME)
+        worker.wipe()
+        again = worker if second is first else tasks_of_a_worker(board, second, nursery)
+        again.execute(run)
+        await trio.sleep(0.1 if again is worker else 0.9)
+        assert again is worker or again.tasks[key].state == "fetching"
+        await trio.sleep(0.2)
+        assert again.tasks[key].cause == "done" and not board.running(NAME)
+        # Its start counts all the same.
+        assert [machine for _, _, machine in board.starts] == [first.machine, second.machine]
+        assert board.rules.broken == []
+
+
+async def test_a_task_that_has_not_completed_runs_for_its_whole_length_when_it_is_started_again():
+    board, key = Board(Desk(legs=2).rules), (f"{NAME}/1", 8)
+    board.lengths[NAME] = 20.0
+    async with trio.open_nursery() as nursery:
+        worker = tasks_of_a_worker(board, EAST, nursery)
+        worker.execute([{"verb": "run", "leg": f"{NAME}/0", "try": 7}])
+        worker.execute([{"verb": "run", "leg": f"{NAME}/1", "try": 7}])
+        await trio.sleep(15)
+        worker.execute([{"verb": "kill", "leg": f"{NAME}/1", "try": 7, "windDownS": 0}])
+        await trio.sleep(10)
+        worker.execute([{"verb": "run", "leg": f"{NAME}/1", "try": 8}])
+        await trio.sleep(19.9)
+        assert worker.tasks[key].state == "running"
+        await trio.sleep(0.2)
+        assert worker.tasks[key].cause == "done"
+
+
+async def test_no_task_of_a_gang_gathers_once_one_of_them_has_completed():
+    board, key = Board(Desk(shape="group", legs=2).rules), (f"{NAME}/1", 8)
+    board.complete(f"{NAME}/0")
+    async with trio.open_nursery() as nursery:
+        worker = tasks_of_a_worker(board, EAST, nursery)
+        worker.execute([{"verb": "run", "leg": key[0], "try": 8}])
+        await trio.sleep(1.1)
+        assert worker.tasks[key].cause == "done" and not board.running(NAME)
--- a/roadbend/fakes/worker_tasks.py
+++ b/roadbend/fakes/worker_tasks.py
@@ -134,6 +134,9 @@
         with trio.CancelScope() as task.scope:
             await self._fetch(task)
             await self._wait_while_hung()
+            if task.name in self._board.completed:
+                self._end_again(task)
+                return
             gang = self._board.gang(task)
             if gang is not None:
                 await self._live_in_gang(gang, task)
@@ -150,6 +153,15 @@
             await self._wait_while_hung()
             self.end(task, "done")
 
+    def _end_again(self, task: WorkerTask) -> None:
+        """End a task that had completed before: its result is kept, whatever became of its worker.
+
+        It begins and ends in the same instant, so that its start is judged like any other.
+        """
+        task.began = trio.current_time()
+        self._board.enter(task.name, self._place)
+        self.end(task, "done")
+
     async def _live_in_gang(self, gang: Gang, task: WorkerTask) -> None:
         """Wait for a gang's other tasks, run, save and complete with them.
 
