--- a/tests/scenarios/test_gangs_done_in_part.py
+++ b/tests/scenarios/test_gangs_done_in_part.py
@@ -25,6 +25,7 @@
 LENGTH_S = 40.0
 # How soon after a leader of today's version is there the user is told, and machines are empty.
 ENDED_WITHIN_S = 5.0
+LONG_FETCH_S = 120.0
 PRODUCTION = pytest.mark.parametrize(
     "production", [PreviousVersionController, ProductionController], ids=["fake", "real"]
 )
@@ -81,15 +82,21 @@
 
     assert await w.until(is_done, ENDED_WITHIN_S)
     assert await w.until(lambda: not w.board.running(GANG), ENDED_WITHIN_S)
+    assert await w.until(lambda: fetching(w) == 0, ENDED_WITHIN_S)
     await w.over()
     assert await w.until(lambda: w.state.starting("r/slice/") == {}, 60)
     assert [o for o in w.board.received if o.verb == "run" and o.at > restarted] == []
     assert w.state.value(keys.job_end_key(GANG)) == {"s": "done", "n": TASKS}
 
 
-def gathering(w: World) -> int:
-    """Return how many tasks wait on machines for others."""
-    return sum(task.state == "gathering" for x in w.workers() for task in x.tasks.values())
+def fetching(w: World) -> int:
+    """Return how many tasks wait on machines for their image, which takes long from now on.
+
+    Without that they exit as done at once, for their results are kept.
+    """
+    for worker in w.workers():
+        worker.settings.fetch_s = LONG_FETCH_S
+    return sum(task.state == "fetching" for x in w.workers() for task in x.tasks.values())
 
 
 @PRODUCTION
@@ -102,10 +109,10 @@
 
 @PRODUCTION
 async def test_the_rest_of_it_that_an_older_leader_started_singly_is_stopped(production):
-    """Guards against tasks that wait on machines for others that are done."""
+    """Guards against tasks that wait on machines although their gang is done."""
     async with world(count=1, teams=TEAMS, capacity=2 * TASKS) as w:
         await end_half_unseen(w, production, gang(1, TASKS, yard="east", vcpus=CPUS), (2, 3))
-        assert await w.until(lambda: gathering(w) == TASKS // 2, 30)
+        assert await w.until(lambda: fetching(w) == TASKS // 2, 30, 0.05)
         await is_ended_by_todays_version(w)
 
 
