A revision of the state store of 2^64 or more is malformed

Callers saw an accepted job answered with 404 after the state store had answered nonsense for a while: test_odd_answers_of_services_end_nothing[state].

Cause: any whole number was taken for a revision. Once the view counts as read up to 2^70, every change log from after it is empty. The protocol has versions below 2^64.

The new cases 2^64 and 2^70 of test_store failed before.

--- a/roadbend/store/messages.py
+++ b/roadbend/store/messages.py
@@ -13,6 +13,9 @@
 # How many entries of a listing are asked for at a time.
 PAGE_SIZE = 500
 
+# Revisions and the ids of leases are below this (protocol).
+INTEGER_LIMIT = 1 << 64
+
 COMPARE_AND_SWAP_TARGET = "/multi"
 LEASES_TARGET = "/leases"
 
@@ -167,10 +170,10 @@
         return self.body
 
     def whole_number(self, value: Any) -> int:
-        """Return a revision or a lease's id."""
-        if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-            raise self.malformed("not a whole number")
-        return value
+        """Return a revision or a lease's id; raise `MalformedAnswerError` if it can't be one."""
+        if isinstance(value, int) and not isinstance(value, bool) and 0 <= value < INTEGER_LIMIT:
+            return value
+        raise self.malformed("not a whole number")
 
 
 def read_value(answer: Answer) -> VersionedValue | None:
--- a/roadbend/store/test_store.py
+++ b/roadbend/store/test_store.py
@@ -32,6 +32,7 @@
     DeletedRecord,
     StoredRecord,
     read_change_log,
+    read_revision,
 )
 from roadbend.store.record_reader import RecordReader
 from roadbend.store.record_view import RecordView
@@ -182,6 +183,14 @@
         nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize("revision", [None, True, "7", 1.0, -1, 1 << 64, 1 << 70])
+def test_what_is_no_revision_is_refused(revision):
+    """Guards against a revision beyond all that come later, after which no change is read."""
+    answer = Answer(Operation.FOLLOW, ("x",), 200, {"ledger": revision})
+    with pytest.raises(MalformedAnswerError):
+        read_revision(answer)
+
+
 async def test_the_budget_keeps_to_its_share_and_lends_what_others_leave():
     budget = RequestBudget(90, 30, 3)
 
