Workers stay among the live controllers while their silent leader may cost a lease

Callers saw running tasks begin again: a leader is cut off, the state store goes out before it counts as gone, and 2 of 4 tasks are lost although another controller leads the partition 4 s before their lease ends.

Cause: while the leader record names a leader, its workers are redirected to it (421), however long it has been silent. Each time costs 5.2 s, and the third controller is never asked.

Evidence, by a trace of that worker: redirected at 2.3, 7.5 and 12.7 s, the last time 0.15 s before node-1 leads; its lease ends at 16.9, the moment at which node-0's answer is given up.

Why it works: a worker is redirected to a silent leader only while it is back before its lease can end. After that, if most workers lost the leader when we did, they go round among the live controllers (503, or 421 where the next one is silent), also where the leader's record is gone meanwhile.

--- a/roadbend/controller/controller.py
+++ b/roadbend/controller/controller.py
@@ -260,6 +260,7 @@
         nursery.start_soon(self.autoscaler.inventory.run)
         nursery.start_soon(self.fleet.commands.send_stops, nursery)
         nursery.start_soon(self.fleet.failure_detector.watch, nursery)
+        nursery.start_soon(self.fleet.silent_leaders.watch)
         nursery.start_soon(reachability.watch)
         nursery.start_soon(share_rates, self.peers, self._budget, self.cloud)
         self.bidding.start(nursery)
--- a/roadbend/controller/reachability.py
+++ b/roadbend/controller/reachability.py
@@ -63,9 +63,4 @@
         return now - max(heard_at, acquired_at) > self._heartbeat_interval * SILENT_INTERVALS
 
     def _is_heard_by_peers(self, partition: str, now: datetime) -> bool:
-        return any(
-            link.alive(now)
-            and link.known.heartbeat is not None
-            and link.known.heartbeat.heard_machines.get(partition)
-            for link in self._peers.links.values()
-        )
+        return any(self._peers.heard_machines(partition, now))
--- a/roadbend/fleet/foreign_heartbeats.py
+++ b/roadbend/fleet/foreign_heartbeats.py
@@ -21,8 +21,8 @@
 # For how long a machine counts as heard.
 HEARD_FOR = timedelta(seconds=6)
 # A worker that no controller serves comes to each of them once in this time: one does not answer it
-# (4 s), and it waits a second before the next. On a connection that it keeps it may have sent what
-# comes in one round as early as in the round before.
+# (4 s), and it waits a second before the next; sooner while that one is avoided. On a connection
+# that it keeps it may have sent what comes in one round as early as in the round before.
 UNSERVED_ROUND = timedelta(seconds=8)
 
 
@@ -65,21 +65,25 @@
         return self._heard[partition][machine]
 
     def count_unserved(self, question: UnservedQuestion, now: datetime) -> int:
-        """Count which machines have lately turned to us, so that their leader does not serve them.
+        """Count the machines of `find_unserved`."""
+        return len(self.find_unserved(question, now))
+
+    def find_unserved(self, question: UnservedQuestion, now: datetime) -> set[str]:
+        """Return which machines have lately turned to us, so that their leader does not serve them.
 
         A worker that its leader serves stays with it. What was held back on its way does not count:
         it came on a connection from before.
         """
         heard: dict[str, _Heard] = self._heard.get(question.partition, OrderedDict())
         sent_since = max(question.silent_since, now - 2 * UNSERVED_ROUND)
-        return sum(
-            1
+        return {
+            machine
             for machine in question.machines
             if (row := heard.get(machine)) is not None
             and row.term == question.term
             and now - row.at < UNSERVED_ROUND
             and row.sent_after > sent_since
-        )
+        }
 
     def machines(self, now: datetime, led: Container[str]) -> dict[str, tuple[str, ...]]:
         """Return the machines heard lately, by partition, without the partitions that we lead."""
--- a/roadbend/fleet/leader.py
+++ b/roadbend/fleet/leader.py
@@ -14,7 +14,7 @@
 from roadbend.partitions.election import LeaderElection
 from roadbend.partitions.leadership import Leadership
 from roadbend.settings import OperatorSettings, PlatformSettings
-from roadbend.store.record_view import MachineAttempts
+from roadbend.store.record_view import MachineAttempts, RecordView
 from roadbend.store.records import Job
 
 
@@ -24,6 +24,7 @@
     settings: PlatformSettings
     operator: OperatorSettings
     election: LeaderElection
+    view: RecordView
 
 
 class LeaderHeartbeats(Protocol):
--- a/roadbend/fleet/service.py
+++ b/roadbend/fleet/service.py
@@ -6,12 +6,14 @@
 from roadbend import clock
 from roadbend.cloud.client import Cloud
 from roadbend.fleet import messages
+from roadbend.fleet.avoidance_policy import choose_other_controller, next_in_ring
 from roadbend.fleet.cloud_inventory import CloudInventory
 from roadbend.fleet.direct_commands import DirectCommands
 from roadbend.fleet.failure_detector import FailureDetector
 from roadbend.fleet.foreign_heartbeats import UNSERVED_ROUND, ForeignHeartbeats
 from roadbend.fleet.leader import Controller, Leader
 from roadbend.fleet.messages import WorkerHeartbeat
+from roadbend.fleet.silent_leaders import SilentLeaders
 from roadbend.fleet.zone_reachability import ZoneReachability
 from roadbend.http.net import Net
 from roadbend.http.server import MalformedError, Request, Response, decode
@@ -35,6 +37,7 @@
     ) -> None:
         self._controller, self._peers, self._leaders = controller, peers, leaders
         self.foreign_heartbeats = ForeignHeartbeats()
+        self.silent_leaders = SilentLeaders(controller, peers, self._find_unserved)
         self.inventory = CloudInventory()
         self.reachability = ZoneReachability(controller, self.inventory)
         self.commands = DirectCommands(controller, net, leaders)
@@ -93,19 +96,37 @@
         if heartbeat.zone not in election.partitions():
             return _refused(503, "no such part")
         self.foreign_heartbeats.note(heartbeat, now, sent_after)
-        leader = election.leader_of(heartbeat.zone)
-        if leader is None or leader == self._controller.settings.name:
+        target = self._choose_redirect(heartbeat.zone, now)
+        if target is None:
             return _refused(503, "no owner yet")
-        return Response(421, messages.redirect(leader))
+        return Response(421, messages.redirect(target))
+
+    def _choose_redirect(self, partition: str, now: datetime) -> str | None:
+        """Choose the controller to which a worker is redirected; None: it asks the next one."""
+        name = self._controller.settings.name
+        leader = self._controller.election.leader_of(partition)
+        if leader == name:
+            leader = None
+        if not self.silent_leaders.is_avoided(partition, now):
+            return leader
+        names = {name, *self._peers.links}
+        other = choose_other_controller(name, {name, *self._peers.alive(now)}, names)
+        if other is None:
+            return leader
+        return None if other == next_in_ring(name, names) else other
 
     def count_unserved(self, question: UnservedQuestion, now: datetime) -> int:
-        """Count which machines of a silent leader have lately turned to us.
+        """Count which machines of a silent leader have lately turned to us."""
+        return len(self._find_unserved(question, now))
+
+    def _find_unserved(self, question: UnservedQuestion, now: datetime) -> set[str]:
+        """Return which machines of a silent leader have lately turned to us.
 
-        After a pause of this process none counts: what came meanwhile looks as if it came now.
+        After a pause of this process none has: what came meanwhile looks as if it came now.
         """
         if self.failure_detector.paused_since(now - UNSERVED_ROUND):
-            return 0
-        return self.foreign_heartbeats.count_unserved(question, now)
+            return set()
+        return self.foreign_heartbeats.find_unserved(question, now)
 
     def heard(self, now: datetime) -> dict[str, tuple[str, ...]]:
         """Return the machines of other leaders' partitions that we hear, by partition."""
@@ -113,12 +134,7 @@
 
     def heard_elsewhere(self, partition: str, machine: str, now: datetime) -> bool:
         """Whether a peer tells that it hears a machine of a partition."""
-        return any(
-            link.alive(now)
-            and link.known.heartbeat is not None
-            and machine in link.known.heartbeat.heard_machines.get(partition, ())
-            for link in self._peers.links.values()
-        )
+        return any(machine in names for names in self._peers.heard_machines(partition, now))
 
 
 def _refused(status: int, error: str) -> Response:
--- a/roadbend/peers/links.py
+++ b/roadbend/peers/links.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import random
+from collections.abc import Iterator
 from datetime import datetime, timedelta
 from typing import Protocol
 
@@ -208,6 +209,12 @@
         """List the controllers that were heard lately."""
         return [name for name, link in self.links.items() if link.alive(now)]
 
+    def heard_machines(self, partition: str, now: datetime) -> Iterator[tuple[str, ...]]:
+        """Yield which machines of a partition each live controller hears without leading it."""
+        for link in self.links.values():
+            if link.alive(now) and link.known.heartbeat is not None:
+                yield link.known.heartbeat.heard_machines.get(partition, ())
+
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Answer the calls of one connection until it ends."""
         if self._incoming >= MAX_INCOMING:
