An acquisition that an outage of the state store interrupts is carried through

Callers saw running tasks begin again: a controller has written its term for a partition, the state store goes out before it has read the records, and once the store is back nobody leads the partition for 3.1 s more.

Cause: a leader record of ours without a leadership is released, as if we had given the partition up; then the others wait for takeover-grace.

Evidence, by a trace of a drawn moment: term written at 5.35 s, store out from 5.45 to 14.02, record released at 14.62, leases expire at 16.10 and 17.55, partition acquired at 17.72.

Why it works: the acquisition remembers the term that it writes until it leads under it, and such a record is acquired anew, as one from before a restart is. Interrupted a second time it is released, so nobody holds a partition for good.

--- a/roadbend/partitions/acquisition.py
+++ b/roadbend/partitions/acquisition.py
@@ -38,6 +38,8 @@
         self._incarnation = incarnation
         self._write_timeout = write_timeout
         self._records = records
+        # The last terms that we have written, or may have, and have not led under, by partition.
+        self.unconfirmed_terms: dict[str, int] = {}
 
     async def acquire(self, request: AcquisitionRequest) -> TermRecord | None:
         """Acquire a partition under a new term; return None if somebody else was faster.
@@ -47,8 +49,8 @@
         partition = request.partition
         term = await self._write_new_term(request)
         # Whatever was written before our term must be in the view before we act on it. Where it
-        # can't be read, the partition is not ours: the record that we wrote is released as soon as
-        # the records can be read again.
+        # can't be read, the partition is not ours: it is acquired anew as soon as the records can
+        # be read again.
         if term is None or not await self._records.read():
             return None
         recorded = self._records.view.terms.get(partition)
@@ -58,6 +60,7 @@
             or recorded.controller != self._controller
         ):
             return None
+        self.unconfirmed_terms.pop(partition, None)
         return recorded
 
     async def release(self, partition: str) -> None:
@@ -88,6 +91,7 @@
             term_key: last.mod_revision if last else 0,
             leader_key: request.leader_mod_revision,
         }
+        self._note_unconfirmed(partition, number)
         try:
             await self._records.write(conditions, changes, within=self._write_timeout)
         except ConflictError:
@@ -99,6 +103,16 @@
             return written
         return TermRecord(number, self._controller)
 
+    def _note_unconfirmed(self, partition: str, number: int) -> None:
+        """Note a term before it is written, unless this carries an interrupted one through.
+
+        A controller that is interrupted twice leaves the partition to others.
+        """
+        interrupted = self.unconfirmed_terms.pop(partition, None)
+        recorded = self._records.view.partition_leaders.get(partition)
+        if recorded is None or recorded.term != interrupted:
+            self.unconfirmed_terms[partition] = number
+
     async def _find_own_term(self, partition: str) -> TermRecord | None:
         """Read the records anew; return the partition's term if this incarnation has written it."""
         if not await self._records.read():
--- a/roadbend/partitions/election.py
+++ b/roadbend/partitions/election.py
@@ -82,7 +82,9 @@
         self._acquisition = Acquisition(settings.name, incarnation, operator.own_lease / 2, records)
         self._live_controllers = LiveControllers(settings, incarnation, view, peers)
         self._hold_offs = HoldOffs()
-        self.observer = PartitionObserver(operator, view, self._hold_offs)
+        self.observer = PartitionObserver(
+            operator, view, self._hold_offs, self._acquisition.unconfirmed_terms
+        )
 
     def partitions(self) -> list[str]:
         """List all partitions: the zones of settings, controllers and machine types."""
--- a/roadbend/partitions/election_state.py
+++ b/roadbend/partitions/election_state.py
@@ -98,3 +98,5 @@
     gangs_at_risk_since: datetime | None = None
     # Whether we once gave it up because its workers did not reach us.
     was_unreachable: bool = False
+    # Whether the leader record, if it is ours, is from an acquisition that was interrupted.
+    is_unconfirmed: bool = False
--- a/roadbend/partitions/partition_observation.py
+++ b/roadbend/partitions/partition_observation.py
@@ -1,6 +1,8 @@
 """Observe partitions: who leads each, since when nobody does, and whom its machines turn to."""
 
+from collections.abc import Mapping
 from datetime import datetime
+from types import MappingProxyType
 
 from roadbend.partitions import silent_leader
 from roadbend.partitions.election_state import ControllersState, PartitionState
@@ -21,10 +23,18 @@
 class PartitionObserver:
     """What this controller knows of each partition, from the records and from machines."""
 
-    def __init__(self, operator: OperatorSettings, view: RecordView, hold_offs: HoldOffs) -> None:
+    def __init__(
+        self,
+        operator: OperatorSettings,
+        view: RecordView,
+        hold_offs: HoldOffs,
+        unconfirmed_terms: Mapping[str, int] = MappingProxyType({}),
+    ) -> None:
         # Set by who hears the machines.
         self.count_unserved: CountUnserved = count_none
         self._operator, self._view, self._hold_offs = operator, view, hold_offs
+        # The terms that we may have written without leading under them, by partition.
+        self._unconfirmed_terms = unconfirmed_terms
         # Since when partitions have had no leader.
         self._leaderless_since: dict[str, datetime] = {}
         # Partitions of which the records have named a leader.
@@ -71,8 +81,14 @@
             holds_gangs=holds_gangs,
             gangs_at_risk_since=self._note_gangs_at_risk(partition, holds_gangs, now),
             was_unreachable=self._hold_offs.was_unreachable(partition),
+            is_unconfirmed=self._is_unconfirmed(partition),
         )
 
+    def _is_unconfirmed(self, partition: str) -> bool:
+        """Tell whether the leader record is one that we wrote without leading under its term."""
+        recorded = self._view.partition_leaders.get(partition)
+        return recorded is not None and recorded.term == self._unconfirmed_terms.get(partition)
+
     def _holds_gangs(self, partition: str, controllers: ControllersState) -> bool:
         """Tell whether a partition holds or runs tasks of gangs.
 
--- a/roadbend/partitions/policy.py
+++ b/roadbend/partitions/policy.py
@@ -55,7 +55,8 @@
         # Ours from before a restart: it is acquired at once, under a new term.
         return Decision(Action.ACQUIRE)
     if leadership is None:
-        return Decision(Action.RELEASE)
+        # What we gave up is released; an acquisition that was interrupted is carried through.
+        return Decision(Action.ACQUIRE if partition.is_unconfirmed else Action.RELEASE)
     if partition.lost_term >= leadership.term:
         return Decision(Action.RAISE_TERM)
     home = _failback_target(partition, leadership, controllers, operator, now)
--- a/roadbend/partitions/test_policy.py
+++ b/roadbend/partitions/test_policy.py
@@ -92,6 +92,8 @@
     assert decision(partition(recorded=OURS)) == Decision(Action.RELEASE)
     former = replace(OURS, incarnation="i0")
     assert decision(partition(recorded=former)) == Decision(Action.ACQUIRE)
+    unconfirmed = partition(recorded=OURS, is_unconfirmed=True)
+    assert decision(unconfirmed) == Decision(Action.ACQUIRE)
 
 
 @pytest.mark.parametrize("lost_term, raised", [(0, False), (6, False), (7, True), (8, True)])
