--- a/tests/scenarios/test_workers_of_silent_leaders.py
+++ b/tests/scenarios/test_workers_of_silent_leaders.py
@@ -119,6 +119,20 @@
         assert len(w.board.starts) == started
 
 
+@pytest.mark.parametrize("cut_s, outage", [(20, 0), (20, 4), (20, 8), (60, 0)])
+async def test_no_task_begins_again_when_a_leader_loses_its_workers_alone(cut_s, outage):
+    """Guards against a partition that waits for a leader which its workers do not reach."""
+    async with world(teams=TEAMS) as w:
+        started = await run_tasks(w)
+        pairs = [("node-0", machine) for machine in w.cloud.machines]
+        w.nursery.start_soon(w.cut_pairs, pairs, cut_s)
+        await trio.sleep(OUTAGE_AFTER_S)
+        await w.outage(outage)
+        await trio.sleep(cut_s + 30)
+        assert await w.settled()
+        assert len(w.board.starts) == started
+
+
 @pytest.mark.parametrize("older_at", [1, 2])
 @pytest.mark.parametrize(
     "older", [PreviousVersionController, Version0100Controller], ids=["production", "0.10.0"]
