A worker's timing by the protocol stands in one place; a method that only tests called goes

ForeignHeartbeats.count_unserved had no caller left but its tests, which count what find_unserved returns; each assertion is as it was.

No behaviour changes: the values are the same.

--- a/roadbend/fleet/avoidance_policy.py
+++ b/roadbend/fleet/avoidance_policy.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from roadbend.fleet import worker_timing
+from roadbend.fleet.machines import HEARTBEAT_JITTER
 from roadbend.peers.links import HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT
 from roadbend.settings import OperatorSettings, PlatformSettings
 
@@ -29,9 +30,9 @@
     A leader that falls silent has renewed each worker's lease within the longest heartbeat
     interval before.
     """
-    longest_interval = settings.heartbeat_interval * worker_timing.MAX_INTERVAL_FACTOR
+    longest_interval = settings.heartbeat_interval * HEARTBEAT_JITTER
     first_expiry = settings.lease - longest_interval
-    failed_heartbeat = worker_timing.ANSWER_TIMEOUT + worker_timing.RETRY_PAUSE
+    failed_heartbeat = worker_timing.WORKER_ANSWER_TIMEOUT + worker_timing.RETRY_PAUSE
     told_within = HEARTBEAT_INTERVAL + HEARTBEAT_TIMEOUT
     return AvoidanceLimits(
         min_silence=max(
--- a/roadbend/fleet/foreign_heartbeats.py
+++ b/roadbend/fleet/foreign_heartbeats.py
@@ -64,10 +64,6 @@
         """Return when a machine was last heard; raise `KeyError` if it was not."""
         return self._heard[partition][machine]
 
-    def count_unserved(self, question: UnservedQuestion, now: datetime) -> int:
-        """Count the machines of `find_unserved`."""
-        return len(self.find_unserved(question, now))
-
     def find_unserved(self, question: UnservedQuestion, now: datetime) -> set[str]:
         """Return which machines have lately turned to us, so that their leader does not serve them.
 
--- a/roadbend/fleet/test_avoidance_policy.py
+++ b/roadbend/fleet/test_avoidance_policy.py
@@ -13,6 +13,7 @@
     choose_other_controller,
     next_in_ring,
 )
+from roadbend.fleet.machines import HEARTBEAT_JITTER
 from roadbend.settings import OperatorSettings
 
 S = timedelta(seconds=1)
@@ -23,7 +24,7 @@
 def test_a_worker_that_was_redirected_in_vain_is_back_before_its_lease_ends():
     """Guards against a redirect that outlasts the lease of the worker."""
     limits = avoidance_limits(SETTINGS, OPERATOR)
-    renewed_at_the_earliest = -SETTINGS.heartbeat_interval * worker_timing.MAX_INTERVAL_FACTOR
+    renewed_at_the_earliest = -SETTINGS.heartbeat_interval * HEARTBEAT_JITTER
     back_at = limits.min_silence + worker_timing.MAX_FAILED_REDIRECT
     assert back_at <= renewed_at_the_earliest + SETTINGS.lease
     assert limits.max_silence > SETTINGS.lease
--- a/roadbend/fleet/test_foreign_heartbeats.py
+++ b/roadbend/fleet/test_foreign_heartbeats.py
@@ -74,7 +74,7 @@
 ):
     """Guards against replacing a leader on the word of a heartbeat that proves nothing."""
     foreign = noted((changes, came, sent_after))
-    assert foreign.count_unserved(QUESTION, T) == counted
+    assert len(foreign.find_unserved(QUESTION, T)) == counted
 
 
 def test_a_copy_does_not_make_a_machine_turn_to_us_again():
@@ -83,23 +83,23 @@
     copy = ({}, T, T - S)
     older = ({"position": HeartbeatPosition(1, 49)}, T, T - S)
     foreign = noted(({}, long_ago, long_ago), copy, older)
-    assert foreign.count_unserved(QUESTION, T) == 0
+    assert len(foreign.find_unserved(QUESTION, T)) == 0
 
 
 def test_what_is_held_back_for_longer_than_two_rounds_does_not_count():
     """Guards against a leader that is silent to us for long and serves its workers."""
     question = replace(QUESTION, silent_since=T - 600 * S)
     sent_after = T - 2 * UNSERVED_ROUND
-    assert noted(({}, T, sent_after)).count_unserved(question, T) == 0
-    assert noted(({}, T, sent_after + S)).count_unserved(question, T) == 1
+    assert len(noted(({}, T, sent_after)).find_unserved(question, T)) == 0
+    assert len(noted(({}, T, sent_after + S)).find_unserved(question, T)) == 1
 
 
 def test_a_machine_that_came_a_round_ago_may_be_served_again():
     """Guards against workers that found their leader again and count as unserved."""
     question = replace(QUESTION, silent_since=T - 600 * S)
     came = T - UNSERVED_ROUND
-    assert noted(({}, came, came)).count_unserved(question, T) == 0
-    assert noted(({}, came + S, came)).count_unserved(question, T) == 1
+    assert len(noted(({}, came, came)).find_unserved(question, T)) == 0
+    assert len(noted(({}, came + S, came)).find_unserved(question, T)) == 1
 
 
 async def test_nothing_counts_for_a_round_after_a_pause_of_this_process():
--- a/roadbend/placement/starts_in_doubt.py
+++ b/roadbend/placement/starts_in_doubt.py
@@ -15,12 +15,11 @@
 from roadbend.fleet.machines import DirectStart, Machine
 from roadbend.fleet.messages import HeartbeatPosition, StartTask, WorkerOrder
 from roadbend.fleet.terminations import TaskKey
+from roadbend.fleet.worker_timing import WORKER_ANSWER_TIMEOUT
 from roadbend.placement.partition_records import PartitionRecords
 from roadbend.store.records import Attempt
 
-# A worker drops the answer to a heartbeat that comes later than this after it sent the heartbeat.
-WORKER_ANSWER_TIMEOUT = timedelta(seconds=4)
-# Added to it, beside clock drift.
+# Added to a worker's timeout for answers, beside clock drift.
 ANSWER_MARGIN = timedelta(milliseconds=100)
 # How often starts are looked through for settled ones.
 TIDY_INTERVAL = timedelta(seconds=1)
