--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -39,6 +39,8 @@
 # A case may take 120 s.
 CASE_TIMEOUT_S = 114.0
 HTTP_OK = 200
+# Addresses for what a case puts around the controllers.
+SPARE_ADDRESSES = 8
 # Exit statuses: the rule held, the rule was broken, the case could not run.
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
@@ -79,7 +81,9 @@
         self.record = record
         self._limits = limits or Limits()
         self._teams = teams
-        ports = free_addresses(2 * CONTROLLER_COUNT + 3)
+        # All at once, as none of them is in use before the start.
+        ports = free_addresses(2 * CONTROLLER_COUNT + 3 + SPARE_ADDRESSES)
+        self.spare_addresses = [ports.pop() for _ in range(SPARE_ADDRESSES)]
         self.addresses = Addresses(
             ports[:CONTROLLER_COUNT], ports[CONTROLLER_COUNT : 2 * CONTROLLER_COUNT], *ports[-3:]
         )
@@ -91,6 +95,8 @@
         self._folder = tempfile.TemporaryDirectory(prefix="roadbend-review-")
         self._logs: list[Any] = []
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
+        # Changes the settings file of a controller, given its index, before it is written.
+        self.edit_settings: Callable[[int, str], str] = lambda _index, text: text
         self._net = Net()
 
     async def start(self) -> None:
@@ -103,7 +109,7 @@
         """Start one controller with its settings file."""
         folder = Path(self._folder.name)
         settings = folder / f"node-{index}.toml"
-        text = settings_text(index, self.addresses, self._limits)
+        text = self.edit_settings(index, settings_text(index, self.addresses, self._limits))
         added = "".join(
             f'[[deployment.teams]]\nname = "{team.name}"\ngpus = {team.gpus}\n'
             f"gpus_max = {team.gpus_max}\n"
@@ -164,6 +170,8 @@
                     status, _ = await self.call(index, "GET", "/up", quiet=True)
             self.record.add("all controllers are up")
             return True
+        ended = {index: process.poll() for index, process in self.processes.items()}
+        self.record.add(f"not all controllers are up; exit statuses: {ended}")
         return False
 
     async def submit(self, body: dict[str, Any], seconds: float | None) -> bool:
@@ -203,12 +211,15 @@
     case: Callable[[Deployment], Awaitable[int]],
     limits: Limits,
     teams: Sequence[Team],
+    prepare: Callable[[Deployment, trio.Nursery], Awaitable[None]] | None,
 ) -> int:
     result = COULD_NOT_RUN
     async with trio.open_nursery() as nursery:
         deployment = Deployment(nursery, record, limits, teams)
         try:
             with trio.move_on_after(CASE_TIMEOUT_S):
+                if prepare is not None:
+                    await prepare(deployment, nursery)
                 await deployment.start()
                 if await deployment.wait_until_up():
                     result = await case(deployment)
@@ -223,11 +234,15 @@
     case: Callable[[Deployment], Awaitable[int]],
     limits: Limits,
     teams: Sequence[Team] = (),
+    prepare: Callable[[Deployment, trio.Nursery], Awaitable[None]] | None = None,
 ) -> int:
-    """Run a case in a deployment; return its exit status. The record goes into `folder`."""
+    """Run a case in a deployment; return its exit status. The record goes into `folder`.
+
+    `prepare` is called before anything is started.
+    """
     record = Record(folder / "record.txt")
     try:
-        result = trio.run(_run, record, case, limits, teams)
+        result = trio.run(_run, record, case, limits, teams, prepare)
     except Exception:
         record.add(traceback.format_exc())
         result = COULD_NOT_RUN
