--- a/review/common/proxy.py
+++ b/review/common/proxy.py
@@ -10,7 +10,8 @@
 class HoldingProxy:
     """Forwards connections to one address, unless it holds everything back.
 
-    What is held back is delivered in order when the interruption ends, in both directions.
+    What is held back is delivered in order when the interruption ends, in both directions. A
+    connection that was attempted meanwhile does not complete later: it hangs, and is closed then.
     """
 
     def __init__(self, listen: str, target: str) -> None:
@@ -34,7 +35,10 @@
         await trio.serve_listeners(self._serve, listeners)
 
     async def _serve(self, client: trio.SocketStream) -> None:
-        await self._open.wait()
+        if not self._open.is_set():
+            await self._open.wait()
+            await client.aclose()
+            return
         host, port = self._target.split(":")
         with suppress(OSError):
             server = await trio.open_tcp_stream(host, int(port))
