--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,5 +1,6 @@
 """Case 5: three jobs with a mistake take every machine that runs a service out of use."""
 
+from http import HTTPStatus
 from pathlib import Path
 
 import trio
@@ -31,7 +32,7 @@
 # How long the mistaken jobs may go on before their user cancels them, and how long the last job is
 # watched.
 MISTAKEN_S, WATCH_S = 35.0, 55.0
-POLL_S = 5.0
+POLL_S, WITHDRAW_TRIES = 5.0, 8
 
 
 def service(number: int) -> dict[str, object]:
@@ -61,14 +62,11 @@
             return NOT_RUN
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_fail_mistaken, site)
-            is_played = await _play_mistaken(site)
-            has_started = is_played and await _run_last(site)
+            result = await _run_last(site) if await _play_mistaken(site) else NOT_RUN
             nursery.cancel_scope.cancel()
-        if not is_played:
-            return NOT_RUN
         for line in site.log_lines("machine-quarantined", "Traceback"):
             record.add(line)
-        return HELD if has_started else BROKEN
+        return result
 
 
 async def _fail_mistaken(site: Deployment) -> None:
@@ -92,39 +90,50 @@
 
 
 async def _play_mistaken(site: Deployment) -> bool:
-    """Submit the three jobs, and withdraw them after a while; return whether that worked."""
+    """Submit the three jobs, and withdraw them after a while; return whether all were answered."""
     for number in MISTAKEN:
         body = job_body(number, crew=TEAMS[2].name, legs=6, imageGb=0.5)
         if not await site.submit(body, RUNS_S):
             return False
     await trio.sleep(MISTAKEN_S)
     for number in MISTAKEN:
-        for attempt in range(30):
-            path = f"/v1/jobs/run-{number:06}/withdraw"
-            if (await site.call(attempt % 3, "POST", path, {}))[0] in (200, 404):
-                break
-            await trio.sleep(1)
+        if not await _withdraw(site, f"run-{number:06}"):
+            return False
     return True
 
 
-async def _run_last(site: Deployment) -> bool:
-    """Submit a sound job and return whether any of its tasks starts while it is watched."""
+async def _withdraw(site: Deployment, job: str) -> bool:
+    """Withdraw a job as its user repeats it; return whether that was answered."""
+    for attempt in range(WITHDRAW_TRIES):
+        path = f"/v1/jobs/{job}/withdraw"
+        if (await site.call(attempt % 3, "POST", path, {}))[0] == HTTPStatus.OK:
+            return True
+        await trio.sleep(1)
+    return False
+
+
+async def _run_last(site: Deployment) -> int:
+    """Submit a sound job and watch whether any of its tasks starts beside the services."""
     body = job_body(LAST, crew=TEAMS[1].name, legs=LAST_LEGS)
     if not await site.submit(body, RUNS_S):
-        return False
+        return NOT_RUN
+    has_room = True
     end = trio.current_time() + WATCH_S
     while trio.current_time() < end:
         await trio.sleep(POLL_S)
         await site.call(0, "GET", f"/v1/jobs/{body['id']}")
         started = {task for _, task, _ in site.board.starts if task.startswith(body["id"])}
-        machines = ", ".join(
-            f"{name}: {[t.name for t in w.tasks.values() if not t.ended]}"
-            for name, w in site.workers().items()
-        )
+        running = {
+            name: [task.name for task in worker.tasks.values() if not task.ended]
+            for name, worker in site.workers().items()
+        }
+        # Each machine runs its service and nothing else, so that there is room on all of them.
+        has_room = has_room and [len(tasks) for tasks in running.values()] == [1] * len(SERVICES)
+        machines = ", ".join(f"{name}: {tasks}" for name, tasks in running.items())
         site.record.add(f"{len(started)} of its {LAST_LEGS} tasks have started; {machines}")
         if started:
-            return True
-    return False
+            return HELD
+    return BROKEN if has_room else NOT_RUN
 
 
 if __name__ == "__main__":
--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -556,6 +556,8 @@
     """Play a case within its time, and exit with its result."""
     verdicts = names or {HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN", NOT_RUN: "not run"}
     record = Record(folder / "record.txt")
+    # A case that is ended from outside ends its processes as well.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
 
     async def play() -> int:
         with trio.move_on_after(115):
