Failures of mistaken jobs no longer take machines with services out of use

A sound job of another team, within its guarantee, then started nothing, beside six machines with room: not for a while, but until their services end or the controllers restart.

Cause: two things that nothing takes back. A failed task was counted against its machine for good, though it may be its job's mistake; only a task that is done there cleared the count, and services are never done. From three jobs on (`error-limit`) the machine was marked as draining, which was never undone either, and a machine with a service is never empty, so it was never replaced. The same holds for a machine that was faulty for a while.

Evidence, in memory, 60 s after the cancellation: the sound job has no excluded machine, no backoff, 48 startable tasks by its quota, and 11 CPUs, 1 GPU and 64 GB free on each machine; the machines have three failures and the mark. Clearing the failures alone changes nothing; clearing both, it runs within 20 s.

Change: the failures of the last 5 minutes are kept by job and machine (`FailureHistory`, bounded). One counts against its machine unless its job failed on several machines and nothing of it is known to run well, or ended so. A quarantine is derived from what counts, judged anew, and ends 60 s after the last failure (15 s while none of the jobs is known to run well); then the machine is tried, by other jobs first. An empty machine is replaced as before. A task that is done clears only what failed before it began: an older one says nothing of what its machine starts now.

Why this works: whatever the judgement, a quarantine ends within the 90 s that a job may wait.

--- a/roadbend/autoscaler/scale_in.py
+++ b/roadbend/autoscaler/scale_in.py
@@ -1,4 +1,4 @@
-"""Deletes machines that are not needed: idle ones, and those on which tasks keep failing."""
+"""Deletes empty machines: those that are not needed, and those on which tasks keep failing."""
 
 from datetime import datetime, timedelta
 from typing import NamedTuple
@@ -49,7 +49,7 @@
         tasks may be deleted. `precondition` is checked right before the request is sent. Raises the
         errors of `Cloud.delete_machines`.
         """
-        machine_ids = self._quarantine_and_list_drained(leader) + self._unneeded(
+        machine_ids = self._drained_or_faulty(leader) + self._unneeded(
             leader, now, warm_service, warm_surplus
         )
         if not machine_ids or not self._is_worth_a_request(leader, machine_ids, now):
@@ -84,21 +84,17 @@
         last = self._deleted_at.get(leader.partition, clock.ORIGIN)
         return len(machine_ids) >= MIN_DELETION_BATCH or now - last >= DELETION_BATCH_INTERVAL
 
-    def _quarantine_and_list_drained(self, leader: PartitionLeader) -> list[str]:
-        """Return the ids of the draining machines that have no tasks left.
-
-        Quarantines machines on which the tasks of several jobs failed: they are drained from now
-        on.
-        """
-        machine_ids = []
-        for machine in leader.machines.values():
-            failed = len(machine.failures) >= self._context.operator.error_limit
-            if failed and machine.lifecycle.draining is None:
-                machine.lifecycle.draining = "sick"
-                log.info("machine-quarantined", partition=leader.partition, machine=machine.id)
-            if machine.lifecycle.draining is not None and not _is_busy(leader, machine):
-                machine_ids.append(machine.id)
-        return machine_ids
+    def _drained_or_faulty(self, leader: PartitionLeader) -> list[str]:
+        """Return the ids of the draining machines, and those to be replaced, without tasks."""
+        return [
+            machine.id
+            for machine in leader.machines.values()
+            if (
+                machine.lifecycle.draining is not None
+                or leader.quarantine.should_replace(machine.id)
+            )
+            and not _is_busy(leader, machine)
+        ]
 
     def _unneeded(
         self,
@@ -121,6 +117,7 @@
             if machine.lifecycle.draining is None
             and machine.token.confirmed
             and machine.empty_since is not None
+            and not leader.quarantine.should_replace(machine.id)
             and machine.lifecycle.reclaim_at is None
             and not _is_busy(leader, machine)
         ]
--- a/roadbend/fakes/board.py
+++ b/roadbend/fakes/board.py
@@ -78,10 +78,14 @@
     rules: Rules | None = None
     # How long tasks run, in seconds, by job or by task; None: until they are stopped.
     lengths: dict[str, float | None] = field(default_factory=dict)
+    # Jobs that were submitted with a mistake: their tasks fail on every machine.
+    mistaken_jobs: set[str] = field(default_factory=set)
     # The machines on which each task is.
     machines_by_task: dict[str, set[str]] = field(default_factory=dict)
     # The time, task and machine of every start.
     starts: list[tuple[float, str, str]] = field(default_factory=list)
+    # The time, task and machine of every failure.
+    failures: list[tuple[float, str, str]] = field(default_factory=list)
     # Completed tasks; their results are stored outside the machines.
     completed: set[str] = field(default_factory=set)
     # Called with each task that completes.
@@ -131,6 +135,10 @@
         if self.rules is not None:
             self.rules.check_start_order(task, machine)
 
+    def record_failure(self, task: str, machine: str) -> None:
+        """Record that a task has failed on a machine."""
+        self.failures.append((trio.current_time(), task, machine))
+
     def record_completion(self, task: str) -> None:
         """Record that a task has completed."""
         job = task.rpartition("/")[0]
--- a/roadbend/fakes/fault_injection.py
+++ b/roadbend/fakes/fault_injection.py
@@ -37,6 +37,7 @@
     count: int
     call: Callable[..., Awaitable[tuple]]
     workers: Callable[[], list[FakeWorker]]
+    broken_machines: set[str]
     zones: tuple[str, ...]
     _base_settings: PlatformSettings
     # Called for every direct command, see `FakeWorker.command_delay`.
@@ -110,6 +111,17 @@
                 if worker.machine in machines:
                     nursery.start_soon(worker.hang, length)
 
+    async def break_machines(self, machines: list[str], length: float) -> None:
+        """Let every task fail that machines start; the tasks that run there already go on."""
+        broken = [worker for worker in self.workers() if worker.machine in machines]
+        self.broken_machines.update(machines)
+        for worker in broken:
+            worker.settings.broken = True
+        await trio.sleep(length)
+        self.broken_machines.difference_update(machines)
+        for worker in broken:
+            worker.settings.broken = False
+
     async def replay_heartbeats(self, share: float, length: float, rng: random.Random) -> None:
         """Deliver copies of a share of heartbeats again, at any controller.
 
--- a/roadbend/fakes/worker_tasks.py
+++ b/roadbend/fakes/worker_tasks.py
@@ -11,7 +11,7 @@
 
 # How often a gang's task checks the others, in seconds.
 GANG_POLL_INTERVAL_S = 0.05
-# How long a task runs on a broken machine before it fails, in seconds.
+# How long a task runs before it fails, on a broken machine or by a mistake of its job, in seconds.
 FAILURE_DELAY_S = 0.5
 # A gang's tasks notice a lost one after this share of the time that they have for it.
 LOSS_DETECTION_SHARE = 0.6
@@ -108,6 +108,8 @@
             self._board.record_removal(task.name, self._place.machine)
         if cause == "done":
             self._board.record_completion(task.name)
+        elif cause == "error":
+            self._board.record_failure(task.name, self._place.machine)
         task.state, task.cause = "ended", cause
         self._on_change()
 
@@ -148,7 +150,7 @@
             task.state, task.began = "running", trio.current_time()
             self._board.record_start(task.name, self._place)
             self._on_change()
-            if self._settings.broken:
+            if self._settings.broken or task.job in self._board.mistaken_jobs:
                 await trio.sleep(FAILURE_DELAY_S)
                 self.end(task, "error")
                 return
--- a/roadbend/fleet/heartbeat_evaluation.py
+++ b/roadbend/fleet/heartbeat_evaluation.py
@@ -142,7 +142,7 @@
     def evaluate_absent(self, key: tuple[str, int], job: str, attempt: Attempt) -> None:
         """Evaluate a recorded attempt that is absent from the heartbeat."""
         machine, expected = self.machine, self.expected
-        should_run = _should_run(machine, key, expected)
+        should_run = _should_run(machine, key, expected, self.now)
         if should_run and expected.may_start:
             # The attempt was recorded before the first order (write-ahead). Repeating the order is
             # harmless: the worker ignores an attempt that it already holds, and it is not ordered
@@ -178,13 +178,13 @@
     }
 
 
-def _should_run(machine: Machine, key: tuple[str, int], expected: MachineExpectation) -> bool:
+def _should_run(
+    machine: Machine, key: tuple[str, int], expected: MachineExpectation, now: datetime
+) -> bool:
     """Return whether a recorded task is still to run on its machine."""
     job = expected.jobs.get(key[0])
     held = job is not None and ranges.contains(job.allocation.get(expected.partition, ()), key[1])
-    lifecycle = machine.lifecycle
-    leaving = lifecycle.draining is not None or lifecycle.reclaim_at is not None
-    return held and key not in expected.stops and not leaving
+    return held and key not in expected.stops and machine.lifecycle.accepts_tasks(now)
 
 
 def _order_for_unrecorded(
--- a/roadbend/fleet/machines.py
+++ b/roadbend/fleet/machines.py
@@ -150,9 +150,19 @@
     reclaim_at: datetime | None = None
     # Why it is being drained.
     draining: str | None = None
+    # Until when it is given no tasks because tasks failed on it.
+    quarantined_until: datetime | None = None
     # Its deletion is in progress: no orders are sent to it, as the deletion could overtake them.
     fencing: bool = False
 
+    def is_quarantined(self, now: datetime) -> bool:
+        """Return whether it is kept out of use because tasks failed on it."""
+        return self.quarantined_until is not None and now < self.quarantined_until
+
+    def accepts_tasks(self, now: datetime) -> bool:
+        """Return whether it is neither about to be removed nor in quarantine."""
+        return self.draining is None and self.reclaim_at is None and not self.is_quarantined(now)
+
 
 @dataclass(slots=True)
 class HeartbeatEvaluationCache:
@@ -185,8 +195,6 @@
     tasks: dict[TaskKey, ObservedTask] = field(default_factory=dict)
     # Sizes in GB of the images that are presumably cached on it, most recently used last.
     images: dict[str, float] = field(default_factory=dict)
-    # Jobs of which a task failed here, with the time of the latest failure.
-    failures: dict[str, datetime] = field(default_factory=dict)
     empty_since: datetime | None = None
     unrecorded_tasks: int = 0
 
--- a/roadbend/placement/exclusions.py
+++ b/roadbend/placement/exclusions.py
@@ -19,8 +19,9 @@
         return bool(self._failed_on or self._excluded_types or self._machines_without_image)
 
     def exclude(self, job: str, machine: str, until: datetime) -> None:
-        """Exclude a machine for a job whose task just failed there."""
-        self._failed_on.setdefault(job, {})[machine] = until
+        """Exclude a machine for a job whose task failed there, at least until then."""
+        machines = self._failed_on.setdefault(job, {})
+        machines[machine] = max(until, machines.get(machine, until))
 
     def failed_on(self, job: str) -> Collection[str]:
         """Return the machines excluded for a job because its tasks failed there."""
--- a/roadbend/placement/leader.py
+++ b/roadbend/placement/leader.py
@@ -30,6 +30,7 @@
 from roadbend.placement.partition_state import PartitionState
 from roadbend.placement.pending_queue import PendingQueue
 from roadbend.placement.preemption import Preemption
+from roadbend.placement.quarantine import Quarantine
 from roadbend.placement.queue_projection import QueueProjections
 from roadbend.placement.quotas import Quotas
 from roadbend.placement.recovery_hooks import PartitionRecovery
@@ -79,6 +80,9 @@
         self.apart_gangs = ApartGangs(state)
         self.gangs = Gangs(state, self.apart_gangs)
         self.quotas = Quotas(state)
+        self.quarantine = Quarantine(
+            state.records, state.registry, state.failures, state.exclusions
+        )
         self.queue = PendingQueue(state, self.gangs)
         self.projections = QueueProjections(state, self.usable_machines, self.queue)
         self.heartbeats = HeartbeatHandler(state, self.gangs, self.steps, self.lock)
@@ -221,6 +225,7 @@
             self.stops.order_all_cancelled(now)
             self.gangs.abandon_incomplete_attempts(now)
             self._drop_obsolete(now)
+            self.quarantine.update(now)
             transaction = self.transactions.new_transaction()
             has_more = self._termination_recorder.record(transaction, now)
             has_more = self.recovery.adopt(transaction, now) or has_more
--- a/roadbend/placement/partition_state.py
+++ b/roadbend/placement/partition_state.py
@@ -10,6 +10,7 @@
 from roadbend.placement.direct_starts import DirectStarts, SendStarts
 from roadbend.placement.exclusions import PlacementExclusions
 from roadbend.placement.failure_backoff import FailureBackoff
+from roadbend.placement.failure_history import FailureHistory
 from roadbend.placement.gang_attempts import GangAttempts
 from roadbend.placement.machine_registry import MachineRegistry
 from roadbend.placement.partition_records import PartitionRecords
@@ -36,6 +37,7 @@
     terminations: Terminations = field(default_factory=Terminations)
     aging: JobAging = field(default_factory=JobAging)
     backoff: FailureBackoff = field(default_factory=FailureBackoff)
+    failures: FailureHistory = field(default_factory=FailureHistory)
     exclusions: PlacementExclusions = field(default_factory=PlacementExclusions)
     reservations: Reservations = field(default_factory=Reservations)
     gang_attempts: GangAttempts = field(default_factory=GangAttempts)
--- a/roadbend/placement/termination_effects.py
+++ b/roadbend/placement/termination_effects.py
@@ -2,6 +2,8 @@
 
 from datetime import datetime, timedelta
 
+from roadbend import clock
+from roadbend.fleet.machines import ObservedTask
 from roadbend.fleet.terminations import TaskKey, Termination
 from roadbend.log import Log
 from roadbend.placement import gangs
@@ -22,7 +24,7 @@
         self._records, self._context = state.records, state.records.context
         self._partition, self._machines = state.records.partition, state.registry.by_id
         self._gang_attempts, self._exclusions = state.gang_attempts, state.exclusions
-        self._backoff = state.backoff
+        self._backoff, self._failures = state.backoff, state.failures
 
     def apply(self, key: TaskKey, end: Termination, now: datetime) -> None:
         """Apply the effects of a recorded termination on its job, its gang and the machine."""
@@ -47,23 +49,31 @@
             self._exclusions.exclude(key.job, end.machine, now + EXCLUSION)
 
     def _apply_done(self, key: TaskKey, machine_id: str) -> None:
-        machine = self._machines.get(machine_id)
-        if machine is not None:
-            machine.failures.clear()
-            reported, job = machine.tasks.get(key), self._context.view.jobs.get(key.job)
-            if job is not None and reported is not None and reported.running_since is not None:
-                self._context.run_times.record_run(job, reported.since - reported.running_since)
+        observed, job = self._observed(key, machine_id), self._context.view.jobs.get(key.job)
+        if observed is not None and observed.running_since is not None:
+            # What failed before this task began is no sign of a fault that the machine still has.
+            self._failures.drop_before(machine_id, observed.running_since)
+            if job is not None:
+                self._context.run_times.record_run(job, observed.since - observed.running_since)
+        self._failures.mark_succeeded(key.job)
         self._backoff.clear(key.job)
 
     def _apply_error(self, key: TaskKey, machine_id: str, now: datetime) -> None:
         self._exclusions.exclude(key.job, machine_id, now + EXCLUSION_AFTER_ERROR)
-        machine = self._machines.get(machine_id)
-        if machine is not None:
-            machine.failures[key.job] = now
+        observed, ran_for = self._observed(key, machine_id), clock.ZERO
+        if observed is not None and observed.running_since is not None:
+            ran_for = observed.since - observed.running_since
+        self._failures.record(key.job, machine_id, ran_for, now)
         log.info(
             "task-failed",
             partition=self._partition,
             task=f"{key.job}/{key.task_index}",
             machine=machine_id,
+            ran_for_s=f"{ran_for.total_seconds():.1f}",
             failures=self._backoff.record_failure(key.job, now),
         )
+
+    def _observed(self, key: TaskKey, machine_id: str) -> ObservedTask | None:
+        """Return a task as its machine last reported it."""
+        machine = self._machines.get(machine_id)
+        return machine.tasks.get(key) if machine is not None else None
--- a/roadbend/placement/usable_machines.py
+++ b/roadbend/placement/usable_machines.py
@@ -79,15 +79,13 @@
         """Return whether a machine may be given tasks."""
         lifecycle, token = machine.lifecycle, machine.token
         return (
-            lifecycle.draining is None
-            and lifecycle.reclaim_at is None
+            lifecycle.accepts_tasks(now)
             and not lifecycle.fencing
             and machine.unrecorded_tasks == 0
             # Until a machine's heartbeats carry our token, they may be late copies of former
             # ones; those of a machine created in this term that registers now can't be.
             and (token.confirmed or token.newly_created)
             and machine.contact.is_responsive(now, silent_after)
-            and len(machine.failures) < self._context.operator.error_limit
         )
 
     def _released(self, ended: Iterable[TaskKey]) -> dict[str, list[Resources]]:
--- a/roadbend/settings/operator_settings.py
+++ b/roadbend/settings/operator_settings.py
@@ -116,7 +116,10 @@
         "time without a started task after which a job is starved and goes before its peers",
     )
     error_limit: int = number(
-        3, 1, 100, "failures of different jobs after which a machine is replaced"
+        3,
+        1,
+        100,
+        "failures of different jobs after which a machine is quarantined, or replaced if empty",
     )
     state_margin: timedelta = seconds(
         2.0, 0.2, 30, "safety margin in time limits that depend on leases"
