The search has faulty machines and mistaken jobs

Cause: a quarantine may now begin and end at any time, also between the record of a start and its order. The search for broken rules had no failing tasks, so it never came there.

Change: two kinds, `broken-machines` and `mistaken-jobs`, which come only where `--kinds` names them, so that the seeds keep their runs. Three seeds of them are in the suite.

--- a/roadbend/checkers/search_faults.py
+++ b/roadbend/checkers/search_faults.py
@@ -9,11 +9,15 @@
 import trio
 
 from roadbend.checkers.protocol_rules import CANCEL_SUFFIX, JOBS_PATH
+from roadbend.fakes import submission
 from roadbend.fakes.world import World
 
 # The share of jobs that are cancelled as they start, and how long their users repeat the requests,
 # in seconds.
 CANCELLED_STARTS_SHARE, CANCELLATION_TIMEOUT_S = 0.5, 60.0
+# How many mistaken jobs are submitted at once, how many tasks each has at most, and the bounds for
+# the number of the first; the jobs of a run have lower numbers.
+MISTAKEN_JOBS, MAX_MISTAKEN_TASKS, FIRST_MISTAKEN_JOB = 4, 6, (10_000, 990_000)
 # How long a controller is down at most before it returns in an older version, in seconds.
 MAX_OLDER_VERSION_DOWNTIME_S = 12.0
 
@@ -229,6 +233,10 @@
         """Keep some machines from opening connections."""
         await self.world.block_outbound(self.some_machines(rng), length)
 
+    async def break_machines(self, length: float, rng: random.Random) -> None:
+        """Let every task fail that some machines start."""
+        await self.world.break_machines(self.some_machines(rng), length)
+
     async def reboot(self, _length: float, rng: random.Random) -> None:
         """Restart some machines."""
         for machine in self.some_machines(rng):
@@ -308,6 +316,21 @@
                 await self.world.call(self.draw_index(rng), method, target, body)
             await trio.sleep(rng.uniform(0.01, 0.3))
 
+    async def mistaken_jobs(self, length: float, rng: random.Random) -> None:
+        """Submit jobs whose tasks fail on every machine, and cancel them after `length`."""
+        first = rng.randrange(*FIRST_MISTAKEN_JOB)
+        bodies = [
+            submission.job(first + offset, legs=rng.randint(1, MAX_MISTAKEN_TASKS), dueS=None)
+            for offset in range(MISTAKEN_JOBS)
+        ]
+        async with trio.open_nursery() as nursery:
+            for body in bodies:
+                self.world.board.mistaken_jobs.add(body["id"])
+                nursery.start_soon(self.world.submit, self.draw_index(rng), body)
+            await trio.sleep(length)
+            for body in bodies:
+                nursery.start_soon(self._request_until_cancelled, body["id"], rng)
+
     async def cancel(self, _length: float, rng: random.Random) -> None:
         """Cancel some jobs at once, each at any controller."""
         job_ids = [
@@ -354,6 +377,7 @@
     "hang": Kind(Deployment.hang, (0.5, 40.0)),
     "deaf": Kind(Deployment.block_inbound, (1.0, 45.0)),
     "mute": Kind(Deployment.block_outbound, (1.0, 45.0)),
+    "broken-machines": Kind(Deployment.break_machines, (20.0, 60.0)),
     "reboot": Kind(Deployment.reboot, (0.1, 0.2)),
     "die": Kind(Deployment.die, (0.1, 0.2)),
     "notice": Kind(Deployment.notice, (3.0, 30.0)),
@@ -363,8 +387,16 @@
     "late-copies": Kind(Deployment.repeat_commands, (20.0, 60.0)),
     "cancel": Kind(Deployment.cancel, (0.1, 0.2)),
     "cancel-starts": Kind(Deployment.cancel_starts, (5.0, 20.0)),
+    "mistaken-jobs": Kind(Deployment.mistaken_jobs, (5.0, 40.0)),
 }
 
 # Kinds that are drawn only if `--kinds` names them, so that a seed still gives the same run as
 # before they were added.
-ONLY_ON_REQUEST = {"crash-all", "older-version", "cancel-starts", "late-copies"}
+ONLY_ON_REQUEST = {
+    "broken-machines",
+    "cancel-starts",
+    "crash-all",
+    "late-copies",
+    "mistaken-jobs",
+    "older-version",
+}
--- a/roadbend/checkers/test_search.py
+++ b/roadbend/checkers/test_search.py
@@ -48,6 +48,13 @@
     assert search_runs.play_alone(run) == [], [str(fault) for fault in run.faults]
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_runs_with_faulty_machines_and_mistaken_jobs_break_no_rule(seed):
+    """Guards against quarantines, which begin and end at any time, that let a task run twice."""
+    run = search_runs.draw_with(seed, ("broken-machines", "mistaken-jobs"))
+    assert search_runs.play_alone(run) == [], [str(fault) for fault in run.faults]
+
+
 def test_the_run_that_showed_a_task_in_two_places_breaks_no_rule_any_more():
     """Guards against a double start that the search found in 0.6.0 (seed 53).
 
