The fakes follow all rules of the linter and strict types; scenarios' doc comments, too

Change: types and doc comments where they were missing, named constants, an enumeration of unusual requests in place of numbers, and `Port` is a `Net`. Random draws and the order of events are as before.

--- a/roadbend/fakes/__main__.py
+++ b/roadbend/fakes/__main__.py
@@ -1,6 +1,7 @@
 """Runs the fakes on loopback: `python3 -m roadbend.fakes DIR`."""
 
 import argparse
+import contextlib
 import sys
 from pathlib import Path
 
@@ -39,10 +40,8 @@
     parser.add_argument("directory", type=Path, help="where the settings files are written")
     arguments = parser.parse_args()
     paths = write_settings(arguments.directory, ADDRESSES, Limits())
-    try:
+    with contextlib.suppress(KeyboardInterrupt):
         trio.run(serve, paths)
-    except KeyboardInterrupt:
-        pass
     return 0
 
 
--- a/roadbend/fakes/cloud.py
+++ b/roadbend/fakes/cloud.py
@@ -34,10 +34,10 @@
     def __init__(
         self,
         nursery: trio.Nursery,
-        machine_types: list[dict],
+        machine_types: list[dict[str, Any]],
         capacity: int,
         make_worker: Callable[..., Any],
-    ):
+    ) -> None:
         """Create an empty cloud.
 
         `capacity`: how many machines there can be of each type and zone, on demand and spot each.
@@ -66,7 +66,8 @@
     def _boot_s(self, machine_type: str) -> float:
         if self.boot_seconds is not None:
             return self.boot_seconds
-        return next(row["startupS"] for row in self._machine_types if row["name"] == machine_type)
+        rows = (row for row in self._machine_types if row["name"] == machine_type)
+        return float(next(rows)["startupS"])
 
     async def _boot(self, machine: CloudMachine) -> None:
         with trio.CancelScope() as machine.scope:
@@ -81,12 +82,15 @@
 
     def reboot(self, name: str) -> None:
         """Restart a machine at once; it loses its tasks, and its counters start again."""
-        self.machines[name].incarnation.cancel()
+        incarnation = self.machines[name].incarnation
+        assert incarnation is not None, "a machine restarts only while it runs"
+        incarnation.cancel()
 
     def kill(self, name: str) -> None:
         """End a machine and all tasks on it; it is listed as failed."""
         machine = self.machines[name]
         machine.status = "failed"
+        assert machine.scope is not None, "a machine boots as soon as it is created"
         machine.scope.cancel()
 
     async def handle(self, request: Request, host: str = "") -> Response:
@@ -133,7 +137,7 @@
         ]
         return Response(200, {"hitches": listed, "more": len(remaining) > MAX_PAGE_SIZE})
 
-    def _create(self, body: dict) -> Response:
+    def _create(self, body: dict[str, Any]) -> Response:
         creation_id = body["hire"]
         if creation_id in self._created_by_request:
             return Response(200, {"hitches": self._created_by_request[creation_id]})
--- a/roadbend/fakes/collector.py
+++ b/roadbend/fakes/collector.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import threading
+from http import HTTPStatus
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
 
 from opentelemetry.proto.collector.trace.v1.trace_service_pb2 import ExportTraceServiceRequest
 
+# The lengths of ids by the W3C's Trace Context.
+TRACE_ID_BYTES, SPAN_ID_BYTES = 16, 8
+
 
 class FakeCollector:
     """Stores received spans. It can be set to refuse requests with `status`.
@@ -15,16 +20,16 @@
     """
 
     def __init__(self) -> None:
-        self.spans: list = []
+        self.spans: list[Any] = []
         self.resources: list[dict[str, str]] = []
         self.problems: list[str] = []
-        self.status = 200
+        self.status = int(HTTPStatus.OK)
         self.hang = threading.Event()
         self.hang.set()
         collector = self
 
         class Handler(BaseHTTPRequestHandler):
-            def do_POST(self) -> None:  # noqa: N802
+            def do_POST(self) -> None:
                 collector._handle(self)
 
             def log_message(self, *_: object) -> None:
@@ -43,7 +48,7 @@
     def _handle(self, handler: BaseHTTPRequestHandler) -> None:
         body = handler.rfile.read(int(handler.headers["content-length"]))
         self.hang.wait()
-        if self.status == 200:
+        if self.status == HTTPStatus.OK:
             self._read(handler, body)
         handler.send_response(self.status)
         handler.send_header("content-length", "0")
@@ -59,7 +64,7 @@
             for scope in resource.scope_spans:
                 self.spans.extend(scope.spans)
         for span in self.spans:
-            if len(span.trace_id) != 16 or len(span.span_id) != 8:
+            if len(span.trace_id) != TRACE_ID_BYTES or len(span.span_id) != SPAN_ID_BYTES:
                 self.problems.append(f"ids of {span.name}")
             if not 0 < span.start_time_unix_nano <= span.end_time_unix_nano:
                 self.problems.append(f"times of {span.name}")
--- a/roadbend/fakes/fault_injection.py
+++ b/roadbend/fakes/fault_injection.py
@@ -1,11 +1,13 @@
-"""Fault injection for a deployment in memory: outages, network partitions, hung machines, and late
-messages. Each method runs for as long as its fault lasts and ends the fault before it returns.
+"""Fault injection for a deployment in memory.
+
+There are outages, network partitions, hung and broken machines, and late messages. Each method runs
+for as long as its fault lasts and ends the fault before it returns.
 """
 
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -35,7 +37,7 @@
     cloud: FakeCloud
     nursery: trio.Nursery
     count: int
-    call: Callable[..., Awaitable[tuple]]
+    call: Callable[..., Awaitable[tuple[int, Any]]]
     workers: Callable[[], list[FakeWorker]]
     broken_machines: set[str]
     zones: tuple[str, ...]
@@ -43,7 +45,7 @@
     # Called for every direct command, see `FakeWorker.command_delay`.
     _command_delay: Callable[[], float | None] | None = None
     # Called with the machine and the body of every direct command that was executed.
-    _copy_command: Callable[[str, dict], None] | None = None
+    _copy_command: Callable[[str, dict[str, Any]], None] | None = None
 
     async def outage(self, length: float) -> None:
         """Take the state store down; every lease is renewed at the end."""
@@ -128,11 +130,11 @@
         They arrive from 2 s to well over a lease late.
         """
 
-        async def deliver(body: dict) -> None:
+        async def deliver(body: dict[str, Any]) -> None:
             await trio.sleep(rng.uniform(2, 2.2 * self._base_settings.lease.total_seconds()))
             await self.call(rng.randrange(self.count), "POST", "/hello", body)
 
-        def copy(_worker, body: dict) -> None:
+        def copy(_worker: FakeWorker, body: dict[str, Any]) -> None:
             if rng.random() < share:
                 self.nursery.start_soon(deliver, body)
 
@@ -167,7 +169,7 @@
         A copy goes to the worker that runs on the machine by then, also if it has restarted.
         """
 
-        def copy(machine: str, body: dict) -> None:
+        def copy(machine: str, body: dict[str, Any]) -> None:
             if rng.random() < share:
                 delay = rng.uniform(MIN_COMMAND_DELAY_S, MAX_COMMAND_DELAY_S)
                 self.nursery.start_soon(self.deliver_command_copy, machine, body, delay)
@@ -176,14 +178,14 @@
         await trio.sleep(length)
         self._copy_command = None
 
-    async def deliver_command_copy(self, machine: str, body: dict, delay: float) -> None:
+    async def deliver_command_copy(self, machine: str, body: dict[str, Any], delay: float) -> None:
         """Deliver a direct command to a machine once more after a delay, in seconds."""
         await trio.sleep(delay)
         listed = self.cloud.machines.get(machine)
         if listed is not None and listed.status == "running" and listed.worker is not None:
             await listed.worker.receive_copy(body)
 
-    def record_command(self, machine: str, body: dict) -> None:
+    def record_command(self, machine: str, body: dict[str, Any]) -> None:
         """Record that a machine has executed a direct command."""
         if self._copy_command is not None:
             self._copy_command(machine, body)
@@ -195,9 +197,9 @@
 
         Every controller receives them, at once and twice more within seconds.
         """
-        copies: dict[str, list[dict]] = {zone: [] for zone in self.zones}
+        copies: dict[str, list[dict[str, Any]]] = {zone: [] for zone in self.zones}
 
-        def keep(_worker: FakeWorker, body: dict) -> None:
+        def keep(_worker: FakeWorker, body: dict[str, Any]) -> None:
             if rng.random() < share:
                 zone_copies = copies[body["yard"]]
                 zone_copies.append(body)
@@ -219,9 +221,9 @@
 
     def _term(self, zone: str) -> int:
         value = self.state.value(f"r/term/{zone}")
-        return 0 if value is None else value["n"]
+        return 0 if value is None else int(value["n"])
 
-    async def _deliver_copies(self, bodies: list[dict], rng: random.Random) -> None:
+    async def _deliver_copies(self, bodies: list[dict[str, Any]], rng: random.Random) -> None:
         for pause in (0.0, rng.uniform(0.1, 1.0), rng.uniform(1.0, 3.0)):
             await trio.sleep(pause)
             for body in bodies:
--- a/roadbend/fakes/network.py
+++ b/roadbend/fakes/network.py
@@ -1,22 +1,27 @@
 """A network in memory with injected faults. Each host uses it through its own `Port`."""
 
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import trio
 import trio.testing
 
 from roadbend.fakes.stalls import HOST
+from roadbend.http.net import Handler, Net
 
+# A sender and a receiver.
+Direction = tuple[str, str]
+MemoryStream = trio.StapledStream[trio.testing.MemorySendStream, trio.testing.MemoryReceiveStream]
 Accept = Callable[[trio.abc.Stream, str], Awaitable[None]]
 
 
 class Network:
     """Connections between hosts in memory, with blocked pairs and hosts, and held packets."""
 
-    def __init__(self, nursery: trio.Nursery):
+    def __init__(self, nursery: trio.Nursery) -> None:
         self._nursery = nursery
         self._listeners: dict[str, tuple[str, Accept]] = {}
-        self._streams: list[tuple[str, str, trio.abc.Stream, trio.abc.Stream]] = []
+        self._streams: list[tuple[str, str, MemoryStream, MemoryStream]] = []
         self._blocked_pairs: set[frozenset[str]] = set()
         # Hosts that receive nothing, while what they send arrives.
         self.inbound_blocked: set[str] = set()
@@ -24,16 +29,16 @@
         self.outbound_blocked: set[str] = set()
         # Directions (sender, receiver) in which packets are held back, and the held packets. They
         # arrive in order once they are released, even if the sender has closed the connection.
-        self._holding: set[tuple[str, str]] = set()
-        self._holding_requests: set[tuple[str, str]] = set()
-        self._held: list[
-            tuple[tuple[str, str], trio.testing.MemorySendStream, Callable[[], None]]
-        ] = []
+        self._holding: set[Direction] = set()
+        self._holding_requests: set[Direction] = set()
+        self._held: list[tuple[Direction, trio.testing.MemorySendStream, Callable[[], None]]] = []
 
     def port(self, host: str) -> "Port":
+        """Return the network as a host uses it."""
         return Port(self, host)
 
     def register(self, address: str, host: str, accept: Accept) -> None:
+        """Let a host accept the connections to an address."""
         self._listeners[address] = (host, accept)
 
     def unregister(self, host: str) -> None:
@@ -89,6 +94,7 @@
         self._streams = kept
 
     async def connect(self, host: str, address: str) -> trio.abc.Stream:
+        """Open a connection from a host; raise `ConnectionRefusedError` if nobody listens."""
         await trio.sleep(0.001)
         target = self._listeners.get(address)
         if target is None:
@@ -116,9 +122,10 @@
         The connection itself stays open.
         """
         pump, close_stream, direction = stream.send_all_hook, stream.close_hook, (sender, receiver)
+        assert pump is not None and close_stream is not None, "set by `memory_stream_pair`"
 
         def is_held() -> bool:
-            held = direction in self._holding or opened and direction in self._holding_requests
+            held = direction in self._holding or (opened and direction in self._holding_requests)
             return held or any(row[1] is stream for row in self._held)
 
         async def send() -> None:
@@ -137,7 +144,12 @@
 
         stream.send_all_hook, stream.close_hook = send, close
 
-    def _hold_back(self, direction, stream, pump) -> None:
+    def _hold_back(
+        self,
+        direction: Direction,
+        stream: trio.testing.MemorySendStream,
+        pump: Callable[[], object],
+    ) -> None:
         if not any(row[1] is stream for row in self._held):
 
             def deliver() -> None:
@@ -155,23 +167,30 @@
     ) -> None:
         name, accept = listener
         HOST.set(name)
-        try:
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             await accept(stream, host)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
 
 
-class Port:
-    """The network as one host uses it, with the interface of `roadbend.http.net.Net`."""
+class Port(Net):
+    """The network as one host uses it, in place of TCP."""
 
-    def __init__(self, network: Network, host: str):
+    def __init__(self, network: Network, host: str) -> None:
         self._network, self.host = network, host
 
     async def connect(self, address: str) -> trio.abc.Stream:
+        """Open a connection; raise `ConnectionRefusedError` if nobody listens."""
         return await self._network.connect(self.host, address)
 
-    async def listen(self, address: str, handler, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        async def accept(stream, _host):
+    async def listen(
+        self,
+        address: str,
+        handler: Handler,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run `handler` for each connection to an address, until cancelled."""
+
+        async def accept(stream: trio.abc.Stream, _host: str) -> None:
             await handler(stream)
 
         self._network.register(address, self.host, accept)
--- a/roadbend/fakes/previous_version.py
+++ b/roadbend/fakes/previous_version.py
@@ -37,7 +37,7 @@
 
     EXTENSIONS = frames.STARTS_EXTENSION
 
-    def __init__(self, *arguments: Any):
+    def __init__(self, *arguments: Any) -> None:
         super().__init__(*arguments)
         del self.peers.handlers[frames.FrameKind.SETTLED_STARTS]
         self._peer_start_reports = _NoReports(ConfirmedCancellations(self.settings.cancel_within))
@@ -51,7 +51,7 @@
 
     EXTENSIONS = frames.GANGS_EXTENSION
 
-    def __init__(self, *arguments: Any):
+    def __init__(self, *arguments: Any) -> None:
         super().__init__(*arguments)
         del self.peers.handlers[frames.FrameKind.STARTS_IN_DOUBT]
 
@@ -74,27 +74,30 @@
         net: Net,
         rng: random.Random,
         incarnation: str | None = None,
-    ):
+    ) -> None:
         old_settings = replace(
             settings, value_bytes=VALUE_BYTES, txn_ops=TXN_OPS, state_write_rps_next=None
         )
         super().__init__(old_settings, operator, net, rng, incarnation)
         for kind in (frames.FrameKind.GANG_REQUEST, frames.FrameKind.GANG_INFORM):
             del self.peers.handlers[kind]
-        self.fleet.commands.order_now = None
+        # That version sends no start directly.
+        self.fleet.commands.order_now = None  # type: ignore[method-assign, assignment]
         # That version reads and rewrites a job's record without unknown fields, which drops gangs.
-        store, put = self.view._store, self.view.put
+        store = self.view._store
 
-        def store_without_gangs(key: str, value, mod_revision: int) -> None:
+        def store_without_gangs(key: str, value: Any, mod_revision: int) -> None:
             if key.startswith("r/gang/"):
                 return
             if key.startswith("r/job/") and isinstance(value, dict):
                 value = {k: v for k, v in value.items() if k != "g"}
             store(key, value, mod_revision)
 
-        self.view._store, self.view.put = store_without_gangs, put
+        # The view of this one controller alone differs, so its methods are replaced.
+        self.view._store = store_without_gangs  # type: ignore[method-assign]
 
     async def handle(self, request: Request) -> Response:
+        """Answer a request of a user or worker; gangs are refused as malformed."""
         if request.path == "/v1/jobs" and request.method == "POST":
             try:
                 data = decode(request.body)
--- a/roadbend/fakes/scenario.py
+++ b/roadbend/fakes/scenario.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from http import HTTPStatus
 from typing import Any
 
 import trio
@@ -30,8 +31,13 @@
 OBJECTIVES = (ServiceLevelObjective("wait", "plans", 0.9, 5 * S),)
 OPERATOR = OperatorSettings(reoffer_every=2 * S)
 
+# The number of tasks of each long-running job.
+LONG_JOB_TASKS = 2
+CREATED = HTTPStatus.CREATED
+
 
 def job_id(number: int) -> str:
+    """Return the id of a job by its number."""
     return f"run-{number:06d}"
 
 
@@ -42,7 +48,7 @@
     gangs. Short jobs have numbers from 20 on.
     """
 
-    def __init__(self, w: World, rng: random.Random, site: str):
+    def __init__(self, w: World, rng: random.Random, site: str) -> None:
         self.w, self.rng, self.site = w, rng, SITES[site]
         self.cancel_s = self.site["cancel_within"].total_seconds()
         self.lease_s = self.site["lease"].total_seconds()
@@ -51,29 +57,34 @@
     async def begin(self) -> None:
         """Submit the services and long jobs, wait until these run, and submit short jobs."""
         w = self.w
-        assert await w.submit(0, job(1, yard="east", legs=2, **SERVICE), None) == 201
-        assert await w.submit(1, job(2, legs=4, apart=True, rank="high", **SERVICE), None) == 201
+        assert await w.submit(0, job(1, yard="east", legs=2, **SERVICE), None) == CREATED
+        assert (
+            await w.submit(1, job(2, legs=4, apart=True, rank="high", **SERVICE), None) == CREATED
+        )
         zones = ("east", "east", "east", "north", None, None)
         for n, zone in zip(range(10, 16), zones, strict=True):
             body = job(
                 n,
-                legs=2,
+                legs=LONG_JOB_TASKS,
                 yard=zone,
                 crew="blue",
                 together=n % 2 == 0,
                 dueS=30.0,
                 loaners=n % 3 == 0,
             )
-            assert await w.submit(n % 3, body, self.rng.uniform(70, 110)) == 201
+            assert await w.submit(n % 3, body, self.rng.uniform(70, 110)) == CREATED
         for n, zone in ((16, "east"), (17, None)):
-            assert await w.submit(n % 3, gang(n, 2, yard=zone), self.rng.uniform(70, 110)) == 201
+            assert (
+                await w.submit(n % 3, gang(n, LONG_JOB_TASKS, yard=zone), self.rng.uniform(70, 110))
+                == CREATED
+            )
         assert await w.until(
-            lambda: all(len(w.board.running(n)) == 2 for n in self.long_jobs), 90
+            lambda: all(len(w.board.running(n)) == LONG_JOB_TASKS for n in self.long_jobs), 90
         ), "all runs"
         for n in range(20, 24):
             await self.submit_more(n)
 
-    async def submit_more(self, number: int, **changes) -> None:
+    async def submit_more(self, number: int, **changes: Any) -> None:
         """Submit a short array, or a gang if `number` is divisible by three.
 
         It is submitted to one controller after the other until it is accepted.
@@ -94,6 +105,7 @@
             await trio.sleep(1)
 
     def east_machines(self) -> list[str]:
+        """Return the running machines in the east."""
         return sorted(
             m.id
             for m in self.w.cloud.machines.values()
@@ -101,10 +113,12 @@
         )
 
     def sample_east_machines(self) -> list[str]:
+        """Draw half of the running machines in the east."""
         machines = self.east_machines()
         return self.rng.sample(machines, max(1, len(machines) // 2))
 
     async def wait(self, low: float, high: float) -> None:
+        """Wait for a random time within these bounds, in seconds."""
         await trio.sleep(self.rng.uniform(low, high))
 
     async def cancel(self, job_ids: list[str], low: float = 0.0, high: float = 0.0) -> None:
--- a/roadbend/fakes/stalls.py
+++ b/roadbend/fakes/stalls.py
@@ -21,7 +21,7 @@
         trio.lowlevel.add_instrument(self)
 
     def task_scheduled(self, task: trio.lowlevel.Task) -> None:
-        """Called by trio for a task that it has just appended to the run queue."""
+        """Hold a paused host's task, which trio has just appended to the run queue."""
         held = self._ready.get(task.context.get(HOST, ""))
         if held is not None:
             run_queue = trio._core._run.GLOBAL_RUN_CONTEXT.runner.runq
--- a/roadbend/fakes/state.py
+++ b/roadbend/fakes/state.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, unquote
@@ -20,7 +21,7 @@
 
     keys: dict[str, tuple[Any, int, int | None]]
     revision: int
-    log: list[tuple[str, dict]]
+    log: list[tuple[str, dict[str, Any]]]
 
 
 class FakeStateService:
@@ -29,12 +30,17 @@
     Times are in seconds of `clock`; `value_bytes` and `txn_ops` limit values and transactions.
     """
 
-    def __init__(self, clock=trio.current_time, value_bytes: int = 32 * 1024, txn_ops: int = 16):
+    def __init__(
+        self,
+        clock: Callable[[], float] = trio.current_time,
+        value_bytes: int = 32 * 1024,
+        txn_ops: int = 16,
+    ) -> None:
         self._now = clock
         self._limits = (value_bytes, txn_ops)
         self.keys: dict[str, tuple[Any, int, int | None]] = {}
         self.revision = 0
-        self.log: list[tuple[str, dict]] = []
+        self.log: list[tuple[str, dict[str, Any]]] = []
         self.leases: dict[int, tuple[float, float]] = {}
         self._next_lease = 0
         self.down = False
@@ -50,7 +56,7 @@
         # that draws them.
         self._lost_answers: tuple[float, random.Random] | None = None
         self.answers_lost = 0
-        self._delayed: list[tuple[float, dict]] = []
+        self._delayed: list[tuple[float, dict[str, Any]]] = []
         self.late_statuses: list[int] = []
         self.requests = 0
 
@@ -124,7 +130,7 @@
         except (MalformedError, KeyError, TypeError, ValueError) as error:
             return Response(400, {"error": repr(error)})
         answer_lost = self._loses_answer(request)
-        if answer_lost or host in self.unanswered_hosts and request.path == "/multi":
+        if answer_lost or (host in self.unanswered_hosts and request.path == "/multi"):
             # Committed, but never answered.
             self.answers_lost += answer_lost
             await trio.sleep(3600)
@@ -190,7 +196,7 @@
         entries = [e for k, e in self.log if e["stamp"] > after and k.startswith(prefix)]
         return Response(200, {"ledger": self.revision, "log": entries})
 
-    def compare_and_swap(self, body: dict) -> Response:
+    def compare_and_swap(self, body: dict[str, Any]) -> Response:
         """Commit a transaction if its conditions hold.
 
         Tests call this, too, to deliver a transaction late. Raises `ValueError` if it is too large.
--- a/roadbend/fakes/submission.py
+++ b/roadbend/fakes/submission.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 
-def job(number: int, **changes) -> dict[str, Any]:
+def job(number: int, **changes: Any) -> dict[str, Any]:
     """Return the body of a submission; `changes` use the field names of the wire."""
     body = {
         "id": f"run-{number:06d}",
@@ -30,7 +30,7 @@
     return {**body, **changes}
 
 
-def gang(number: int, tasks: int = 4, **changes) -> dict[str, Any]:
+def gang(number: int, tasks: int = 4, **changes: Any) -> dict[str, Any]:
     """Return the body of a gang that saves checkpoints; see `job`."""
     body = dict(
         shape="group",
--- a/roadbend/fakes/test_fakes.py
+++ b/roadbend/fakes/test_fakes.py
@@ -16,6 +16,7 @@
 from roadbend.fakes.worker_tasks import WorkerSettings, WorkerTasks
 from roadbend.fakes.world import World, world
 from roadbend.http.client import Client, NoAnswerError
+from roadbend.http.server import Server
 from roadbend.settings import Team
 
 EAST, WEST = Place("m-1", "g2", "east", False), Place("m-2", "g2", "west", False)
@@ -262,8 +263,6 @@
     """A service on a network, and a client for it."""
 
     def __init__(self, network: Network, service):
-        from roadbend.http.server import Server
-
         async def accept(stream, source):
             await Server(lambda request: service.handle(request, source), max_connections=16).serve(
                 stream
@@ -360,7 +359,7 @@
 
 async def test_copies_of_reports_arrive_again_and_are_nobodys_news():
     async with world(count=1) as w:
-        machine, worker = await started(w)
+        await started(w)
         statuses, original_handle = [], w.controllers["node-0"].fleet.handle_heartbeat
 
         async def handle_heartbeat(request):
--- a/roadbend/fakes/user_behaviour.py
+++ b/roadbend/fakes/user_behaviour.py
@@ -1,11 +1,15 @@
-"""Unusual behaviour of users: cancellations at the worst time, repeated and malformed requests, and
-queries to all controllers at once.
+"""Unusual behaviour of users.
+
+There are cancellations at the worst time, repeated and malformed requests, and queries to all
+controllers at once.
 """
 
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING
+from enum import IntEnum
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -25,6 +29,16 @@
 REPEAT_ONE_IN, CANCEL_ONE_IN = 3, 6
 
 
+class RequestKind(IntEnum):
+    """What an unusual request is."""
+
+    REPEATED = 0
+    MALFORMED = 1
+    LATE_CANCELLATION = 2
+    INCOMPLETE = 3
+    UNFIT = 4
+
+
 class UserBehaviour:
     """A mixin of `World` with the behaviour of users."""
 
@@ -32,7 +46,7 @@
     board: Board
     nursery: trio.Nursery
     count: int
-    call: Callable[..., Awaitable[tuple]]
+    call: Callable[..., Awaitable[tuple[int, Any]]]
     until: Callable[..., Awaitable[bool]]
     hang: Callable[..., Awaitable[None]]
 
@@ -64,7 +78,9 @@
 
         async def is_confirmed() -> bool:
             for index in range(self.count):
-                if (await self.call(index, "POST", f"/v1/jobs/{job_id}/withdraw", {}))[0] == 200:
+                if (await self.call(index, "POST", f"/v1/jobs/{job_id}/withdraw", {}))[
+                    0
+                ] == HTTPStatus.OK:
                     return True
             return False
 
@@ -75,7 +91,7 @@
 
         def completed(task: str) -> None:
             job_id = task.rpartition("/")[0]
-            observed = self.rules.jobs.get(job_id)
+            observed = self.rules.jobs[job_id]
             if job_id in job_ids and len(observed.completed) >= observed.body["legs"]:
                 for index in range(self.count):
                     for method, path, body in (
@@ -106,19 +122,23 @@
                 known for known in self.rules.jobs.values() if known.accepted_at is not None
             ]
             old = rng.choice(accepted) if accepted else None
-            kind = rng.randrange(5)
-            if kind == 0 and old is not None:
+            kind = RequestKind(rng.randrange(len(RequestKind)))
+            if kind == RequestKind.REPEATED and old is not None:
                 await self.call(index, "POST", "/v1/jobs", old.body)
-            elif kind == 1 and old is not None:
+            elif kind == RequestKind.MALFORMED and old is not None:
                 malformed = {
                     k: v for k, v in old.body.items() if k != rng.choice(REQUIRED_FIELDS[1:])
                 }
                 await self.call(
                     index, "POST", "/v1/jobs", {**malformed, "vcpus": rng.choice((-1, 99.0, "x"))}
                 )
-            elif kind == 2 and old is not None and old.done_at is not None:
+            elif (
+                kind == RequestKind.LATE_CANCELLATION
+                and old is not None
+                and old.done_at is not None
+            ):
                 await self.call(index, "POST", f"/v1/jobs/{old.id}/withdraw", {})
-            elif kind == 3:
+            elif kind == RequestKind.INCOMPLETE:
                 incomplete = job(number)
                 del incomplete[rng.choice(REQUIRED_FIELDS[1:])]
                 await self.call(index, "POST", "/v1/jobs", incomplete)
--- a/roadbend/fakes/world.py
+++ b/roadbend/fakes/world.py
@@ -5,12 +5,13 @@
 from contextlib import asynccontextmanager
 from datetime import timedelta
 from functools import partial
+from http import HTTPStatus
 from typing import Any
 
 import trio
 
 from roadbend import clock
-from roadbend.checkers.observed_jobs import Place
+from roadbend.checkers.observed_jobs import MachineWithCapacity, Place
 from roadbend.checkers.protocol_rules import Rules
 from roadbend.controller import Controller
 from roadbend.fakes.board import Board
@@ -38,10 +39,10 @@
         count: int,
         operator: OperatorSettings,
         capacity: int,
-        changes: dict,
+        changes: dict[str, Any],
         caches_images: bool = False,
         equip: Callable[[Controller], None] | None = None,
-    ):
+    ) -> None:
         self._caches_images = caches_images
         # Installs the optional parts of a controller of the current version.
         self._equip = equip
@@ -76,7 +77,7 @@
             await trio.sleep(0.5)
             self.rules.check(*self.machines())
 
-    def machines(self) -> tuple[set[str], list]:
+    def machines(self) -> tuple[set[str], list[MachineWithCapacity]]:
         """Return the machines that hang, and the running ones with their free capacity."""
         hung, with_capacity = set(), []
         for machine in self.cloud.machines.values():
@@ -86,16 +87,18 @@
             if worker.hung:
                 hung.add(machine.id)
                 continue
-            free = [MACHINE_TYPE["vcpus"], MACHINE_TYPE["gpus"], MACHINE_TYPE["memoryGb"]]
+            cpus, gpus, memory = (MACHINE_TYPE[name] for name in ("vcpus", "gpus", "memoryGb"))
             for task in worker.tasks.values():
                 job = self.rules.jobs.get(task.name.rpartition("/")[0])
                 if task.state != "ended" and job is not None:
-                    free = [f - n for f, n in zip(free, job.resources, strict=True)]
+                    used_cpus, used_gpus, used_memory = job.resources
+                    cpus, gpus, memory = cpus - used_cpus, gpus - used_gpus, memory - used_memory
             if worker.place.machine not in self.broken_machines:
-                with_capacity.append((worker.place, tuple(free)))
+                with_capacity.append(MachineWithCapacity(worker.place, (cpus, gpus, memory)))
         return hung, with_capacity
 
     def workers(self) -> list[FakeWorker]:
+        """Return the workers of the running machines."""
         return [
             m.worker
             for m in self.cloud.machines.values()
@@ -134,8 +137,8 @@
         ]
         assert all_settled, open_jobs
 
-    def _serve(self, host: str, service) -> None:
-        async def accept(stream, source):
+    def _serve(self, host: str, service: FakeStateService | FakeCloud) -> None:
+        async def accept(stream: trio.abc.Stream, source: str) -> None:
             await Server(
                 lambda request: service.handle(request, source), max_connections=256
             ).serve(stream)
@@ -190,7 +193,7 @@
         scope = trio.CancelScope()
         self.controllers[name], self._scopes[name] = controller, scope
 
-        async def run():
+        async def run() -> None:
             HOST.set(name)
             with scope:
                 await controller.run()
@@ -208,6 +211,7 @@
     async def call(
         self, index: int, method: str, path: str, body: Any = None, within: float = 5
     ) -> tuple[int, Any]:
+        """Send a user's request to a controller; return status and body, 0 without an answer."""
         client, began = Client(self.network.port("user"), f"node-{index}:80"), trio.current_time()
         if path == "/v1/jobs":
             self.rules.record_submission(body)
@@ -224,15 +228,17 @@
         self.rules.check_answer(method, path, body, status, answer, began)
         return status, answer
 
-    async def submit(self, index: int, body: dict, length: float | None = 20.0) -> int:
+    async def submit(self, index: int, body: dict[str, Any], length: float | None = 20.0) -> int:
+        """Submit a job whose tasks run for `length` seconds; return the status of the answer."""
         self.board.lengths[body["id"]] = length
         return (await self.call(index, "POST", "/v1/jobs", body))[0]
 
     async def status(self, index: int, name: str) -> str | None:
+        """Query a job; return its status, None if there was no answer."""
         status, answer = await self.call(index, "GET", f"/v1/jobs/{name}", within=2)
-        return answer["status"] if status == 200 else None
+        return answer["status"] if status == HTTPStatus.OK else None
 
-    async def until(self, check, within: float, step: float = 0.25) -> bool:
+    async def until(self, check: Callable[[], Any], within: float, step: float = 0.25) -> bool:
         """Wait until `check`, which may be asynchronous, returns true; return whether it did."""
         end = trio.current_time() + within
         while trio.current_time() < end:
@@ -273,7 +279,7 @@
     on_broken_rules: Callable[[list[str]], None] | None = None,
     caches_images: bool = False,
     equip: Callable[[Controller], None] | None = None,
-    **changes,
+    **changes: Any,
 ) -> AsyncIterator[World]:
     """Run a deployment of `count` controllers; `changes` are made to the platform settings.
 
--- a/tests/scenarios/test_confirmed_cancellations.py
+++ b/tests/scenarios/test_confirmed_cancellations.py
@@ -373,8 +373,11 @@
 
 
 async def test_a_wide_job_is_confirmed_by_its_machines_while_its_leader_is_gone():
-    """Guards against a limit on the machines that are queried. With a limit of 64, the cancellation
-    of a wider job was confirmed only by the next leader, as seen with a fleet of 4,000 machines."""
+    """Guards against a limit on the machines that are queried.
+
+    With a limit of 64, the cancellation of a wider job was confirmed only by the next leader, as
+    seen with a fleet of 4,000 machines.
+    """
     async with world(teams=WIDE, capacity=90, cloud_rps=30.0, state_rps=900.0) as w:
         w.cloud.boot_seconds = 3.0
         wide = job(1, legs=70, vcpus=24.0, gpus=0.0, yard="east", shape="daemon", dueS=None)
@@ -438,10 +441,11 @@
 async def test_a_leader_that_is_refused_and_cut_off_starts_nothing_that_was_told_to_be_cancelled(
     version,
 ):
-    """As `test_owners_hear_of_a_cancellation_before_its_user_does` in `test_meetings`, except that
-    the current version may answer 503 while the leader can't be queried (KNOWN-RED.txt).
+    """Checks that leaders hear of a cancellation before its user does.
 
-    For controllers of version 0.9.0 the check is the same as there.
+    As in `test_owners_hear_of_a_cancellation_before_its_user_does` in `test_meetings`, except that
+    the current version may answer 503 while the leader can't be queried. For controllers of version
+    0.9.0 the check is the same as there.
     """
     async with world(teams=TEAMS, previous_version=version) as w:
         service = job(50, shape="daemon", yard="east", dueS=None, loaners=False)
--- a/tests/scenarios/test_double_starts.py
+++ b/tests/scenarios/test_double_starts.py
@@ -324,8 +324,11 @@
 
 
 def test_a_split_into_a_shard_that_changes_too_loses_no_task():
-    """One transaction splits a wide shard and records the end of a task in a shard that receives
-    tasks from it. The second write of that shard lost the tasks that the first had moved there."""
+    """Guards against a second write of a shard that loses the tasks that the first moved there.
+
+    One transaction splits a wide shard and records the end of a task in a shard that receives tasks
+    from it.
+    """
     settings = settings_for(0, 1, value_bytes=1200, txn_ops=4)
     view, width = RecordView(), settings.shard_width
     # The shard that receives most tasks is also the one that changes.
--- a/tests/scenarios/test_failover_time.py
+++ b/tests/scenarios/test_failover_time.py
@@ -29,8 +29,10 @@
 
 
 async def test_the_only_controller_that_is_left_leads_everything_soon_after_an_outage():
-    """Guards against a second wait: the outage renewed the leases of terminated controllers, and
-    the workers' leases expire soon after those."""
+    """Guards against a second wait after an outage, which renews the leases of dead controllers.
+
+    The workers' leases expire soon after those.
+    """
     async with world() as w:
         await trio.sleep(5)
         for at in range(3):
--- a/tests/scenarios/test_workers_of_silent_leaders.py
+++ b/tests/scenarios/test_workers_of_silent_leaders.py
@@ -60,7 +60,7 @@
 @pytest.mark.parametrize("offset", [0.0, 0.7])
 async def test_workers_reach_the_new_leader_within_their_leases(restored_before_expiry, offset):
     """Guards against a redirect to the silent leader just before its partition is acquired."""
-    assert ACQUISITION_S + LIVE_RETRY_ROUND_S < restored_before_expiry
+    assert restored_before_expiry > ACQUISITION_S + LIVE_RETRY_ROUND_S
     async with world(teams=TEAMS) as w:
         start_count = await run_tasks(w)
         before = term(w)
