--- a/roadbend/__init__.py
+++ b/roadbend/__init__.py
@@ -1,3 +1,3 @@
 """roadbend: a cluster scheduler whose controllers bid for jobs."""
 
-__version__ = "0.12.4"
+__version__ = "0.12.5"
--- a/roadbend/fakes/worker_tasks.py
+++ b/roadbend/fakes/worker_tasks.py
@@ -150,7 +150,7 @@
             task.state, task.began = "running", trio.current_time()
             self._board.record_start(task.name, self._place)
             self._on_change()
-            if self._settings.broken or task.job in self._board.mistaken_jobs:
+            if self._fails(task):
                 await trio.sleep(FAILURE_DELAY_S)
                 self.end(task, "error")
                 return
@@ -159,6 +159,9 @@
             await self._wait_while_hung()
             self.end(task, "done")
 
+    def _fails(self, task: WorkerTask) -> bool:
+        return self._settings.broken or task.job in self._board.mistaken_jobs
+
     def _end_completed(self, task: WorkerTask) -> None:
         """End a task that had completed before; its result is kept independently of its worker.
 
@@ -178,6 +181,10 @@
             return
         task.state = "running"
         self._on_change()
+        if self._fails(task):
+            await trio.sleep(FAILURE_DELAY_S)
+            self.end(task, "error")
+            return
         length = self._board.lengths.get(task.job)
         lost_since: float | None = None
         while not task.ended:
--- a/tests/scenarios/test_failing_tasks.py
+++ b/tests/scenarios/test_failing_tasks.py
@@ -111,6 +111,17 @@
         await w.finish()
 
 
+@pytest.mark.parametrize("machines", [1, 2])
+async def test_a_job_starts_beside_services_after_mistaken_gangs_were_cancelled(machines):
+    """Guards against failures of gangs, which end as a whole, that are counted otherwise."""
+    async with deployment(1, machines) as w:
+        await fail_mistaken_jobs(w, legs=machines, shape="group")
+        await cancel_mistaken_jobs(w)
+        assert await w.submit(0, array(w, 21, legs=machines)) == 201
+        assert await starts_in_time(w, machines)
+        await w.finish()
+
+
 @PLACES
 async def test_a_job_starts_beside_services_while_mistaken_jobs_go_on(zones, machines):
     """Guards against mistaken jobs that keep machines from others until they are cancelled."""
