--- a/roadbend/fleet/test_machines.py
+++ b/roadbend/fleet/test_machines.py
@@ -201,6 +201,24 @@
     assert KEY in harness.terminations
 
 
+def test_an_attempt_is_neither_started_in_quarantine_nor_after_its_absence_was_proven():
+    """Guards against a quarantine whose end starts an attempt that counts as terminated."""
+    harness = Harness()
+    harness.machine.lifecycle.quarantined_until = NOW + timedelta(seconds=1)
+    assert harness.evaluate() == []
+    assert harness.terminations[KEY] == Termination(70, "m-1", False, "absent")
+    harness.machine.lifecycle.quarantined_until = NOW
+    assert harness.evaluate(sequence=6) == [] and harness.terminations[KEY].cause == "absent"
+
+
+def test_an_attempt_that_is_started_directly_is_not_proven_gone_by_a_quarantine():
+    """Guards against a task that begins elsewhere while its start is on its way."""
+    harness = Harness()
+    harness.machine.token.direct_starts[KEY] = DirectStart(70, 1)
+    harness.machine.lifecycle.quarantined_until = NOW + timedelta(seconds=1)
+    assert harness.evaluate() == [] and not harness.terminations
+
+
 def test_an_attempt_that_is_proven_gone_is_not_ordered_while_the_records_name_it():
     for cause in ("lease", "absent", "error", "deleted"):
         harness = Harness()
